--- a/src/main/java/org/laburnumarch/Laburnumarch.java
+++ b/src/main/java/org/laburnumarch/Laburnumarch.java
@@ -5,6 +5,7 @@
 import org.laburnumarch.internal.daemon.DaemonCommand;
 import org.laburnumarch.internal.emulator.EmulatorCommand;
 import org.laburnumarch.internal.experiment.ExperimentCommand;
+import org.laburnumarch.internal.node.NodeCommand;
 
 /** Entry point of the runnable file. */
 public final class Laburnumarch {
@@ -20,6 +21,7 @@
   static Subcommands subcommands() {
     return Subcommands.ofOperators()
         .plug("daemon", "Run one daemon until it is told to stop", new DaemonCommand())
+        .plug("node", "Run one daemon on the users' platform", new NodeCommand())
         .plug("experiment", "Measure policies against baselines", new ExperimentCommand()::run)
         .plug(
             "emulator",
--- a/src/main/java/org/laburnumarch/internal/daemon/ControlLog.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/ControlLog.java
@@ -17,10 +17,10 @@
 import org.laburnumarch.internal.state.Envelope;
 import org.laburnumarch.internal.state.RecordBody;
 import org.laburnumarch.internal.state.Verdict;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.LogRecord;
-import org.laburnumarch.platform.PlatformException;
-import org.laburnumarch.platform.PlatformLog;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.LogRecord;
+import org.laburnumarch.spi.PlatformException;
+import org.laburnumarch.spi.PlatformLog;
 
 /** Runs the effects of the {@link LogFollower} against the platform's log, on the core loop. */
 final class ControlLog {
--- a/src/main/java/org/laburnumarch/internal/daemon/Daemon.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/Daemon.java
@@ -11,12 +11,12 @@
 import org.laburnumarch.internal.entry.EntryServer;
 import org.laburnumarch.internal.entry.EntrySettings;
 import org.laburnumarch.internal.fleet.InstanceProposals;
+import org.laburnumarch.internal.http.HttpInstanceList;
+import org.laburnumarch.internal.http.HttpPlatformLog;
+import org.laburnumarch.internal.http.HttpPoolControl;
 import org.laburnumarch.internal.log.LogFollower;
 import org.laburnumarch.internal.operator.OperatorHandler;
 import org.laburnumarch.internal.operator.OperatorTokens;
-import org.laburnumarch.internal.platform.HttpInstanceList;
-import org.laburnumarch.internal.platform.HttpPlatformLog;
-import org.laburnumarch.internal.platform.HttpPoolControl;
 import org.laburnumarch.internal.settings.DaemonSettings;
 import org.laburnumarch.internal.settings.HostPort;
 import org.laburnumarch.internal.state.ControlState;
@@ -26,7 +26,7 @@
 import org.laburnumarch.internal.text.FleetTextChecker;
 import org.laburnumarch.internal.text.TextChecker;
 import org.laburnumarch.internal.time.MonotonicClock;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 import org.tinylog.Logger;
 
 /** One running daemon. */
--- a/src/main/java/org/laburnumarch/internal/daemon/FleetKeeper.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/FleetKeeper.java
@@ -5,8 +5,8 @@
 import java.util.function.Supplier;
 import org.laburnumarch.internal.fleet.FleetEffect;
 import org.laburnumarch.internal.fleet.FleetSystem;
-import org.laburnumarch.platform.ListedInstance;
-import org.laburnumarch.platform.PoolControl;
+import org.laburnumarch.spi.ListedInstance;
+import org.laburnumarch.spi.PoolControl;
 import org.tinylog.Logger;
 
 /** Carries out what the fleet system decides; on the core loop. */
--- a/src/main/java/org/laburnumarch/internal/daemon/Incarnation.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/Incarnation.java
@@ -14,7 +14,7 @@
 import org.laburnumarch.internal.peer.PeerTransport;
 import org.laburnumarch.internal.state.ControlState;
 import org.laburnumarch.internal.state.MemberEntry;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 import org.tinylog.Logger;
 
 /**
--- a/src/main/java/org/laburnumarch/internal/daemon/InstanceWatcher.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/InstanceWatcher.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.function.Consumer;
-import org.laburnumarch.platform.InstanceList;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.InstanceList;
+import org.laburnumarch.spi.ListedInstance;
 
 /** Polls the platform's instance list and keeps the last answer. */
 final class InstanceWatcher {
--- a/src/main/java/org/laburnumarch/internal/daemon/Membership.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/Membership.java
@@ -22,7 +22,7 @@
 import org.laburnumarch.internal.settings.HostPort;
 import org.laburnumarch.internal.state.ControlState;
 import org.laburnumarch.internal.state.MemberEntry;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 import org.tinylog.Logger;
 
 /**
--- a/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
@@ -11,7 +11,7 @@
  * <p>A shutdown hook cannot do this: the virtual machine ignores signals while hooks run. The
  * signal classes are reached by reflection, since the compiler warns of any direct use.
  */
-final class TerminationSignals {
+public final class TerminationSignals {
 
   /** Exit status of a process that was ended by a second signal. */
   static final int FORCED_EXIT_STATUS = 130;
@@ -19,7 +19,7 @@
   private TerminationSignals() {}
 
   /** Returns a future that the first signal completes. */
-  static CompletableFuture<Void> firstSignal() {
+  public static CompletableFuture<Void> firstSignal() {
     CompletableFuture<Void> first = new CompletableFuture<>();
     AtomicBoolean isStopping = new AtomicBoolean();
     Runnable onSignal =
--- a/src/main/java/org/laburnumarch/internal/emulator/InstanceTable.java
+++ b/src/main/java/org/laburnumarch/internal/emulator/InstanceTable.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.laburnumarch.platform.ListedInstance;
-import org.laburnumarch.platform.PoolControl;
+import org.laburnumarch.spi.ListedInstance;
+import org.laburnumarch.spi.PoolControl;
 
 /** What the instances stand-in knows, and what of it the list shows already. */
 final class InstanceTable {
--- a/src/main/java/org/laburnumarch/internal/emulator/InstancesStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/emulator/InstancesStandIn.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import org.laburnumarch.platform.ListedInstance;
-import org.laburnumarch.platform.PoolControl.Status;
+import org.laburnumarch.spi.ListedInstance;
+import org.laburnumarch.spi.PoolControl.Status;
 
 /**
  * Stand-in of the platform's instance list, which shows changes late, and of its pool control.
--- a/src/main/java/org/laburnumarch/internal/emulator/LogStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/emulator/LogStandIn.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.LogRecord;
 
 /**
  * Stand-in of the platform's log: offsets, retention by count and age, long poll, and faults that
--- a/src/main/java/org/laburnumarch/internal/emulator/RetainedStream.java
+++ b/src/main/java/org/laburnumarch/internal/emulator/RetainedStream.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.LogRecord;
 
 /** One stream of the log stand-in, kept in memory within limits of count and age. */
 final class RetainedStream {
--- a/src/main/java/org/laburnumarch/internal/entry/EntryEnvironment.java
+++ b/src/main/java/org/laburnumarch/internal/entry/EntryEnvironment.java
@@ -8,7 +8,7 @@
 import org.laburnumarch.internal.peer.PeerMessage.PoolDemand;
 import org.laburnumarch.internal.state.ControlState;
 import org.laburnumarch.internal.time.MonotonicClock;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 /**
  * What the daemon supplies to its entry; every supplier answers at once from memory.
--- a/src/main/java/org/laburnumarch/internal/entry/FleetView.java
+++ b/src/main/java/org/laburnumarch/internal/entry/FleetView.java
@@ -8,7 +8,7 @@
 import org.laburnumarch.internal.peer.PeerMessage.PoolDemand;
 import org.laburnumarch.internal.state.ControlState;
 import org.laburnumarch.internal.state.MemberEntry;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 /** The inputs of routing at one instant. */
 record FleetView(
--- a/src/main/java/org/laburnumarch/internal/experiment/FleetSimulation.java
+++ b/src/main/java/org/laburnumarch/internal/experiment/FleetSimulation.java
@@ -21,8 +21,8 @@
 import org.laburnumarch.internal.text.FleetTextChecker;
 import org.laburnumarch.internal.text.SectionPatch;
 import org.laburnumarch.internal.text.TextSections;
-import org.laburnumarch.platform.ListedInstance;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.ListedInstance;
+import org.laburnumarch.spi.LogRecord;
 
 /** Daemons that decide on a fleet, over a log and a platform in virtual time. */
 public final class FleetSimulation {
--- a/src/main/java/org/laburnumarch/internal/experiment/SimulatedPools.java
+++ b/src/main/java/org/laburnumarch/internal/experiment/SimulatedPools.java
@@ -4,7 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.laburnumarch.platform.PoolControl.Status;
+import org.laburnumarch.spi.PoolControl.Status;
 
 /** The platform's drain and reboot in virtual time. */
 final class SimulatedPools {
--- a/src/main/java/org/laburnumarch/internal/fleet/FleetSystem.java
+++ b/src/main/java/org/laburnumarch/internal/fleet/FleetSystem.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.laburnumarch.internal.state.ControlState;
-import org.laburnumarch.platform.ListedInstance;
-import org.laburnumarch.platform.PoolControl;
+import org.laburnumarch.spi.ListedInstance;
+import org.laburnumarch.spi.PoolControl;
 
 /**
  * Keeps capacity and runs maintenance: takes what a daemon sees and returns what it has to do.
--- a/src/main/java/org/laburnumarch/internal/fleet/InstanceProposals.java
+++ b/src/main/java/org/laburnumarch/internal/fleet/InstanceProposals.java
@@ -13,7 +13,7 @@
 import org.laburnumarch.internal.state.RecordBody.InstanceAdded;
 import org.laburnumarch.internal.state.RecordBody.InstanceRemoved;
 import org.laburnumarch.internal.text.FleetText;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 /**
  * Proposes to add instances that the platform reports and to drop those that it does not report any
--- a/src/main/java/org/laburnumarch/internal/fleet/InstanceReports.java
+++ b/src/main/java/org/laburnumarch/internal/fleet/InstanceReports.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.laburnumarch.internal.state.ControlState;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 /**
  * Finds out from the lagging list which instances are lost or leaving.
--- a/src/main/java/org/laburnumarch/internal/fleet/MaintenanceRun.java
+++ b/src/main/java/org/laburnumarch/internal/fleet/MaintenanceRun.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import org.laburnumarch.internal.state.InstanceHealth;
 import org.laburnumarch.internal.state.RecordBody.MaintenanceFinished;
-import org.laburnumarch.platform.PoolControl;
+import org.laburnumarch.spi.PoolControl;
 
 /**
  * Takes one instance through drain, reboot and verification by what the platform says of it.
--- a/src/main/java/org/laburnumarch/internal/fleet/MaintenanceSystem.java
+++ b/src/main/java/org/laburnumarch/internal/fleet/MaintenanceSystem.java
@@ -9,7 +9,7 @@
 import org.laburnumarch.internal.state.ControlState;
 import org.laburnumarch.internal.state.InstanceEntry;
 import org.laburnumarch.internal.state.RecordBody.MaintenanceStarted;
-import org.laburnumarch.platform.PoolControl;
+import org.laburnumarch.spi.PoolControl;
 
 /**
  * Maintains every instance once per interval.
--- a/src/main/java/org/laburnumarch/internal/platform/HttpInstanceList.java
+++ b/src/main/java/org/laburnumarch/internal/http/HttpInstanceList.java
@@ -1,6 +1,6 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
-import static org.laburnumarch.internal.platform.PlatformAnswers.requiredText;
+import static org.laburnumarch.internal.http.PlatformAnswers.requiredText;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.servicetalk.http.api.HttpRequestMethod;
@@ -8,8 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
-import org.laburnumarch.platform.InstanceList;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.InstanceList;
+import org.laburnumarch.spi.ListedInstance;
 
 /** The platform's instance list over HTTP. */
 public final class HttpInstanceList implements InstanceList, AutoCloseable {
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/http/HttpLoop.java
@@ -0,0 +1,74 @@
+package org.laburnumarch.internal.http;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.servicetalk.concurrent.api.Executor;
+import io.servicetalk.concurrent.api.Executors;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * The one thread on which a daemon's sockets, timers and decisions run. Sharing it saves a
+ * hand-over between threads for each message; nothing on it may block.
+ */
+public final class HttpLoop implements AutoCloseable {
+
+  private static final long QUIET_PERIOD_MS = 0;
+  private static final long CLOSE_TIMEOUT_MS = 500;
+
+  private final EventLoopGroup group;
+  private final IoExecutor ioExecutor;
+  private final Executor timer;
+
+  /** Starts the thread. */
+  public HttpLoop() {
+    this.group = Epoll.isAvailable() ? new EpollEventLoopGroup(1) : new NioEventLoopGroup(1);
+    this.ioExecutor = NettyIoExecutors.fromNettyEventLoopGroup(group, false);
+    this.timer = Executors.from(group.next());
+  }
+
+  /** Returns the group of one thread, for sockets of other protocols. */
+  public EventLoopGroup group() {
+    return group;
+  }
+
+  /** Runs a task on the thread; a failure of the task is logged. */
+  public void execute(Runnable task) {
+    group.next().execute(guarded(task));
+  }
+
+  /** Runs a task on the thread after a time; a failure of the task is logged. */
+  public void after(long delayMs, Runnable task) {
+    Future<?> unused = group.next().schedule(guarded(task), delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        Logger.error(e, "loop: event=task-failed");
+      }
+    };
+  }
+
+  IoExecutor ioExecutor() {
+    return ioExecutor;
+  }
+
+  Executor timer() {
+    return timer;
+  }
+
+  /** Ends the thread; sockets that are still open are closed. */
+  @Override
+  public void close() {
+    Future<?> unused =
+        group.shutdownGracefully(QUIET_PERIOD_MS, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/platform/HttpPlatformLog.java
+++ b/src/main/java/org/laburnumarch/internal/http/HttpPlatformLog.java
@@ -1,7 +1,7 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
-import static org.laburnumarch.internal.platform.PlatformAnswers.requiredLong;
-import static org.laburnumarch.internal.platform.PlatformAnswers.requiredText;
+import static org.laburnumarch.internal.http.PlatformAnswers.requiredLong;
+import static org.laburnumarch.internal.http.PlatformAnswers.requiredText;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.servicetalk.http.api.HttpRequestMethod;
@@ -10,10 +10,10 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
-import org.laburnumarch.internal.platform.PlatformHttpClient.Answer;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.LogRecord;
-import org.laburnumarch.platform.PlatformLog;
+import org.laburnumarch.internal.http.PlatformHttpClient.Answer;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.LogRecord;
+import org.laburnumarch.spi.PlatformLog;
 
 /** The platform's log over HTTP, as one stream. */
 public final class HttpPlatformLog implements PlatformLog, AutoCloseable {
--- a/src/main/java/org/laburnumarch/internal/platform/HttpPoolControl.java
+++ b/src/main/java/org/laburnumarch/internal/http/HttpPoolControl.java
@@ -1,13 +1,13 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
-import static org.laburnumarch.internal.platform.PlatformAnswers.requiredText;
+import static org.laburnumarch.internal.http.PlatformAnswers.requiredText;
 
 import io.servicetalk.http.api.HttpRequestMethod;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletionStage;
-import org.laburnumarch.platform.PoolControl;
+import org.laburnumarch.spi.PoolControl;
 
 /** The platform's drain and reboot of instances over HTTP. */
 public final class HttpPoolControl implements PoolControl, AutoCloseable {
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/http/LoopServers.java
@@ -0,0 +1,28 @@
+package org.laburnumarch.internal.http;
+
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpService;
+import io.servicetalk.http.netty.HttpServers;
+import java.net.InetSocketAddress;
+
+/** HTTP servers whose sockets and services run on the one thread of a loop. */
+public final class LoopServers {
+
+  private LoopServers() {}
+
+  /**
+   * Starts a server.
+   *
+   * @throws Exception if the address cannot be bound
+   */
+  public static HttpServerContext listen(
+      InetSocketAddress address, HttpLoop loop, HttpService service) throws Exception {
+    return HttpServers.forAddress(address)
+        .ioExecutor(loop.ioExecutor())
+        .executionStrategy(HttpExecutionStrategies.offloadNone())
+        .listen(service)
+        .toFuture()
+        .get();
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/platform/PlatformAnswers.java
+++ b/src/main/java/org/laburnumarch/internal/http/PlatformAnswers.java
@@ -1,11 +1,11 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.function.Function;
-import org.laburnumarch.internal.platform.PlatformHttpClient.Answer;
-import org.laburnumarch.platform.PlatformException;
+import org.laburnumarch.internal.http.PlatformHttpClient.Answer;
+import org.laburnumarch.spi.PlatformException;
 
 /** Reads the platform's JSON answers and turns faulty ones into {@link PlatformException}. */
 final class PlatformAnswers {
--- a/src/main/java/org/laburnumarch/internal/platform/PlatformHttpClient.java
+++ b/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
@@ -1,12 +1,16 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
 import static io.servicetalk.http.api.HttpExecutionStrategies.offloadNone;
 
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.SingleAddressHttpClientBuilder;
 import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 import io.servicetalk.transport.api.RetryableException;
 import io.servicetalk.transport.api.ServiceTalkSocketOptions;
@@ -14,13 +18,15 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
-import org.laburnumarch.platform.PlatformException;
+import org.laburnumarch.spi.PlatformException;
 import org.tinylog.Logger;
 
 /**
@@ -31,14 +37,15 @@
  * that went silent is used at most once more. Answers are complete; all stages fail with {@link
  * PlatformException}.
  */
-final class PlatformHttpClient implements AutoCloseable {
+public final class PlatformHttpClient implements AutoCloseable {
 
   /**
    * Within one region a connect takes 1 to 2 ms; half a second allows one lost SYN to be missed.
    */
-  static final int CONNECT_TIMEOUT_MS = 500;
+  public static final int CONNECT_TIMEOUT_MS = 500;
 
   private final InetSocketAddress address;
+  private final Optional<HttpLoop> loop;
   private final AtomicReference<HttpClient> current;
 
   /**
@@ -46,8 +53,23 @@
    *
    * @param address IP number and port of the platform's service
    */
-  PlatformHttpClient(InetSocketAddress address) {
+  public PlatformHttpClient(InetSocketAddress address) {
+    this(address, Optional.empty());
+  }
+
+  /**
+   * Creates a client whose sockets, timers and callbacks run on one thread.
+   *
+   * @param address IP number and port of the platform's service
+   * @param loop the thread
+   */
+  public PlatformHttpClient(InetSocketAddress address, HttpLoop loop) {
+    this(address, Optional.of(loop));
+  }
+
+  private PlatformHttpClient(InetSocketAddress address, Optional<HttpLoop> loop) {
     this.address = Objects.requireNonNull(address, "address");
+    this.loop = loop;
     this.current = new AtomicReference<>(open());
   }
 
@@ -55,9 +77,16 @@
    * An answer with its whole body.
    *
    * @param status the HTTP status code
-   * @param body the body as text; may be empty
+   * @param bytes the whole body; may be empty
    */
-  record Answer(int status, String body) {}
+  @SuppressWarnings("ArrayRecordComponent")
+  public record Answer(int status, byte[] bytes) {
+
+    /** Returns the body as text. */
+    public String body() {
+      return new String(bytes, StandardCharsets.UTF_8);
+    }
+  }
 
   /**
    * Sends one request.
@@ -68,21 +97,40 @@
    * @param timeoutMs when to give up, from now
    * @param parse turns the answer into the result or throws {@link PlatformException}
    */
-  <T> CompletionStage<T> call(
+  public <T> CompletionStage<T> call(
+      HttpRequestMethod method,
+      String target,
+      byte[] body,
+      long timeoutMs,
+      Function<Answer, T> parse) {
+    return call(method, target, Map.of(), body, timeoutMs, parse);
+  }
+
+  /**
+   * Sends one request with headers of its own.
+   *
+   * @param method the HTTP method
+   * @param target path and query
+   * @param headers names and values of the headers to add
+   * @param body the request's body; may be empty
+   * @param timeoutMs when to give up, from now
+   * @param parse turns the answer into the result or throws {@link PlatformException}
+   */
+  public <T> CompletionStage<T> call(
       HttpRequestMethod method,
       String target,
+      Map<String, String> headers,
       byte[] body,
       long timeoutMs,
       Function<Answer, T> parse) {
     HttpClient client = current.get();
     HttpRequest request = client.newRequest(method, target);
+    headers.forEach(request::addHeader);
     if (body.length > 0) {
       request.payloadBody(client.executionContext().bufferAllocator().wrap(body));
     }
     CompletableFuture<T> result = new CompletableFuture<>();
-    client
-        .request(request)
-        .timeout(Duration.ofMillis(timeoutMs))
+    withTimeout(client.request(request), timeoutMs)
         .toCompletionStage()
         .whenComplete(
             (response, failure) -> {
@@ -96,6 +144,12 @@
     return result;
   }
 
+  private Single<HttpResponse> withTimeout(Single<HttpResponse> answer, long timeoutMs) {
+    Duration timeout = Duration.ofMillis(timeoutMs);
+    return loop.map(it -> answer.timeout(timeout, it.timer()))
+        .orElseGet(() -> answer.timeout(timeout));
+  }
+
   private static <T> void complete(
       CompletableFuture<T> result, Answer answer, Function<Answer, T> parse) {
     try {
@@ -109,8 +163,10 @@
   }
 
   private static Answer answerOf(HttpResponse response) {
-    return new Answer(
-        response.status().code(), response.payloadBody().toString(StandardCharsets.UTF_8));
+    Buffer payload = response.payloadBody();
+    byte[] bytes = new byte[payload.readableBytes()];
+    payload.readBytes(bytes);
+    return new Answer(response.status().code(), bytes);
   }
 
   private PlatformException classify(String call, Throwable failure) {
@@ -139,8 +195,13 @@
   }
 
   private HttpClient open() {
-    return HttpClients.forResolvedAddress(address)
+    SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> builder =
+        HttpClients.forResolvedAddress(address);
+    loop.ifPresent(it -> builder.ioExecutor(it.ioExecutor()));
+    return builder
         .executionStrategy(offloadNone())
+        // A pipelined call would wait behind a long poll on the same connection.
+        .protocols(HttpProtocolConfigs.h1().maxPipelinedRequests(1).build())
         .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         // The callers decide what may be repeated.
         .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP adapters of the platform's interfaces. */
+package org.laburnumarch.internal.http;
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/job/JobStatus.java
@@ -0,0 +1,42 @@
+package org.laburnumarch.internal.job;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+
+/** What a caller is told of its job. */
+public enum JobStatus {
+  QUEUED(0, false),
+  RUNNING(1, false),
+  COMPLETED(2, true),
+  FAILED(3, true),
+  CANCELLED(4, true);
+
+  private final int code;
+  private final boolean isFinal;
+
+  JobStatus(int code, boolean isFinal) {
+    this.code = code;
+    this.isFinal = isFinal;
+  }
+
+  /** Returns the number that stands for the status in stored records. */
+  public int code() {
+    return code;
+  }
+
+  /** Returns the status with a number; empty if there is none. */
+  public static Optional<JobStatus> ofCode(int code) {
+    return Arrays.stream(values()).filter(status -> status.code == code).findFirst();
+  }
+
+  /** Returns whether the job never changes again. */
+  public boolean isFinal() {
+    return isFinal;
+  }
+
+  /** Returns the status in lower case, as callers read it. */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/job/Resources.java
@@ -0,0 +1,40 @@
+package org.laburnumarch.internal.job;
+
+/**
+ * Amounts of what a task needs, a worker has or a team may use.
+ *
+ * @param cpuMillis thousandths of a core
+ * @param memoryMb megabytes of memory
+ * @param gpus whole accelerators
+ */
+public record Resources(long cpuMillis, long memoryMb, long gpus) {
+
+  /** Nothing of anything. */
+  public static final Resources NONE = new Resources(0, 0, 0);
+
+  /** Returns the sum of both. */
+  public Resources plus(Resources other) {
+    return new Resources(cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, gpus + other.gpus);
+  }
+
+  /** Returns what is left after {@code other} has been taken; amounts may become negative. */
+  public Resources minus(Resources other) {
+    return new Resources(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, gpus - other.gpus);
+  }
+
+  /** Returns whether {@code other} fits into this. */
+  public boolean holds(Resources other) {
+    return other.cpuMillis <= cpuMillis && other.memoryMb <= memoryMb && other.gpus <= gpus;
+  }
+
+  /** Returns whether {@code used} stays within this limit, where a limit of 0 means none. */
+  public boolean allows(Resources used) {
+    return isWithin(used.cpuMillis, cpuMillis)
+        && isWithin(used.memoryMb, memoryMb)
+        && isWithin(used.gpus, gpus);
+  }
+
+  private static boolean isWithin(long used, long limit) {
+    return limit == 0 || used <= limit;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/lead/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which daemon owns the fleet, from records in the platform's store. No I/O, no clocks. */
+package org.laburnumarch.internal.lead;
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/link/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between daemons: MessagePack frames over TCP. */
+package org.laburnumarch.internal.link;
--- a/src/main/java/org/laburnumarch/internal/log/LogFollower.java
+++ b/src/main/java/org/laburnumarch/internal/log/LogFollower.java
@@ -17,8 +17,8 @@
 import org.laburnumarch.internal.state.SnapshotCodec;
 import org.laburnumarch.internal.state.StateDigest;
 import org.laburnumarch.internal.text.TextChecker;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.LogRecord;
 import org.tinylog.Logger;
 
 /**
--- a/src/main/java/org/laburnumarch/internal/log/RecentRecords.java
+++ b/src/main/java/org/laburnumarch/internal/log/RecentRecords.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 
 /** The last records that were applied, as the log gave them out, for peers that lag behind. */
 final class RecentRecords {
--- a/src/main/java/org/laburnumarch/internal/log/StartScan.java
+++ b/src/main/java/org/laburnumarch/internal/log/StartScan.java
@@ -5,8 +5,8 @@
 import org.laburnumarch.internal.state.RecordBody;
 import org.laburnumarch.internal.state.RecordCodec;
 import org.laburnumarch.internal.state.SnapshotCodec;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.LogRecord;
 
 /** Looks through the retained part of the log for the newest snapshot that can be used. */
 final class StartScan {
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -0,0 +1,280 @@
+package org.laburnumarch.internal.node;
+
+import io.servicetalk.http.api.HttpServerContext;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.lead.OwnerRecord;
+import org.laburnumarch.internal.lead.OwnerTenure;
+import org.laburnumarch.internal.link.JobReply;
+import org.laburnumarch.internal.link.JobReply.Code;
+import org.laburnumarch.internal.link.LinkClient;
+import org.laburnumarch.internal.link.LinkMessage.Call;
+import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
+import org.laburnumarch.internal.link.LinkMessage.Pulse;
+import org.laburnumarch.internal.link.LinkServer;
+import org.laburnumarch.internal.platform.CallerService;
+import org.laburnumarch.internal.platform.HttpListeners;
+import org.laburnumarch.internal.platform.NodeSettings;
+import org.laburnumarch.internal.platform.StoreClient;
+import org.tinylog.Logger;
+
+/** One daemon: serves callers, and owns the fleet when it has claimed it. */
+public final class Node implements AutoCloseable {
+
+  /** Time between two signs of life to other daemons. */
+  private static final long PULSE_EVERY_MS = 250;
+
+  /** Time without a sign of life after which a link counts as silent. */
+  private static final long LINK_SILENCE_MS = 1_000;
+
+  /** Time after SIGTERM during which open connections are still served. */
+  private static final long LINGER_MS = 3_000;
+
+  /** Time by which a slow instance gives faster ones the precedence in claiming. */
+  private static final long SLOWEST_HANDICAP_MS = 400;
+
+  /** Speed from which an instance claims without delay. */
+  private static final double FULL_CPU_SHARE = 1.0;
+
+  private final NodeSettings settings;
+  private final HttpLoop loop;
+  private final LocalClock clock = new LocalClock();
+  private final StoreClient store;
+  private final OperatorWatch operators;
+  private final Election election;
+  private final JobRouter router;
+  private final LinkServer linkServer;
+  private final HttpServerContext callers;
+  private final HttpServerContext readiness;
+  private Optional<Owner> owner = Optional.empty();
+  private Optional<LinkClient> link = Optional.empty();
+  private long linkHeardAtMs;
+  private long recordsWantedAtMs;
+  private boolean isStopping;
+  private boolean isClosed;
+
+  /**
+   * Starts a daemon.
+   *
+   * @throws Exception if an address cannot be bound
+   */
+  public Node(NodeSettings settings) throws Exception {
+    this.settings = settings;
+    this.loop = new HttpLoop();
+    this.store = new StoreClient(settings.store(), loop);
+    this.operators = new OperatorWatch(store, loop, clock);
+    this.router = new JobRouter(loop, clock);
+    String holder = settings.name() + '/' + clock.epochMs();
+    this.election =
+        new Election(
+            store,
+            loop,
+            clock,
+            holder,
+            settings.ip(),
+            settings.linkPort(),
+            handicapMs(settings),
+            new ElectionListener());
+    this.linkServer =
+        new LinkServer(
+            new InetSocketAddress(settings.ip(), settings.linkPort()),
+            loop.group(),
+            new LinkService());
+    this.callers =
+        HttpListeners.listenForCallers(
+            settings.callers(),
+            loop,
+            new CallerService(
+                new CallerService.Environment(
+                    operators::config, operators::isServing, () -> isStopping, clock::epochMs),
+                router::call));
+    this.readiness = HttpListeners.listenForReadiness(settings.readiness(), loop, this::isReady);
+    loop.execute(this::start);
+  }
+
+  private static long handicapMs(NodeSettings settings) {
+    double lack = Math.max(0, FULL_CPU_SHARE - settings.cpuShare()) / FULL_CPU_SHARE;
+    return (long) (SLOWEST_HANDICAP_MS * lack);
+  }
+
+  private void start() {
+    Logger.info(
+        "node: event=started name={} dataCentre={}", settings.name(), settings.dataCentre());
+    operators.start();
+    election.start();
+    pulse();
+  }
+
+  private boolean isReady() {
+    return !isStopping && operators.isServing() && router.isConnected();
+  }
+
+  private void pulse() {
+    if (isClosed) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    Optional<OwnerTenure> tenure = election.tenure();
+    if (tenure.isPresent() && linkServer.hasConnections()) {
+      linkServer.broadcast(
+          new Pulse(
+              tenure.get().term(),
+              tenure.get().renewedAgoMs(nowMs),
+              operators.config().version(),
+              operators.freshAgoMs()));
+    }
+    if (link.isPresent() && nowMs - linkHeardAtMs > LINK_SILENCE_MS) {
+      reconnect(link.get().address());
+    }
+    loop.after(PULSE_EVERY_MS, this::pulse);
+  }
+
+  private void reconnect(InetSocketAddress address) {
+    link.ifPresent(LinkClient::close);
+    linkHeardAtMs = clock.nowMs();
+    LinkListener listener = new LinkListener();
+    LinkClient created = new LinkClient(address, loop.group(), listener);
+    listener.client = created;
+    link = Optional.of(created);
+    router.useLink(link);
+  }
+
+  private void dropLink() {
+    link.ifPresent(LinkClient::close);
+    link = Optional.empty();
+    router.useLink(link);
+  }
+
+  /**
+   * Shuts down gracefully: gives the ownership up, serves open connections a little longer, and
+   * closes.
+   */
+  public CompletionStage<Void> stop() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          Logger.info("node: event=stopping");
+          isStopping = true;
+          election.release(
+              () ->
+                  loop.execute(
+                      () -> {
+                        election.abdicate("shutdown");
+                        loop.after(
+                            LINGER_MS,
+                            () -> {
+                              Logger.info("node: event=stopped");
+                              stopped.complete(null);
+                            });
+                      }));
+        });
+    return stopped;
+  }
+
+  /** Closes everything at once. */
+  @Override
+  public void close() {
+    isClosed = true;
+    callers.closeAsync().subscribe();
+    readiness.closeAsync().subscribe();
+    linkServer.close();
+    election.close();
+    operators.close();
+    store.close();
+    loop.close();
+  }
+
+  private final class ElectionListener implements Election.Listener {
+    @Override
+    public void onOwnershipGained(OwnerTenure tenure, boolean hadEarlierOwner) {
+      dropLink();
+      owner.ifPresent(Owner::close);
+      Owner created =
+          new Owner(
+              settings,
+              loop,
+              clock,
+              store,
+              operators,
+              tenure,
+              hadEarlierOwner,
+              where -> election.abdicate("fenced at " + where));
+      owner = Optional.of(created);
+      router.useOwner(owner);
+      created.start();
+    }
+
+    @Override
+    public void onOwnershipLost() {
+      owner.ifPresent(Owner::close);
+      owner = Optional.empty();
+      router.useOwner(owner);
+    }
+
+    @Override
+    public void onOwnerChanged(OwnerRecord record) {
+      if (owner.isEmpty()) {
+        Logger.info("owner: event=changed term={} holder={}", record.term(), record.holder());
+        reconnect(new InetSocketAddress(record.host(), record.port()));
+      }
+    }
+  }
+
+  private final class LinkListener implements LinkClient.Listener {
+    private LinkClient client;
+
+    @Override
+    public void onPulse(Pulse pulse) {
+      long nowMs = clock.nowMs();
+      linkHeardAtMs = nowMs;
+      election.onPulse(pulse.term(), pulse.renewedAgoMs());
+      operators.onOwnerKnows(pulse.configVersion(), pulse.configFreshAgoMs());
+      boolean isBehind = pulse.configVersion() > operators.config().version();
+      if (isBehind && nowMs - recordsWantedAtMs > LINK_SILENCE_MS) {
+        recordsWantedAtMs = nowMs;
+        link.ifPresent(LinkClient::wantRecords);
+      }
+    }
+
+    @Override
+    public void onOperatorRecord(OperatorRecord stored) {
+      operators.onRecordFromOwner(stored);
+    }
+
+    @Override
+    public void onClosed(boolean isRefused) {
+      if (isClosed || link.isEmpty() || link.get() != client) {
+        return;
+      }
+      election.onLinkClosed(isRefused);
+      loop.after(
+          PULSE_EVERY_MS,
+          () -> {
+            if (!isClosed && link.isPresent() && link.get() == client) {
+              reconnect(client.address());
+            }
+          });
+    }
+  }
+
+  private final class LinkService implements LinkServer.Service {
+    @Override
+    public CompletionStage<JobReply> call(Call call) {
+      if (owner.isEmpty()) {
+        return CompletableFuture.completedStage(JobReply.refuse(Code.UNAVAILABLE, 0));
+      }
+      return owner
+          .get()
+          .call(call.kind(), call.queue(), call.jobId(), call.payload(), Long.MAX_VALUE);
+    }
+
+    @Override
+    public List<OperatorRecord> operatorRecords() {
+      return operators.export();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -0,0 +1,57 @@
+package org.laburnumarch.internal.node;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.laburnumarch.ResultCode;
+import org.laburnumarch.internal.cli.Subcommand;
+import org.laburnumarch.internal.daemon.TerminationSignals;
+import org.laburnumarch.internal.platform.MalformedMessageException;
+import org.laburnumarch.internal.platform.NodeSettings;
+import org.tinylog.Logger;
+
+/** The subcommand {@code node}: runs one daemon on the users' platform until a signal stops it. */
+public final class NodeCommand implements Subcommand {
+
+  @Override
+  public int run(String[] args, PrintStream out, PrintStream err) {
+    String path =
+        args.length > 0 ? args[0] : System.getenv().getOrDefault(NodeSettings.PATH_VARIABLE, "");
+    if (path.isEmpty()) {
+      err.println(
+          "node: name the settings file as the argument or in " + NodeSettings.PATH_VARIABLE);
+      return ResultCode.USAGE.outcome().exitStatus();
+    }
+    try {
+      return runUntilSignal(NodeSettings.read(Path.of(path)));
+    } catch (IOException | MalformedMessageException e) {
+      err.println("node: the settings in " + path + " cannot be used: " + e.getMessage());
+      return ResultCode.USAGE.outcome().exitStatus();
+    }
+  }
+
+  private static int runUntilSignal(NodeSettings settings) {
+    CompletableFuture<Void> signal = TerminationSignals.firstSignal();
+    try (Node node = new Node(settings)) {
+      signal.get();
+      node.stop().toCompletableFuture().get(settings.shutdownBoundMs(), TimeUnit.MILLISECONDS);
+      return ResultCode.OK.outcome().exitStatus();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ResultCode.INTERNAL_ERROR.outcome().exitStatus();
+    } catch (TimeoutException e) {
+      Logger.warn("node: event=stop-timeout");
+      return ResultCode.OUTCOME_UNKNOWN.outcome().exitStatus();
+    } catch (ExecutionException e) {
+      Logger.error(e, "node: event=failed");
+      return ResultCode.INTERNAL_ERROR.outcome().exitStatus();
+    } catch (Exception e) {
+      Logger.error(e, "node: event=not-started");
+      return ResultCode.INTERNAL_ERROR.outcome().exitStatus();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -0,0 +1,334 @@
+package org.laburnumarch.internal.node;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.job.JobCodec;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.lead.OwnerTenure;
+import org.laburnumarch.internal.link.JobReply;
+import org.laburnumarch.internal.link.JobReply.Code;
+import org.laburnumarch.internal.link.LinkMessage.CallKind;
+import org.laburnumarch.internal.node.JobStore.Submission;
+import org.laburnumarch.internal.platform.NodeSettings;
+import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.schedule.Decisions;
+import org.laburnumarch.internal.schedule.JobChanges;
+import org.laburnumarch.internal.schedule.Scheduler;
+import org.laburnumarch.internal.schedule.SchedulerSettings;
+import org.laburnumarch.internal.schedule.WorkerListing;
+import org.tinylog.Logger;
+
+/** One ownership: decides on all jobs and workers until it is lost. Used on one thread only. */
+final class Owner implements JobService, AutoCloseable {
+
+  /** Time between two rounds of decisions without an event. */
+  private static final long TICK_MS = 50;
+
+  /** Delay of a round after an event, so that events that come together share one. */
+  private static final long ROUND_DELAY_MS = 1;
+
+  /** When a caller may come back while jobs cannot be stored. */
+  private static final long STORE_RETRY_AFTER_MS = 1_000;
+
+  private static final long FORGET_EVERY_MS = 5_000;
+
+  /** What the owner tells its daemon. */
+  interface Listener {
+
+    /** Another owner's writes or orders were met. */
+    void onFenced(String where);
+  }
+
+  private final HttpLoop loop;
+  private final LocalClock clock;
+  private final OwnerTenure tenure;
+  private final OperatorWatch operators;
+  private final Listener listener;
+  private final Scheduler scheduler;
+  private final JobStore jobs;
+  private final WorkerDriver driver;
+  private final Runnable onOperatorChange = this::takeUpOperators;
+  private boolean isLoaded;
+  private boolean isRoundPlanned;
+  private boolean isClosed;
+  private long forgotAtMs;
+
+  Owner(
+      NodeSettings settings,
+      HttpLoop loop,
+      LocalClock clock,
+      StoreClient store,
+      OperatorWatch operators,
+      OwnerTenure tenure,
+      boolean hadEarlierOwner,
+      Listener listener) {
+    this.loop = loop;
+    this.clock = clock;
+    this.tenure = tenure;
+    this.operators = operators;
+    this.listener = listener;
+    this.scheduler =
+        new Scheduler(
+            new SchedulerSettings(
+                settings.longestLeaseMs(),
+                settings.stopBoundMs(),
+                settings.gangWaitMs(),
+                settings.statusKeptMs(),
+                settings.unavailableNoticeMs(),
+                settings.remotePenalty(),
+                OwnerTenure.AUTHORITY_MS),
+            tenure.term(),
+            clock.nowMs(),
+            hadEarlierOwner);
+    this.jobs = new JobStore(store, loop, clock, tenure.term(), new StoreCallbacks());
+    this.driver =
+        new WorkerDriver(
+            settings, loop, clock, store, tenure, scheduler, this::planRound, listener);
+  }
+
+  void start() {
+    operators.onChange(onOperatorChange);
+    takeUpOperators();
+    jobs.open().thenAccept(this::onLoaded);
+  }
+
+  private void onLoaded(JobStore.Contents contents) {
+    if (isClosed) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    long epochMs = clock.epochMs();
+    contents.enrolled().forEach(scheduler::restoreEnrolled);
+    contents
+        .jobs()
+        .values()
+        .forEach(
+            job ->
+                scheduler.restore(
+                    job, Optional.ofNullable(contents.progress().get(job.id())), nowMs, epochMs));
+    contents
+        .progress()
+        .forEach(
+            (id, progress) -> {
+              if (!contents.jobs().containsKey(id) && progress.status().isFinal()) {
+                scheduler.restoreFinal(progress, nowMs);
+              }
+            });
+    isLoaded = true;
+    Logger.info(
+        "owner: event=loaded term={} jobs={} progress={} workers={}",
+        tenure.term(),
+        contents.jobs().size(),
+        contents.progress().size(),
+        contents.enrolled().size());
+    driver.start();
+    tick();
+  }
+
+  private void takeUpOperators() {
+    if (isClosed) {
+      return;
+    }
+    scheduler.configure(operators.config());
+    scheduler.evacuate(operators.evacuated());
+    planRound();
+  }
+
+  private void tick() {
+    if (isClosed) {
+      return;
+    }
+    round();
+    loop.after(TICK_MS, this::tick);
+  }
+
+  /** Plans a round of decisions soon; many events lead to one round. */
+  private void planRound() {
+    if (isLoaded && !isRoundPlanned && !isClosed) {
+      isRoundPlanned = true;
+      loop.after(
+          ROUND_DELAY_MS,
+          () -> {
+            isRoundPlanned = false;
+            round();
+          });
+    }
+  }
+
+  private void round() {
+    long nowMs = clock.nowMs();
+    if (isClosed || !tenure.hasAuthority(nowMs)) {
+      return;
+    }
+    if (scheduler.needsEnrolment() && driver.hasRegistry()) {
+      enrol();
+    }
+    if (operators.config().isPresent()) {
+      Decisions decisions = scheduler.decide(nowMs, clock.epochMs());
+      driver.carryOut(decisions);
+    }
+    driver.renewLeases();
+    if (nowMs - forgotAtMs > FORGET_EVERY_MS) {
+      forgotAtMs = nowMs;
+      jobs.forget(scheduler.forgetFinished(nowMs));
+    }
+    jobs.flush();
+  }
+
+  private boolean isEnrolling;
+
+  private void enrol() {
+    if (!isEnrolling) {
+      isEnrolling = true;
+      jobs.enrol(scheduler.enrolment());
+    }
+  }
+
+  @Override
+  public CompletionStage<JobReply> call(
+      CallKind kind, String queue, String jobId, byte[] payload, long patienceMs) {
+    if (!isLoaded || isClosed) {
+      return CompletableFuture.completedStage(
+          JobReply.refuse(Code.UNAVAILABLE, STORE_RETRY_AFTER_MS));
+    }
+    return switch (kind) {
+      case SUBMIT -> submit(payload);
+      case STATUS -> CompletableFuture.completedStage(status(jobId));
+      case CANCEL -> cancel(jobId);
+      case WAITING ->
+          CompletableFuture.completedStage(
+              new JobReply(Code.OK, "", scheduler.waitingJobs(queue), 0));
+    };
+  }
+
+  private CompletionStage<JobReply> submit(byte[] payload) {
+    JobSpec job;
+    try {
+      job = JobCodec.decodeJob(payload);
+    } catch (IOException e) {
+      Logger.error("jobs: event=undecodable cause={}", e.getMessage());
+      return CompletableFuture.completedStage(JobReply.refuse(Code.UNAVAILABLE, 0));
+    }
+    if (scheduler.knows(job.id())) {
+      return CompletableFuture.completedStage(JobReply.of(Code.OK));
+    }
+    return jobs.submit(job)
+        .handle(
+            (submission, failure) -> {
+              if (failure != null) {
+                return JobReply.of(Code.UNDECIDED);
+              }
+              return submission == Submission.STORED
+                  ? JobReply.of(Code.OK)
+                  : JobReply.refuse(Code.UNAVAILABLE, STORE_RETRY_AFTER_MS);
+            });
+  }
+
+  private JobReply status(String jobId) {
+    return scheduler
+        .status(jobId)
+        .map(status -> new JobReply(Code.OK, status.label(), 0, 0))
+        .orElseGet(() -> JobReply.of(Code.UNKNOWN_JOB));
+  }
+
+  private CompletionStage<JobReply> cancel(String jobId) {
+    Optional<Long> change = scheduler.cancel(jobId);
+    if (change.isEmpty()) {
+      return CompletableFuture.completedStage(JobReply.of(Code.UNKNOWN_JOB));
+    }
+    if (change.get() == 0) {
+      return CompletableFuture.completedStage(JobReply.of(Code.OK));
+    }
+    Logger.info("jobs: event=cancel job={}", jobId);
+    CompletableFuture<JobReply> result = new CompletableFuture<>();
+    waitingCancels.add(new WaitingCancel(change.get(), result));
+    planRound();
+    jobs.flush();
+    return result;
+  }
+
+  private record WaitingCancel(long change, CompletableFuture<JobReply> result) {}
+
+  private final List<WaitingCancel> waitingCancels = new ArrayList<>();
+
+  /** Returns whether jobs could be stored lately. */
+  boolean isStoring() {
+    return jobs.failingSinceMs() < 0;
+  }
+
+  private void fenced(String where) {
+    if (!isClosed) {
+      listener.onFenced(where);
+    }
+  }
+
+  /** Stops deciding. Orders that are under way are not repeated. */
+  @Override
+  public void close() {
+    isClosed = true;
+    jobs.close();
+    driver.close();
+    List.copyOf(waitingCancels)
+        .forEach(waiting -> waiting.result().complete(JobReply.of(Code.UNDECIDED)));
+    waitingCancels.clear();
+  }
+
+  private final class StoreCallbacks implements JobStore.Callbacks {
+    @Override
+    public Optional<JobChanges> takeChanges() {
+      return scheduler.takeChanges();
+    }
+
+    @Override
+    public void onAccepted(JobSpec job) {
+      Logger.info(
+          "jobs: event=accepted job={} queue={} team={} steps={}",
+          job.id(),
+          job.queue(),
+          job.team(),
+          job.steps().size());
+      scheduler.accept(job, clock.nowMs());
+      planRound();
+    }
+
+    @Override
+    public void onStored(JobChanges changes) {
+      scheduler.confirmStored(changes, clock.nowMs());
+      changes.progress().stream()
+          .filter(progress -> progress.status().isFinal())
+          .forEach(
+              progress ->
+                  Logger.info(
+                      "jobs: event=final job={} status={}",
+                      progress.id(),
+                      progress.status().label()));
+      waitingCancels.removeIf(
+          waiting -> {
+            boolean isStored = waiting.change() <= changes.number();
+            if (isStored) {
+              waiting.result().complete(new JobReply(Code.OK, JobStatus.CANCELLED.label(), 0, 0));
+            }
+            return isStored;
+          });
+      planRound();
+    }
+
+    @Override
+    public void onEnrolled(List<WorkerListing> workers) {
+      isEnrolling = false;
+      scheduler.confirmEnrolment(workers);
+      planRound();
+    }
+
+    @Override
+    public void onFenced() {
+      fenced("store");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/StoreTail.java
@@ -0,0 +1,201 @@
+package org.laburnumarch.internal.node;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.platform.PlatformFailures;
+import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.platform.StoreClient.LogChunk;
+import org.laburnumarch.internal.platform.StoreClient.NewestPage;
+import org.laburnumarch.internal.platform.StoreClient.StoreRecord;
+import org.tinylog.Logger;
+
+/** Keeps a copy of the newest record of each key of a log. Used on one thread only. */
+final class StoreTail implements AutoCloseable {
+
+  /** Pause after a read that failed. */
+  private static final long RETRY_MS = 150;
+
+  /** Told about changes. */
+  interface Listener {
+
+    /** A key has a new value; empty if it was deleted. */
+    void onRecord(String key, Optional<byte[]> value, long offset);
+
+    /** All changes of one read have been told. */
+    void onCaughtUp();
+  }
+
+  private final StoreClient store;
+  private final String log;
+  private final HttpLoop loop;
+  private final LocalClock clock;
+  private final long waitMs;
+  private final long pauseMs;
+  private final Listener listener;
+  private final Map<String, Long> offsets = new HashMap<>();
+  private long nextOffset = -1;
+  private long freshAtMs = Long.MIN_VALUE / 2;
+  private boolean isFailing;
+  private boolean isClosed;
+
+  /**
+   * Creates a copy that is empty until {@link #start}.
+   *
+   * @param log the log's name
+   * @param waitMs how long a read waits at the store for a record
+   * @param pauseMs least time between two reads, so that records come in batches
+   */
+  StoreTail(
+      StoreClient store,
+      String log,
+      HttpLoop loop,
+      LocalClock clock,
+      long waitMs,
+      long pauseMs,
+      Listener listener) {
+    this.store = store;
+    this.log = log;
+    this.loop = loop;
+    this.clock = clock;
+    this.waitMs = waitMs;
+    this.pauseMs = pauseMs;
+    this.listener = listener;
+  }
+
+  void start() {
+    readNewest();
+  }
+
+  /** Returns the local time as of which the copy is known to be complete. */
+  long freshAtMs() {
+    return freshAtMs;
+  }
+
+  /** Returns whether the log has been read whole at least once. */
+  boolean isComplete() {
+    return nextOffset >= 0;
+  }
+
+  private void readNewest() {
+    readPage(Optional.empty(), new HashSet<>(), -1, clock.nowMs());
+  }
+
+  private void readPage(Optional<String> afterKey, Set<String> seen, long firstEnd, long sentAtMs) {
+    if (isClosed) {
+      return;
+    }
+    store
+        .newest(log, afterKey)
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                retry(failure, this::readNewest);
+                return;
+              }
+              onPage(page, seen, firstEnd, sentAtMs);
+            });
+  }
+
+  private void onPage(NewestPage page, Set<String> seen, long firstEnd, long sentAtMs) {
+    // Pages are no snapshot: what changes meanwhile is read again from the first page's end.
+    long end = firstEnd < 0 ? page.endOffset() : firstEnd;
+    for (StoreRecord stored : page.records()) {
+      seen.add(stored.key());
+      apply(stored);
+    }
+    if (page.continueAfter().isPresent()) {
+      readPage(page.continueAfter(), seen, end, sentAtMs);
+      return;
+    }
+    for (String key : Set.copyOf(offsets.keySet())) {
+      if (!seen.contains(key)) {
+        offsets.remove(key);
+        listener.onRecord(key, Optional.empty(), end);
+      }
+    }
+    nextOffset = end;
+    onSuccess(sentAtMs);
+    readNext();
+  }
+
+  private void readNext() {
+    if (isClosed) {
+      return;
+    }
+    long sentAtMs = clock.nowMs();
+    store
+        .read(log, nextOffset, waitMs)
+        .whenComplete(
+            (chunk, failure) -> {
+              if (failure != null) {
+                retry(failure, this::readNext);
+              } else if (chunk.isTruncated() || chunk.endOffset() < nextOffset) {
+                readNewest();
+              } else {
+                onChunk(chunk, sentAtMs);
+              }
+            });
+  }
+
+  private void onChunk(LogChunk chunk, long sentAtMs) {
+    chunk.records().forEach(this::apply);
+    nextOffset = chunk.nextOffset();
+    if (nextOffset >= chunk.endOffset()) {
+      onSuccess(sentAtMs);
+    }
+    if (pauseMs > 0 && !chunk.records().isEmpty()) {
+      loop.after(pauseMs, this::readNext);
+    } else {
+      readNext();
+    }
+  }
+
+  private void apply(StoreRecord stored) {
+    if (offsets.getOrDefault(stored.key(), -1L) >= stored.offset()) {
+      return;
+    }
+    if (stored.value().isPresent()) {
+      offsets.put(stored.key(), stored.offset());
+    } else {
+      offsets.remove(stored.key());
+    }
+    listener.onRecord(stored.key(), stored.value(), stored.offset());
+  }
+
+  private void onSuccess(long sentAtMs) {
+    freshAtMs = Math.max(freshAtMs, sentAtMs);
+    if (isFailing) {
+      isFailing = false;
+      Logger.info("store: event=regained log={}", log);
+    }
+    listener.onCaughtUp();
+  }
+
+  private void retry(Throwable failure, Runnable again) {
+    if (isClosed) {
+      return;
+    }
+    if (!isFailing) {
+      isFailing = true;
+      Logger.warn(
+          "store: event=lost log={} cause={}", log, PlatformFailures.unwrap(failure).getMessage());
+    }
+    loop.after(RETRY_MS, again);
+  }
+
+  /** Returns what the copy holds, for tests and other daemons. */
+  List<String> keys() {
+    return List.copyOf(offsets.keySet());
+  }
+
+  /** Stops reading. */
+  @Override
+  public void close() {
+    isClosed = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -0,0 +1,277 @@
+package org.laburnumarch.internal.node;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.lead.OwnerTenure;
+import org.laburnumarch.internal.platform.AdvisorClient;
+import org.laburnumarch.internal.platform.MalformedMessageException;
+import org.laburnumarch.internal.platform.NodeSettings;
+import org.laburnumarch.internal.platform.OperatorRecords;
+import org.laburnumarch.internal.platform.PlatformFailures;
+import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.platform.WorkerClient;
+import org.laburnumarch.internal.platform.WorkerRefusalException;
+import org.laburnumarch.internal.schedule.AdviceQuery;
+import org.laburnumarch.internal.schedule.Decisions;
+import org.laburnumarch.internal.schedule.Order;
+import org.laburnumarch.internal.schedule.OrderReply;
+import org.laburnumarch.internal.schedule.OrderReply.Outcome;
+import org.laburnumarch.internal.schedule.Renewal;
+import org.laburnumarch.internal.schedule.Scheduler;
+import org.laburnumarch.internal.schedule.WorkerListing;
+import org.tinylog.Logger;
+
+/** Follows the registry of workers and carries orders to them. Used on one thread only. */
+final class WorkerDriver implements AutoCloseable {
+
+  /** How long a read of the registry waits at the store. */
+  private static final long REGISTRY_WAIT_MS = 2_000;
+
+  /** Time between two reads of the registry; each worker writes there every 1.5 s. */
+  private static final long REGISTRY_PAUSE_MS = 250;
+
+  private record Connection(WorkerListing listing, WorkerClient client) {}
+
+  private final HttpLoop loop;
+  private final LocalClock clock;
+  private final OwnerTenure tenure;
+  private final Scheduler scheduler;
+  private final Runnable onEvent;
+  private final Owner.Listener listener;
+  private final StoreTail registry;
+  private final Optional<AdvisorClient> advisor;
+  private final Map<String, WorkerListing> listings = new HashMap<>();
+  private final Map<String, Connection> connections = new HashMap<>();
+  private final Set<String> renewing = new HashSet<>();
+  private final Set<String> unreadable = new HashSet<>();
+  private boolean isRegistryRead;
+  private boolean isClosed;
+
+  WorkerDriver(
+      NodeSettings settings,
+      HttpLoop loop,
+      LocalClock clock,
+      StoreClient store,
+      OwnerTenure tenure,
+      Scheduler scheduler,
+      Runnable onEvent,
+      Owner.Listener listener) {
+    this.loop = loop;
+    this.clock = clock;
+    this.tenure = tenure;
+    this.scheduler = scheduler;
+    this.onEvent = onEvent;
+    this.listener = listener;
+    this.advisor = settings.advisor().map(address -> new AdvisorClient(address, loop));
+    this.registry =
+        new StoreTail(
+            store,
+            StoreClient.WORKERS,
+            loop,
+            clock,
+            REGISTRY_WAIT_MS,
+            REGISTRY_PAUSE_MS,
+            new StoreTail.Listener() {
+              @Override
+              public void onRecord(String key, Optional<byte[]> value, long offset) {
+                onEntry(key, value);
+              }
+
+              @Override
+              public void onCaughtUp() {
+                onRegistryRead();
+              }
+            });
+  }
+
+  void start() {
+    registry.start();
+  }
+
+  boolean hasRegistry() {
+    return isRegistryRead;
+  }
+
+  private void onEntry(String id, Optional<byte[]> value) {
+    if (value.isEmpty()) {
+      listings.remove(id);
+      return;
+    }
+    try {
+      listings.put(id, OperatorRecords.worker(id, value.get()));
+    } catch (MalformedMessageException e) {
+      listings.remove(id);
+      if (unreadable.add(id)) {
+        Logger.warn("workers: event=unreadable worker={} cause={}", id, e.getMessage());
+      }
+    }
+  }
+
+  private void onRegistryRead() {
+    if (isClosed) {
+      return;
+    }
+    isRegistryRead = true;
+    scheduler.listWorkers(listings.values(), clock.nowMs());
+    onEvent.run();
+  }
+
+  void carryOut(Decisions decisions) {
+    decisions.orders().forEach(this::send);
+    decisions.queries().forEach(this::ask);
+  }
+
+  private Optional<WorkerClient> client(String workerId) {
+    Optional<WorkerListing> listing = scheduler.listing(workerId);
+    if (listing.isEmpty()) {
+      return Optional.empty();
+    }
+    Connection known = connections.get(workerId);
+    if (known != null && known.listing().address().equals(listing.get().address())) {
+      return Optional.of(known.client());
+    }
+    if (known != null) {
+      known.client().close();
+    }
+    WorkerClient created = new WorkerClient(listing.get().address(), workerId, loop);
+    connections.put(workerId, new Connection(listing.get(), created));
+    return Optional.of(created);
+  }
+
+  private void send(Order order) {
+    Optional<WorkerClient> client = client(order.workerId());
+    if (client.isEmpty()) {
+      onReply(order, new OrderReply(Outcome.UNREACHABLE, -1));
+      return;
+    }
+    if (order instanceof Order.Start start) {
+      client
+          .get()
+          .start(
+              start.taskName(),
+              start.run(),
+              start.program(),
+              start.leaseEndClockMs(),
+              tenure.term(),
+              start.checkpoint(),
+              start.ticket())
+          .thenAccept(reply -> onReply(start, reply));
+    } else if (order instanceof Order.Stop stop) {
+      client
+          .get()
+          .stop(stop.taskName(), stop.run(), tenure.term())
+          .thenAccept(reply -> onReply(stop, reply));
+    } else if (order instanceof Order.Pace pace) {
+      client
+          .get()
+          .pace(pace.taskName(), pace.run(), pace.percent(), tenure.term())
+          .thenAccept(reply -> onReply(pace, reply));
+    }
+  }
+
+  private void onReply(Order order, OrderReply reply) {
+    if (isClosed) {
+      return;
+    }
+    Logger.info(
+        "orders: event={} task={} run={} worker={} outcome={}",
+        order.getClass().getSimpleName(),
+        order.taskName(),
+        order.run(),
+        order.workerId(),
+        reply.outcome());
+    long nowMs = clock.nowMs();
+    if (order instanceof Order.Start start) {
+      scheduler.onStartReply(start, reply, nowMs);
+    } else if (order instanceof Order.Stop stop) {
+      scheduler.onStopReply(stop, reply, nowMs);
+    }
+    if (reply.outcome() == Outcome.FENCED) {
+      listener.onFenced("worker " + order.workerId());
+    }
+    onEvent.run();
+  }
+
+  private void ask(AdviceQuery query) {
+    if (advisor.isEmpty()) {
+      scheduler.onAdviceMissed(query.stepName(), clock.nowMs());
+      return;
+    }
+    advisor
+        .get()
+        .advise(query.stepName(), query.workerIds(), query.timeoutMs())
+        .whenComplete(
+            (advice, failure) -> {
+              if (isClosed) {
+                return;
+              }
+              if (failure == null) {
+                scheduler.onAdvice(
+                    query.stepName(), advice.tickets(), advice.validityMs(), clock.nowMs());
+              } else {
+                Logger.warn(
+                    "advice: event=missed step={} cause={}",
+                    query.stepName(),
+                    PlatformFailures.unwrap(failure).getMessage());
+                scheduler.onAdviceMissed(query.stepName(), clock.nowMs());
+              }
+              onEvent.run();
+            });
+  }
+
+  void renewLeases() {
+    for (String workerId : scheduler.workerIds()) {
+      if (!renewing.contains(workerId)) {
+        scheduler.renewal(workerId, clock.nowMs()).ifPresent(this::renew);
+      }
+    }
+  }
+
+  private void renew(Renewal renewal) {
+    Optional<WorkerClient> client = client(renewal.workerId());
+    if (client.isEmpty()) {
+      return;
+    }
+    renewing.add(renewal.workerId());
+    client
+        .get()
+        .renew(
+            renewal.leaseEndClockMs(), tenure.term(), renewal.acknowledgedEnd(), renewal.waitMs())
+        .whenComplete(
+            (report, failure) -> {
+              renewing.remove(renewal.workerId());
+              if (isClosed) {
+                return;
+              }
+              if (failure != null) {
+                onRenewalFailed(renewal, failure);
+              } else {
+                scheduler.onReport(renewal.workerId(), report, clock.nowMs()).forEach(this::send);
+              }
+              onEvent.run();
+            });
+  }
+
+  private void onRenewalFailed(Renewal renewal, Throwable failure) {
+    Throwable cause = PlatformFailures.unwrap(failure);
+    Logger.info(
+        "workers: event=no-report worker={} cause={}", renewal.workerId(), cause.getMessage());
+    scheduler.onReportMissed(renewal.workerId(), clock.nowMs());
+    if (cause instanceof WorkerRefusalException refusal && refusal.outcome() == Outcome.FENCED) {
+      listener.onFenced("worker " + renewal.workerId());
+    }
+  }
+
+  /** Stops following and closes all connections. */
+  @Override
+  public void close() {
+    isClosed = true;
+    registry.close();
+    connections.values().forEach(connection -> connection.client().close());
+    advisor.ifPresent(AdvisorClient::close);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/HttpListeners.java
@@ -0,0 +1,43 @@
+package org.laburnumarch.internal.platform;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpService;
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.http.LoopServers;
+
+/** The addresses on which the platform and callers reach a daemon. */
+public final class HttpListeners {
+
+  private static final String READY_PATH = "/v1/ready";
+
+  private HttpListeners() {}
+
+  /**
+   * Listens for callers.
+   *
+   * @throws Exception if the address cannot be bound
+   */
+  public static HttpServerContext listenForCallers(
+      InetSocketAddress address, HttpLoop loop, CallerService service) throws Exception {
+    return LoopServers.listen(address, loop, service);
+  }
+
+  /**
+   * Answers the platform's question whether new connections may come.
+   *
+   * @throws Exception if the address cannot be bound
+   */
+  public static HttpServerContext listenForReadiness(
+      InetSocketAddress address, HttpLoop loop, BooleanSupplier isReady) throws Exception {
+    HttpService service =
+        (context, request, responses) ->
+            Single.succeeded(
+                !request.path().equals(READY_PATH)
+                    ? responses.notFound()
+                    : isReady.getAsBoolean() ? responses.ok() : responses.serviceUnavailable());
+    return LoopServers.listen(address, loop, service);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/Json.java
@@ -0,0 +1,105 @@
+package org.laburnumarch.internal.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+
+/** Reads and writes the platform's bodies; a field of the wrong type is an error, not a default. */
+final class Json {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private Json() {}
+
+  static ObjectNode object() {
+    return MAPPER.createObjectNode();
+  }
+
+  static byte[] bytes(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsBytes(node);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  static JsonNode parse(byte[] bytes) throws MalformedMessageException {
+    try {
+      JsonNode node = MAPPER.readTree(bytes);
+      if (node == null || !node.isObject()) {
+        throw new MalformedMessageException("the body is no JSON object");
+      }
+      return node;
+    } catch (IOException e) {
+      throw new MalformedMessageException("the body is no JSON: " + e.getMessage());
+    }
+  }
+
+  static String text(JsonNode node, String field) throws MalformedMessageException {
+    JsonNode value = node.get(field);
+    if (value == null || !value.isTextual()) {
+      throw new MalformedMessageException(field + " must be text");
+    }
+    return value.textValue();
+  }
+
+  static String textOr(JsonNode node, String field, String absent)
+      throws MalformedMessageException {
+    return isAbsent(node, field) ? absent : text(node, field);
+  }
+
+  static long number(JsonNode node, String field) throws MalformedMessageException {
+    JsonNode value = node.get(field);
+    if (value == null || !value.isNumber()) {
+      throw new MalformedMessageException(field + " must be a number");
+    }
+    return value.longValue();
+  }
+
+  static long numberOr(JsonNode node, String field, long absent) throws MalformedMessageException {
+    return isAbsent(node, field) ? absent : number(node, field);
+  }
+
+  static double decimalOr(JsonNode node, String field, double absent)
+      throws MalformedMessageException {
+    if (isAbsent(node, field)) {
+      return absent;
+    }
+    JsonNode value = node.get(field);
+    if (!value.isNumber()) {
+      throw new MalformedMessageException(field + " must be a number");
+    }
+    return value.doubleValue();
+  }
+
+  static boolean flag(JsonNode node, String field) throws MalformedMessageException {
+    if (isAbsent(node, field)) {
+      return false;
+    }
+    JsonNode value = node.get(field);
+    if (!value.isBoolean()) {
+      throw new MalformedMessageException(field + " must be true or false");
+    }
+    return value.booleanValue();
+  }
+
+  static boolean isAbsent(JsonNode node, String field) {
+    JsonNode value = node.get(field);
+    return value == null || value.isNull();
+  }
+
+  /** Reads {@code ip:port}. */
+  static InetSocketAddress address(String text) throws MalformedMessageException {
+    int colon = text.lastIndexOf(':');
+    try {
+      return new InetSocketAddress(
+          text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
+    } catch (IllegalArgumentException e) {
+      throw new MalformedMessageException(text + " is no address with a port");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/MachineClient.java
@@ -0,0 +1,173 @@
+package org.laburnumarch.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.http.api.HttpRequestMethod;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.http.PlatformHttpClient;
+import org.laburnumarch.internal.http.PlatformHttpClient.Answer;
+import org.laburnumarch.internal.pool.Machine;
+import org.laburnumarch.internal.pool.MachineOrderOutcome;
+import org.laburnumarch.spi.PlatformException;
+
+/** The platform's service for moves and maintenance of instances. */
+public final class MachineClient implements AutoCloseable {
+
+  /** The service answers within milliseconds; up to 50 times as long when it is slow. */
+  public static final long TIMEOUT_MS = 1_500;
+
+  private static final byte[] NO_BODY = new byte[0];
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final int BAD_REQUEST = 400;
+
+  private final PlatformHttpClient client;
+  private final String holder;
+
+  /**
+   * Creates a client.
+   *
+   * @param address where the service is
+   * @param holder name that this process gives orders under
+   * @param loop the thread for sockets and callbacks
+   */
+  public MachineClient(InetSocketAddress address, String holder, HttpLoop loop) {
+    this.client = new PlatformHttpClient(address, loop);
+    this.holder = holder;
+  }
+
+  /** Lists all instances. */
+  public CompletionStage<List<Machine>> list() {
+    return listFrom("", new ArrayList<>());
+  }
+
+  private CompletionStage<List<Machine>> listFrom(String pageToken, List<Machine> read) {
+    String query =
+        pageToken.isEmpty()
+            ? ""
+            : "?pageToken=" + URLEncoder.encode(pageToken, StandardCharsets.UTF_8);
+    return client
+        .call(
+            HttpRequestMethod.GET,
+            "/v1/machines" + query,
+            NO_BODY,
+            TIMEOUT_MS,
+            answer -> page(answer, read))
+        .thenCompose(
+            next ->
+                next.isEmpty()
+                    ? CompletableFuture.completedStage(List.copyOf(read))
+                    : listFrom(next, read));
+  }
+
+  private static String page(Answer answer, List<Machine> read) {
+    if (answer.status() != OK) {
+      throw PlatformException.withoutEffect("the list was refused: " + answer.status(), null);
+    }
+    try {
+      JsonNode root = Json.parse(answer.bytes());
+      for (JsonNode node : root.path("machines")) {
+        read.add(machine(node));
+      }
+      return Json.textOr(root, "nextToken", "");
+    } catch (MalformedMessageException e) {
+      throw PlatformException.withoutEffect("the list cannot be read", e);
+    }
+  }
+
+  private static Machine machine(JsonNode node) throws MalformedMessageException {
+    List<String> labels = new ArrayList<>();
+    for (JsonNode label : node.path("labels")) {
+      labels.add(label.asText());
+    }
+    Machine.State state =
+        switch (Json.text(node, "state")) {
+          case "up" -> Machine.State.UP;
+          case "moving" -> Machine.State.MOVING;
+          case "upkeep" -> Machine.State.MAINTENANCE;
+          default -> Machine.State.DOWN;
+        };
+    return new Machine(
+        Json.text(node, "machine"),
+        Json.text(node, "pool"),
+        state,
+        Json.text(node, "zone"),
+        labels,
+        Json.textOr(node, "id", ""));
+  }
+
+  /** Moves an instance to another pool; everything that runs on it ends at once. */
+  public CompletionStage<MachineOrderOutcome> move(String machine, String pool, long fencingToken) {
+    return order(
+        "/v1/machine-move", Json.object().put("machine", machine).put("pool", pool), fencingToken);
+  }
+
+  /** Takes an instance into maintenance; everything that runs on it ends at once. */
+  public CompletionStage<MachineOrderOutcome> maintain(
+      String machine, long wave, long fencingToken) {
+    return order(
+        "/v1/machine-upkeep",
+        Json.object().put("machine", machine).put("wave", wave),
+        fencingToken);
+  }
+
+  private CompletionStage<MachineOrderOutcome> order(
+      String target, ObjectNode body, long fencingToken) {
+    Map<String, String> headers =
+        Map.of(
+            "Content-Type",
+            "application/json",
+            "X-Lease-Holder",
+            holder,
+            "X-Fencing-Token",
+            Long.toString(fencingToken));
+    return client
+        .call(
+            HttpRequestMethod.POST,
+            target,
+            headers,
+            Json.bytes(body),
+            TIMEOUT_MS,
+            MachineClient::outcome)
+        .exceptionally(
+            failure ->
+                PlatformFailures.mayHaveTakenEffect(failure)
+                    ? MachineOrderOutcome.UNKNOWN
+                    : MachineOrderOutcome.REFUSED);
+  }
+
+  private static MachineOrderOutcome outcome(Answer answer) {
+    return switch (answer.status()) {
+      case OK -> MachineOrderOutcome.DONE;
+      case CONFLICT -> conflict(answer);
+      case BAD_REQUEST -> MachineOrderOutcome.IMPOSSIBLE;
+      default -> MachineOrderOutcome.REFUSED;
+    };
+  }
+
+  private static MachineOrderOutcome conflict(Answer answer) {
+    try {
+      return switch (Json.textOr(Json.parse(answer.bytes()), "reason", "")) {
+        case "fence" -> MachineOrderOutcome.FENCED;
+        case "wave" -> MachineOrderOutcome.IMPOSSIBLE;
+        default -> MachineOrderOutcome.REFUSED;
+      };
+    } catch (MalformedMessageException e) {
+      return MachineOrderOutcome.UNKNOWN;
+    }
+  }
+
+  /** Closes all connections; calls in flight fail. */
+  @Override
+  public void close() {
+    client.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/NodeSettings.java
@@ -0,0 +1,132 @@
+package org.laburnumarch.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+
+/**
+ * What the platform tells a process at its start. Times are upper bounds that the users set, in
+ * milliseconds.
+ *
+ * @param name this daemon's name
+ * @param dataCentre the data centre it runs in
+ * @param ip its own address
+ * @param callers where callers' connections arrive
+ * @param readiness where the platform asks whether new connections may come
+ * @param linkPort port for connections between daemons, free on every instance
+ * @param metricsPort port for this daemon's own metrics
+ * @param store where the platform's store is
+ * @param machines where the service for moves and maintenance of instances is, if there is one
+ * @param advisor where the advisory service is, if there is one
+ * @param cpuShare part of a core that the process may use
+ * @param linkMbps speed of the instance's network link
+ * @param longestLeaseMs longest lease that a worker grants
+ * @param stopBoundMs longest time that a worker takes to stop a task
+ * @param gangWaitMs how long a member of a gang waits for the others
+ * @param shutdownBoundMs time from SIGTERM to SIGKILL
+ * @param statusKeptMs how long a finished job's status must be known
+ * @param unavailableNoticeMs how long a task counts as unavailable after it was
+ * @param registryBeatMs how often workers write to the registry
+ * @param remotePenalty how many times as long a task takes away from its data
+ * @param restoreMs time to resume from a checkpoint
+ * @param moveMs time a move of an instance takes
+ * @param maintenanceMs time the maintenance of an instance takes
+ */
+public record NodeSettings(
+    String name,
+    String dataCentre,
+    String ip,
+    InetSocketAddress callers,
+    InetSocketAddress readiness,
+    int linkPort,
+    int metricsPort,
+    InetSocketAddress store,
+    Optional<InetSocketAddress> machines,
+    Optional<InetSocketAddress> advisor,
+    double cpuShare,
+    double linkMbps,
+    long longestLeaseMs,
+    long stopBoundMs,
+    long gangWaitMs,
+    long shutdownBoundMs,
+    long statusKeptMs,
+    long unavailableNoticeMs,
+    long registryBeatMs,
+    double remotePenalty,
+    long restoreMs,
+    long moveMs,
+    long maintenanceMs) {
+
+  /** Environment variable that holds the path of the settings file. */
+  public static final String PATH_VARIABLE = "LABURNUMARCH_SETTINGS";
+
+  private static final long MS_PER_S = 1_000;
+
+  /**
+   * Reads the settings file.
+   *
+   * @throws IOException if the file cannot be read
+   * @throws MalformedMessageException if a field is missing or has the wrong type
+   */
+  public static NodeSettings read(Path file) throws IOException, MalformedMessageException {
+    return parse(Files.readAllBytes(file));
+  }
+
+  /**
+   * Parses the content of a settings file. Fields that are not known are ignored.
+   *
+   * @throws MalformedMessageException if a field is missing or has the wrong type
+   */
+  public static NodeSettings parse(byte[] content) throws MalformedMessageException {
+    JsonNode root = Json.parse(content);
+    JsonNode listen = section(root, "listen");
+    JsonNode limits = section(root, "limits");
+    JsonNode bounds = section(root, "bounds");
+    JsonNode ports = root.get("internalPorts");
+    if (ports == null || !ports.isArray() || ports.size() < 2) {
+      throw new MalformedMessageException("internalPorts must be a list of two ports");
+    }
+    return new NodeSettings(
+        Json.text(root, "node"),
+        Json.text(root, "zone"),
+        Json.text(root, "ip"),
+        Json.address(Json.text(listen, "front")),
+        Json.address(Json.text(listen, "ready")),
+        ports.get(0).intValue(),
+        ports.get(0).intValue() + 1,
+        Json.address(Json.text(section(root, "platform"), "address")),
+        optionalAddress(root.path("cloud").path("address")),
+        optionalAddress(root.path("advice")),
+        Json.decimalOr(limits, "cpuShare", 1),
+        Json.decimalOr(limits, "linkMbps", 1_000),
+        Json.number(bounds, "maxHoldMs"),
+        Json.number(bounds, "stopTimeoutMs"),
+        Json.number(bounds, "gangTimeoutMs"),
+        (long) (Json.decimalOr(bounds, "graceS", 6) * MS_PER_S),
+        (long) (Json.decimalOr(bounds, "status_s", 120) * MS_PER_S),
+        Json.numberOr(bounds, "noticeMs", 0),
+        Json.numberOr(root, "heartbeatMs", 1_500),
+        Json.decimalOr(bounds, "remotePenalty", 1),
+        Json.numberOr(bounds, "restoreMs", 0),
+        (long) (Json.decimalOr(bounds, "migrateS", 2) * MS_PER_S),
+        (long) (Json.decimalOr(bounds, "maintenanceS", 2) * MS_PER_S));
+  }
+
+  private static JsonNode section(JsonNode root, String field) throws MalformedMessageException {
+    JsonNode value = root.get(field);
+    if (value == null || !value.isObject()) {
+      throw new MalformedMessageException(field + " must be a table");
+    }
+    return value;
+  }
+
+  private static Optional<InetSocketAddress> optionalAddress(JsonNode node)
+      throws MalformedMessageException {
+    return node.isTextual() && !node.textValue().isEmpty()
+        ? Optional.of(Json.address(node.textValue()))
+        : Optional.empty();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/OperatorRecords.java
@@ -0,0 +1,159 @@
+package org.laburnumarch.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.laburnumarch.internal.job.FleetConfig;
+import org.laburnumarch.internal.job.FleetConfig.CallerLimits;
+import org.laburnumarch.internal.job.QueueConfig;
+import org.laburnumarch.internal.job.QueueConfig.AdviceTimes;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.ServiceConfig;
+import org.laburnumarch.internal.job.TeamConfig;
+import org.laburnumarch.internal.pool.MaintenanceWave;
+import org.laburnumarch.internal.schedule.WorkerListing;
+
+/** Decodes what operators and workers write into the store. */
+public final class OperatorRecords {
+
+  /** Key of the configuration. */
+  public static final String CONFIG_KEY = "config";
+
+  /** Beginning of the keys that name a data centre taken out of service. */
+  public static final String EVACUATION_PREFIX = "evacuate/";
+
+  /** Beginning of the keys of maintenance waves, and of their status. */
+  public static final String WAVE_PREFIX = "wave/";
+
+  private static final String DRAINING = "draining";
+  private static final String READY = "ready";
+
+  private OperatorRecords() {}
+
+  /** Decodes the configuration. */
+  public static FleetConfig config(byte[] value) throws MalformedMessageException {
+    JsonNode root = Json.parse(value);
+    List<QueueConfig> queues = new ArrayList<>();
+    for (JsonNode node : root.path("routes")) {
+      queues.add(queue(node));
+    }
+    List<ServiceConfig> services = new ArrayList<>();
+    for (JsonNode node : root.path("services")) {
+      services.add(
+          new ServiceConfig(
+              Json.text(node, "name"),
+              Json.flag(node, "rejectsOverload"),
+              Json.flag(node, "spare"),
+              Json.textOr(node, "healthPath", "/health")));
+    }
+    List<TeamConfig> teams = new ArrayList<>();
+    for (JsonNode node : root.path("tenants")) {
+      teams.add(team(node));
+    }
+    JsonNode limits = root.path("limits");
+    return new FleetConfig(
+        Json.number(root, "version"),
+        queues,
+        services,
+        teams,
+        new CallerLimits(
+            (int) Json.numberOr(limits, "bodyBytes", CallerLimits.DEFAULT.bodyBytes()),
+            Json.numberOr(limits, "idleTimeoutMs", CallerLimits.DEFAULT.idleTimeoutMs())));
+  }
+
+  private static QueueConfig queue(JsonNode node) throws MalformedMessageException {
+    JsonNode advice = node.path("advice");
+    return new QueueConfig(
+        Json.text(node, "name"),
+        Json.text(node, "host"),
+        Json.text(node, "pathPrefix"),
+        Json.text(node, "service"),
+        (int) Json.numberOr(node, "priority", 0),
+        (int) Json.numberOr(node, "maxAttempts", 1),
+        Json.decimalOr(node, "stretch", 1),
+        Json.numberOr(node, "targetLatencyMs", 0),
+        Json.flag(node, "public"),
+        advice.isObject()
+            ? Optional.of(
+                new AdviceTimes(
+                    Json.numberOr(advice, "decisionMs", 0),
+                    Json.numberOr(advice, "intervalMs", 0),
+                    Json.numberOr(advice, "validityMs", 0)))
+            : Optional.empty());
+  }
+
+  private static TeamConfig team(JsonNode node) throws MalformedMessageException {
+    Set<String> keys = new HashSet<>();
+    for (JsonNode key : node.path("apiKeys")) {
+      keys.add(key.asText());
+    }
+    return new TeamConfig(
+        Json.text(node, "name"),
+        keys,
+        Json.decimalOr(node, "weight", 1),
+        node.path("maxCount").isObject() ? resources(node.path("maxCount")) : Resources.NONE);
+  }
+
+  static Resources resources(JsonNode node) throws MalformedMessageException {
+    return new Resources(
+        Json.numberOr(node, "cpu", 0),
+        Json.numberOr(node, "memMb", 0),
+        Json.numberOr(node, "gpus", 0));
+  }
+
+  /** Decodes a maintenance wave. */
+  public static MaintenanceWave wave(byte[] value) throws MalformedMessageException {
+    JsonNode root = Json.parse(value);
+    Set<String> machines = new LinkedHashSet<>();
+    for (JsonNode machine : root.path("machines")) {
+      machines.add(machine.asText());
+    }
+    return new MaintenanceWave(
+        Json.number(root, "wave"),
+        machines,
+        (long) (Json.decimalOr(root, "completeByS", 0) * 1_000),
+        (int) Json.numberOr(root, "maxCount", 1));
+  }
+
+  /** Encodes the status of a wave for the operators. */
+  public static byte[] waveStatus(boolean isCompleted) {
+    return Json.bytes(Json.object().put("state", isCompleted ? "completed" : "running"));
+  }
+
+  /**
+   * Decodes a worker's entry in the registry.
+   *
+   * @param id the entry's key, the only place that names the worker
+   * @param value the entry
+   * @throws MalformedMessageException if the entry comes from a foreign writer; it names no worker
+   */
+  public static WorkerListing worker(String id, byte[] value) throws MalformedMessageException {
+    JsonNode root = Json.parse(value);
+    String state = Json.text(root, "state");
+    if (!state.equals(READY) && !state.equals(DRAINING)) {
+      throw new MalformedMessageException("unknown state " + state);
+    }
+    JsonNode capacity = root.path("capacity");
+    if (!capacity.isObject()) {
+      throw new MalformedMessageException("capacity must be a table");
+    }
+    List<String> labels = new ArrayList<>();
+    for (JsonNode label : root.path("labels")) {
+      labels.add(label.asText());
+    }
+    return new WorkerListing(
+        id,
+        Json.text(root, "service"),
+        Json.address(Json.text(root, "address")),
+        Json.text(root, "zone"),
+        resources(capacity),
+        labels,
+        state.equals(DRAINING),
+        Json.numberOr(root, "remainingMs", 0),
+        Json.numberOr(root, "born", 0));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
@@ -0,0 +1,322 @@
+package org.laburnumarch.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.servicetalk.http.api.HttpRequestMethod;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionStage;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.http.PlatformHttpClient;
+import org.laburnumarch.internal.http.PlatformHttpClient.Answer;
+import org.laburnumarch.spi.PlatformException;
+
+/**
+ * The platform's store: logs in which the newest record of each key is kept. Only the first
+ * partition of each log is used.
+ *
+ * <p>Stages fail with {@link PlatformException}, which says whether the call may have taken effect.
+ */
+public final class StoreClient implements AutoCloseable {
+
+  /** Log of the operators: configuration, data centres taken out, maintenance. Read only. */
+  public static final String OPERATORS = "keyed.op";
+
+  /** Log of the workers' registry. Read only. */
+  public static final String WORKERS = "keyed.servers";
+
+  /** Log in which operators look for the state of maintenance. */
+  public static final String STATUS = "keyed.status";
+
+  /** Log of this system's jobs. */
+  public static final String JOBS = "keyed.jobs";
+
+  /** Log of this system's ownership records. */
+  public static final String OWNER = "keyed.owner";
+
+  /**
+   * A write takes about 4 ms, 50 times as long when the store is slow. Waiting longer than this
+   * delays the retry on a new connection when the open one has gone silent.
+   */
+  public static final long WRITE_TIMEOUT_MS = 1_200;
+
+  /** Time that an answer may take beyond the time that the read waits at the store. */
+  public static final long READ_TIMEOUT_MS = 1_000;
+
+  private static final byte[] NO_BODY = new byte[0];
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int GONE = 410;
+  private static final int CONDITION_FAILED = 412;
+  private static final int LENGTH_BYTES = 4;
+  private static final int OFFSET_BYTES = 8;
+
+  private final PlatformHttpClient writes;
+  private final PlatformHttpClient reads;
+
+  /** Creates a client; no connection is opened before the first call. */
+  public StoreClient(InetSocketAddress address, HttpLoop loop) {
+    this.writes = new PlatformHttpClient(address, loop);
+    this.reads = new PlatformHttpClient(address, loop);
+  }
+
+  /**
+   * A record with its place in the log.
+   *
+   * @param key the key
+   * @param value the value; empty if the key has been deleted
+   * @param offset the record's offset
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  public record StoreRecord(String key, Optional<byte[]> value, long offset) {}
+
+  /**
+   * A key and what to store under it.
+   *
+   * @param key the key
+   * @param value the value; empty to delete the key
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  public record KeyedValue(String key, Optional<byte[]> value) {}
+
+  /**
+   * A write's place in the sequence of one writer.
+   *
+   * @param epoch number of the writer; writes of lower epochs are refused
+   * @param sequence number of the write within the epoch, from 0
+   */
+  public record WriterPosition(long epoch, long sequence) {}
+
+  /** What became of a write. */
+  public enum WriteOutcome {
+    /** The records are stored. */
+    STORED,
+    /** The log did not end where the condition says. */
+    CONDITION_FAILED,
+    /** A writer with a higher epoch has taken over. */
+    FENCED,
+    /** The store expected another sequence number. */
+    OUT_OF_SEQUENCE
+  }
+
+  /**
+   * An answered write.
+   *
+   * @param outcome what became of it
+   * @param endOffset the log's end, if the store said it; else -1
+   */
+  public record WriteResult(WriteOutcome outcome, long endOffset) {}
+
+  /**
+   * A part of a log.
+   *
+   * @param records records from the requested offset on
+   * @param endOffset the offset after the log's last record
+   * @param nextOffset the offset after the last of these records
+   * @param isTruncated whether the requested records are gone; the log must be read anew
+   */
+  public record LogChunk(
+      List<StoreRecord> records, long endOffset, long nextOffset, boolean isTruncated) {}
+
+  /**
+   * A page of the newest records by key.
+   *
+   * @param records the records, by key
+   * @param endOffset the log's end when the page was made
+   * @param continueAfter key after which the next page begins; empty on the last page
+   */
+  public record NewestPage(
+      List<StoreRecord> records, long endOffset, Optional<String> continueAfter) {}
+
+  /**
+   * Appends records, all or none.
+   *
+   * @param log the log's name
+   * @param values the records; none only sets the writer's epoch
+   * @param expectedEnd the offset at which the log must end; empty for no condition
+   * @param writer name and position of the writer; empty for a write outside any sequence
+   */
+  public CompletionStage<WriteResult> append(
+      String log,
+      List<KeyedValue> values,
+      OptionalLong expectedEnd,
+      Optional<WriterPosition> writer) {
+    StringBuilder target = new StringBuilder("/v1/log-append?part=0&topic=").append(log);
+    expectedEnd.ifPresent(offset -> target.append("&at=").append(offset));
+    writer.ifPresent(
+        position ->
+            target
+                .append("&producer=owner&epoch=")
+                .append(position.epoch())
+                .append("&seq=")
+                .append(position.sequence()));
+    return writes.call(
+        HttpRequestMethod.POST,
+        target.toString(),
+        frame(values),
+        WRITE_TIMEOUT_MS,
+        StoreClient::writeResult);
+  }
+
+  private static byte[] frame(List<KeyedValue> values) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    for (KeyedValue value : values) {
+      byte[] key = value.key().getBytes(StandardCharsets.UTF_8);
+      byte[] content = value.value().orElse(NO_BODY);
+      int length = 1 + key.length + content.length;
+      out.writeBytes(ByteBuffer.allocate(LENGTH_BYTES).putInt(length).array());
+      out.write(key.length);
+      out.writeBytes(key);
+      out.writeBytes(content);
+    }
+    return out.toByteArray();
+  }
+
+  private static WriteResult writeResult(Answer answer) {
+    try {
+      return switch (answer.status()) {
+        case OK ->
+            new WriteResult(
+                WriteOutcome.STORED, Json.numberOr(Json.parse(answer.bytes()), "endOffset", -1));
+        case CONDITION_FAILED ->
+            new WriteResult(
+                WriteOutcome.CONDITION_FAILED,
+                Json.numberOr(Json.parse(answer.bytes()), "endOffset", -1));
+        case CONFLICT ->
+            new WriteResult(
+                "fenced".equals(Json.textOr(Json.parse(answer.bytes()), "reason", ""))
+                    ? WriteOutcome.FENCED
+                    : WriteOutcome.OUT_OF_SEQUENCE,
+                -1);
+        default ->
+            throw PlatformException.withoutEffect("the store answered " + answer.status(), null);
+      };
+    } catch (MalformedMessageException e) {
+      throw PlatformException.withUnknownEffect("the store's answer cannot be read", e);
+    }
+  }
+
+  /**
+   * Reads records from an offset on, waiting at the store until there is one.
+   *
+   * @param log the log's name
+   * @param fromOffset the first offset to read
+   * @param waitMs how long the store may wait for a record
+   */
+  public CompletionStage<LogChunk> read(String log, long fromOffset, long waitMs) {
+    String target =
+        "/v1/log-read?part=0&topic=" + log + "&from=" + fromOffset + "&waitMs=" + waitMs;
+    return reads.call(
+        HttpRequestMethod.GET,
+        target,
+        NO_BODY,
+        waitMs + READ_TIMEOUT_MS,
+        answer -> chunk(answer, fromOffset));
+  }
+
+  private static LogChunk chunk(Answer answer, long fromOffset) {
+    if (answer.status() == GONE) {
+      return new LogChunk(List.of(), -1, fromOffset, true);
+    }
+    if (answer.status() != OK) {
+      throw PlatformException.withoutEffect("the store answered " + answer.status(), null);
+    }
+    ByteBuffer in = ByteBuffer.wrap(answer.bytes());
+    if (in.remaining() < 2 * OFFSET_BYTES) {
+      throw PlatformException.withoutEffect("the store's answer is too short", null);
+    }
+    long endOffset = in.getLong();
+    in.getLong(); // the first retained offset
+    List<StoreRecord> records = new ArrayList<>();
+    long offset = fromOffset;
+    while (in.remaining() >= LENGTH_BYTES) {
+      int length = in.getInt();
+      if (length < 0 || length > in.remaining()) {
+        throw PlatformException.withoutEffect("a record is cut short", null);
+      }
+      record(in.slice(in.position(), length), offset).ifPresent(records::add);
+      in.position(in.position() + length);
+      offset++;
+    }
+    return new LogChunk(records, endOffset, offset, false);
+  }
+
+  private static Optional<StoreRecord> record(ByteBuffer content, long offset) {
+    if (!content.hasRemaining()) {
+      return Optional.empty();
+    }
+    int keyLength = content.get() & 0xff;
+    if (keyLength > content.remaining()) {
+      return Optional.empty();
+    }
+    byte[] key = new byte[keyLength];
+    content.get(key);
+    byte[] value = new byte[content.remaining()];
+    content.get(value);
+    return Optional.of(
+        new StoreRecord(
+            new String(key, StandardCharsets.UTF_8),
+            value.length == 0 ? Optional.empty() : Optional.of(value),
+            offset));
+  }
+
+  /**
+   * Reads a page of the newest record of each key.
+   *
+   * @param log the log's name
+   * @param afterKey key after which the page begins; empty for the first page
+   */
+  public CompletionStage<NewestPage> newest(String log, Optional<String> afterKey) {
+    String target =
+        "/v1/log-newest?part=0&topic="
+            + log
+            + afterKey
+                .map(key -> "&after=" + URLEncoder.encode(key, StandardCharsets.UTF_8))
+                .orElse("");
+    return reads.call(
+        HttpRequestMethod.GET, target, NO_BODY, 2 * READ_TIMEOUT_MS, StoreClient::newestPage);
+  }
+
+  private static NewestPage newestPage(Answer answer) {
+    if (answer.status() == NOT_FOUND) {
+      return new NewestPage(List.of(), 0, Optional.empty());
+    }
+    if (answer.status() != OK) {
+      throw PlatformException.withoutEffect("the store answered " + answer.status(), null);
+    }
+    try {
+      JsonNode root = Json.parse(answer.bytes());
+      List<StoreRecord> records = new ArrayList<>();
+      for (JsonNode item : root.path("items")) {
+        byte[] value = Base64.getDecoder().decode(Json.textOr(item, "value", ""));
+        records.add(
+            new StoreRecord(
+                Json.text(item, "key"),
+                value.length == 0 ? Optional.empty() : Optional.of(value),
+                Json.number(item, "offset")));
+      }
+      Optional<String> next =
+          Json.flag(root, "hasMore") && !records.isEmpty()
+              ? Optional.of(records.get(records.size() - 1).key())
+              : Optional.empty();
+      return new NewestPage(List.copyOf(records), Json.number(root, "endOffset"), next);
+    } catch (MalformedMessageException | IllegalArgumentException e) {
+      throw PlatformException.withoutEffect("the store's answer cannot be read", e);
+    }
+  }
+
+  /** Closes all connections; calls in flight fail. */
+  @Override
+  public void close() {
+    writes.close();
+    reads.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/WorkerClient.java
@@ -0,0 +1,254 @@
+package org.laburnumarch.internal.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.http.api.HttpRequestMethod;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.http.PlatformHttpClient;
+import org.laburnumarch.internal.http.PlatformHttpClient.Answer;
+import org.laburnumarch.internal.schedule.EndKind;
+import org.laburnumarch.internal.schedule.EndedTask;
+import org.laburnumarch.internal.schedule.OrderReply;
+import org.laburnumarch.internal.schedule.OrderReply.Outcome;
+import org.laburnumarch.internal.schedule.RunningTask;
+import org.laburnumarch.internal.schedule.WorkerReport;
+import org.laburnumarch.spi.PlatformException;
+
+/** Orders to one worker. */
+public final class WorkerClient implements AutoCloseable {
+
+  /**
+   * A healthy worker answers within 5 ms. After this time the order is treated as one without an
+   * answer, which is resolved by stopping the run.
+   */
+  public static final long ORDER_TIMEOUT_MS = 400;
+
+  /** Time that a report may take beyond the time that it waits at the worker. */
+  public static final long REPORT_TIMEOUT_MS = 700;
+
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int CONFLICT = 409;
+  private static final int MISDIRECTED = 421;
+
+  // Columns of the list of running tasks.
+  private static final int TASK = 0;
+  private static final int RUN = 1;
+  private static final int CHECKPOINT = 2;
+  private static final int PERCENT = 3;
+  private static final int LOAD = 4;
+
+  // Columns of the list of ends.
+  private static final int END_NUMBER = 0;
+  private static final int END_TASK = 1;
+  private static final int END_RUN = 2;
+  private static final int END_HOW = 3;
+  private static final int END_CHECKPOINT = 4;
+
+  private final PlatformHttpClient orders;
+  private final PlatformHttpClient reports;
+  private final Map<String, String> headers;
+
+  /**
+   * Creates a client; no connection is opened before the first call.
+   *
+   * @param address where the worker takes orders
+   * @param workerId the incarnation that is meant; any other refuses
+   * @param loop the thread for sockets and callbacks
+   */
+  public WorkerClient(InetSocketAddress address, String workerId, HttpLoop loop) {
+    this.orders = new PlatformHttpClient(address, loop);
+    this.reports = new PlatformHttpClient(address, loop);
+    this.headers = Map.of("X-Target-Instance", workerId, "Content-Type", "application/json");
+  }
+
+  /**
+   * Orders the worker to start a run.
+   *
+   * @param taskName the task's name
+   * @param run number of the run
+   * @param program the job's text
+   * @param leaseDeadlineMs end of the lease, on the worker's clock
+   * @param fencingToken the owner's term
+   * @param checkpoint checkpoint to resume from; empty for none
+   * @param ticket the advisory service's ticket; empty for none
+   */
+  public CompletionStage<OrderReply> start(
+      String taskName,
+      long run,
+      String program,
+      long leaseDeadlineMs,
+      long fencingToken,
+      String checkpoint,
+      String ticket) {
+    ObjectNode body =
+        Json.object()
+            .put("task", taskName)
+            .put("run", run)
+            .put("spec", program)
+            .put("deadlineMs", leaseDeadlineMs)
+            .put("fenceToken", fencingToken);
+    if (!checkpoint.isEmpty()) {
+      body.put("checkpoint", checkpoint);
+    }
+    if (!ticket.isEmpty()) {
+      body.put("ticket", ticket);
+    }
+    return order("/v1/run-start", body);
+  }
+
+  /** Orders the worker to stop a run and never to start it. */
+  public CompletionStage<OrderReply> stop(String taskName, long run, long fencingToken) {
+    return order(
+        "/v1/run-stop",
+        Json.object().put("task", taskName).put("run", run).put("fenceToken", fencingToken));
+  }
+
+  /** Lets a run use only a part of its processor time. */
+  public CompletionStage<OrderReply> pace(
+      String taskName, long run, int percent, long fencingToken) {
+    return order(
+        "/v1/pace",
+        Json.object()
+            .put("task", taskName)
+            .put("run", run)
+            .put("percent", percent)
+            .put("fenceToken", fencingToken));
+  }
+
+  private CompletionStage<OrderReply> order(String target, ObjectNode body) {
+    return orders
+        .call(
+            HttpRequestMethod.POST,
+            target,
+            headers,
+            Json.bytes(body),
+            ORDER_TIMEOUT_MS,
+            WorkerClient::orderReply)
+        .exceptionally(WorkerClient::unanswered);
+  }
+
+  private static OrderReply orderReply(Answer answer) {
+    return switch (answer.status()) {
+      case OK -> new OrderReply(Outcome.OBEYED, clock(answer));
+      case CONFLICT -> new OrderReply(conflict(answer), clock(answer));
+      case BAD_REQUEST -> new OrderReply(Outcome.REJECTED, clock(answer));
+      case MISDIRECTED -> new OrderReply(Outcome.OTHER_INCARNATION, -1);
+      default -> new OrderReply(Outcome.UNHEALTHY, -1);
+    };
+  }
+
+  private static Outcome conflict(Answer answer) {
+    try {
+      return switch (Json.textOr(Json.parse(answer.bytes()), "reason", "")) {
+        case "fence" -> Outcome.FENCED;
+        case "old" -> Outcome.OUTDATED;
+        case "late" -> Outcome.LATE;
+        case "room" -> Outcome.NO_ROOM;
+        case "ticket" -> Outcome.TICKET;
+        default -> Outcome.REJECTED;
+      };
+    } catch (MalformedMessageException e) {
+      return Outcome.UNKNOWN;
+    }
+  }
+
+  private static long clock(Answer answer) {
+    try {
+      return Json.numberOr(Json.parse(answer.bytes()), "clockMs", -1);
+    } catch (MalformedMessageException e) {
+      return -1;
+    }
+  }
+
+  private static OrderReply unanswered(Throwable failure) {
+    return new OrderReply(
+        PlatformFailures.mayHaveTakenEffect(failure) ? Outcome.UNKNOWN : Outcome.UNREACHABLE, -1);
+  }
+
+  /**
+   * Renews the lease of everything that runs on the worker, acknowledges ends and reads its lists.
+   *
+   * @param leaseDeadlineMs end of the lease, on the worker's clock; negative not to renew
+   * @param fencingToken the owner's term
+   * @param acknowledgedEnd number of the last end that may be forgotten
+   * @param waitMs how long the worker may wait for an end
+   */
+  public CompletionStage<WorkerReport> renew(
+      long leaseDeadlineMs, long fencingToken, long acknowledgedEnd, long waitMs) {
+    ObjectNode body =
+        Json.object().put("fenceToken", fencingToken).put("ackCursor", acknowledgedEnd);
+    if (leaseDeadlineMs >= 0) {
+      body.put("deadlineMs", leaseDeadlineMs);
+    }
+    if (waitMs > 0) {
+      body.put("waitMs", waitMs);
+    }
+    return reports.call(
+        HttpRequestMethod.POST,
+        "/v1/hold",
+        headers,
+        Json.bytes(body),
+        waitMs + REPORT_TIMEOUT_MS,
+        WorkerClient::report);
+  }
+
+  private static WorkerReport report(Answer answer) {
+    if (answer.status() != OK) {
+      throw new WorkerRefusalException(orderReply(answer).outcome());
+    }
+    try {
+      JsonNode root = Json.parse(answer.bytes());
+      List<RunningTask> running = new ArrayList<>();
+      for (JsonNode row : root.path("running")) {
+        running.add(
+            new RunningTask(
+                row.path(TASK).asText(),
+                row.path(RUN).asLong(),
+                row.path(CHECKPOINT).asText(),
+                row.path(PERCENT).asInt(),
+                row.path(LOAD).asLong(-1)));
+      }
+      List<EndedTask> ended = new ArrayList<>();
+      for (JsonNode row : root.path("finished")) {
+        ended.add(ended(row));
+      }
+      return new WorkerReport(
+          Json.number(root, "clockMs"), Json.numberOr(root, "born", 0), running, ended);
+    } catch (MalformedMessageException e) {
+      throw PlatformException.withUnknownEffect("a worker's report cannot be read", e);
+    }
+  }
+
+  private static EndedTask ended(JsonNode row) throws MalformedMessageException {
+    EndKind how =
+        switch (row.path(END_HOW).asText().toLowerCase(Locale.ROOT)) {
+          case "done" -> EndKind.DONE;
+          case "failed" -> EndKind.FAILED;
+          case "stopped" -> EndKind.STOPPED;
+          case "lapsed" -> EndKind.LAPSED;
+          case "broken" -> EndKind.BROKEN;
+          case "alone" -> EndKind.ALONE;
+          default -> throw new MalformedMessageException("unknown end " + row.path(END_HOW));
+        };
+    return new EndedTask(
+        row.path(END_NUMBER).asLong(),
+        row.path(END_TASK).asText(),
+        row.path(END_RUN).asLong(),
+        how,
+        row.path(END_CHECKPOINT).asText());
+  }
+
+  /** Closes all connections; calls in flight fail. */
+  @Override
+  public void close() {
+    orders.close();
+    reports.close();
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/routing/MinionTable.java
+++ b/src/main/java/org/laburnumarch/internal/routing/MinionTable.java
@@ -9,7 +9,7 @@
 import java.util.function.ToIntFunction;
 import org.laburnumarch.internal.state.ControlState;
 import org.laburnumarch.internal.state.InstanceEntry;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 /**
  * The minions of one pool as one daemon sees them.
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/schedule/Decisions.java
@@ -0,0 +1,18 @@
+package org.laburnumarch.internal.schedule;
+
+import java.util.List;
+
+/**
+ * What is to be sent after a round of decisions.
+ *
+ * @param orders orders to workers
+ * @param queries questions to the advisory service
+ */
+public record Decisions(List<Order> orders, List<AdviceQuery> queries) {
+
+  /** Copies the lists. */
+  public Decisions {
+    orders = List.copyOf(orders);
+    queries = List.copyOf(queries);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -0,0 +1,509 @@
+package org.laburnumarch.internal.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.laburnumarch.internal.job.FleetConfig;
+import org.laburnumarch.internal.job.JobProgress;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.job.QueueConfig;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.schedule.JobOrder.Candidate;
+
+/**
+ * All decisions of the owner on jobs and workers. Not thread-safe; no I/O; every call names the
+ * local time, which never goes back.
+ */
+public final class Scheduler {
+
+  /** Bits of a run number that count runs within one term. */
+  private static final int RUN_BITS = 12;
+
+  /** Steps in one round that found no worker, after which the pool counts as full. */
+  private static final int MAX_MISSES = 24;
+
+  private final SchedulerSettings settings;
+  private final long term;
+  private final Takeover takeover;
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, Job> liveJobs = new LinkedHashMap<>();
+  private final WorkerTable workers = new WorkerTable();
+  private final TeamUse teamUse = new TeamUse();
+  private final ChangeLog changes = new ChangeLog();
+  private final RunTimes runTimes = new RunTimes();
+  private final Tickets tickets = new Tickets();
+  private final TeamRates teamRates = new TeamRates();
+  private final JobOrder jobOrder = new JobOrder(runTimes);
+  private final RunBook runs;
+  private FleetConfig config = FleetConfig.EMPTY;
+  private Set<String> evacuated = Set.of();
+  private long storedChange;
+
+  /**
+   * Creates a scheduler without jobs.
+   *
+   * @param settings times that the platform sets
+   * @param term the owner's term; higher than that of every earlier owner
+   * @param nowMs local time of the take-over
+   * @param hadEarlierOwner whether another process may have given orders before
+   */
+  public Scheduler(SchedulerSettings settings, long term, long nowMs, boolean hadEarlierOwner) {
+    this.settings = settings;
+    this.term = term;
+    this.takeover = new Takeover(settings, nowMs, hadEarlierOwner);
+    this.runs = new RunBook(jobs, teamUse, changes, runTimes, queue -> this.config.queue(queue));
+  }
+
+  /** Takes up a configuration. */
+  public void configure(FleetConfig newConfig) {
+    this.config = newConfig;
+  }
+
+  /** Takes up the set of data centres that are out of service. */
+  public void evacuate(Set<String> dataCentres) {
+    this.evacuated = Set.copyOf(dataCentres);
+  }
+
+  /** Takes up what the registry lists. */
+  public void listWorkers(Collection<WorkerListing> listings, long nowMs) {
+    workers.list(listings);
+    for (WorkerListing listing : listings) {
+      runs.noteIncarnation(workers.find(listing.id()), listing.startedEpochMs(), nowMs);
+    }
+  }
+
+  /** Takes up a worker that an earlier owner may have given orders to. */
+  public void restoreEnrolled(WorkerListing listing) {
+    workers.addEnrolled(listing);
+  }
+
+  /** Returns all workers that must be stored as enrolled before anything starts on them. */
+  public List<WorkerListing> enrolment() {
+    return workers.all().stream().map(worker -> worker.listing).toList();
+  }
+
+  /** Returns whether a worker is known whose enrolment has not been stored. */
+  public boolean needsEnrolment() {
+    return workers.all().stream().anyMatch(worker -> !worker.isEnrolled);
+  }
+
+  /** Confirms that an enrolment has been stored. */
+  public void confirmEnrolment(Collection<WorkerListing> stored) {
+    for (WorkerListing listing : stored) {
+      Worker worker = workers.find(listing.id());
+      if (worker != null) {
+        worker.isEnrolled = true;
+      }
+    }
+  }
+
+  /** Takes up a job that an earlier owner stored. */
+  public void restore(JobSpec spec, Optional<JobProgress> progress, long nowMs, long epochMs) {
+    long ageMs = Math.max(0, epochMs - spec.submittedEpochMs());
+    Job job = new Job(spec, nowMs - ageMs, true);
+    progress.ifPresent(stored -> job.restore(stored, epochMs));
+    add(job);
+  }
+
+  /** Takes up a job of which only the final status is left. */
+  public void restoreFinal(JobProgress progress, long nowMs) {
+    JobSpec spec = new JobSpec(progress.id(), "", "", "", List.of(), 0, 0, 0, 0);
+    Job job = new Job(spec, nowMs, true);
+    job.status = progress.status();
+    job.shownStatus = progress.status();
+    job.finalAtMs = nowMs;
+    add(job);
+  }
+
+  private void add(Job job) {
+    jobs.put(job.spec.id(), job);
+    if (!job.shownStatus.isFinal()) {
+      liveJobs.put(job.spec.id(), job);
+    }
+  }
+
+  /** Returns whether a job with this id has been accepted. */
+  public boolean knows(String jobId) {
+    return jobs.containsKey(jobId);
+  }
+
+  /** Takes up a job whose record has been stored. */
+  public void accept(JobSpec spec, long nowMs) {
+    Job job = new Job(spec, nowMs, false);
+    job.isSurplus = !teamRates.isWithinShare(config.team(spec.team()), nowMs);
+    add(job);
+  }
+
+  /** Returns what callers are told of a job; empty if it is not known. */
+  public Optional<JobStatus> status(String jobId) {
+    return Optional.ofNullable(jobs.get(jobId)).map(Scheduler::shownStatus);
+  }
+
+  private static JobStatus shownStatus(Job job) {
+    if (job.shownStatus.isFinal()) {
+      return job.shownStatus;
+    }
+    return job.hasStarted ? JobStatus.RUNNING : JobStatus.QUEUED;
+  }
+
+  /** Returns the number of a queue's accepted jobs of which nothing has started. */
+  public int waitingJobs(String queue) {
+    int count = 0;
+    for (Job job : liveJobs.values()) {
+      if (job.spec.queue().equals(queue) && !job.hasStarted && !job.status.isFinal()) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @return number of the change that must be stored before it is confirmed; empty if the job is
+   *     not known; 0 if nothing needs to be stored
+   */
+  public Optional<Long> cancel(String jobId) {
+    Job job = jobs.get(jobId);
+    if (job == null) {
+      return Optional.empty();
+    }
+    if (!job.status.isFinal()) {
+      runs.finish(job, JobStatus.CANCELLED);
+    }
+    return Optional.of(job.shownStatus.isFinal() ? 0 : changes.note(job));
+  }
+
+  /** Returns progress that waits to be stored; empty if there is none. */
+  public Optional<JobChanges> takeChanges() {
+    return changes.isEmpty() ? Optional.empty() : Optional.of(changes.take());
+  }
+
+  /** Returns whether progress waits to be stored. */
+  public boolean hasChanges() {
+    return !changes.isEmpty();
+  }
+
+  /** Confirms that changes have been stored; their effects may be shown now. */
+  public void confirmStored(JobChanges stored, long nowMs) {
+    storedChange = stored.number();
+    for (JobProgress progress : stored.progress()) {
+      Job job = jobs.get(progress.id());
+      if (job != null) {
+        job.shownStatus = progress.status();
+        if (progress.status().isFinal() && job.finalAtMs < 0) {
+          job.finalAtMs = nowMs;
+        }
+      }
+    }
+    workers.all().forEach(worker -> worker.acknowledge(storedChange));
+  }
+
+  /** Returns ids of jobs whose final status need not be known any more, and forgets them. */
+  public List<String> forgetFinished(long nowMs) {
+    List<String> forgotten = new ArrayList<>();
+    liveJobs.values().removeIf(job -> job.shownStatus.isFinal() && !hasRuns(job));
+    jobs.values()
+        .removeIf(
+            job -> {
+              boolean isOver =
+                  job.finalAtMs >= 0 && nowMs - job.finalAtMs > settings.statusKeptMs();
+              if (isOver) {
+                forgotten.add(job.spec.id());
+              }
+              return isOver;
+            });
+    return forgotten;
+  }
+
+  private static boolean hasRuns(Job job) {
+    return job.occurrences.values().stream()
+        .flatMap(List::stream)
+        .flatMap(step -> step.tasks.stream())
+        .anyMatch(task -> task.attempt != null);
+  }
+
+  /** Deals with the answer to a start. */
+  public void onStartReply(Order.Start order, OrderReply reply, long nowMs) {
+    Worker worker = workers.find(order.workerId());
+    Attempt attempt = find(worker, order);
+    if (worker != null) {
+      worker.ordersInFlight--;
+    }
+    if (attempt != null) {
+      runs.onStartReply(attempt, reply, nowMs);
+    }
+  }
+
+  /** Deals with the answer to a stop. */
+  public void onStopReply(Order.Stop order, OrderReply reply, long nowMs) {
+    Attempt attempt = find(workers.find(order.workerId()), order);
+    if (attempt != null) {
+      runs.onStopReply(attempt, reply, nowMs);
+    }
+  }
+
+  private static Attempt find(Worker worker, Order order) {
+    return worker == null
+        ? null
+        : worker.attempts.get(Worker.attemptKey(order.taskName(), order.run()));
+  }
+
+  /** Deals with a worker's report; returns orders that follow from it. */
+  public List<Order> onReport(String workerId, WorkerReport report, long nowMs) {
+    Worker worker = workers.find(workerId);
+    if (worker == null) {
+      return List.of();
+    }
+    List<Order> strays = runs.onReport(worker, report, nowMs);
+    worker.acknowledge(storedChange);
+    return strays;
+  }
+
+  /** Deals with a report that did not come. */
+  public void onReportMissed(String workerId, long nowMs) {
+    Worker worker = workers.find(workerId);
+    if (worker != null) {
+      worker.missedReports++;
+      worker.lastReportTryMs = nowMs;
+    }
+  }
+
+  /** Takes up tickets of the advisory service. */
+  public void onAdvice(String stepName, Map<String, String> byWorker, long validityMs, long nowMs) {
+    tickets.answer(stepName, byWorker, validityMs, nowMs);
+  }
+
+  /** Notes that the advisory service gave no answer. */
+  public void onAdviceMissed(String stepName, long nowMs) {
+    tickets.refuse(stepName, nowMs);
+  }
+
+  /** Returns the renewal that a worker should get now; empty if it needs none. */
+  public Optional<Renewal> renewal(String workerId, long nowMs) {
+    Worker worker = workers.find(workerId);
+    return worker == null ? Optional.empty() : Renewals.decide(worker, settings, nowMs);
+  }
+
+  /** Returns the ids of all workers that are known. */
+  public List<String> workerIds() {
+    return workers.all().stream().map(worker -> worker.id).toList();
+  }
+
+  /** Returns a worker's listing; empty if it is not known. */
+  public Optional<WorkerListing> listing(String workerId) {
+    return Optional.ofNullable(workers.find(workerId)).map(worker -> worker.listing);
+  }
+
+  /** Decides what to start, stop and slow down now. */
+  public Decisions decide(long nowMs, long epochMs) {
+    for (Worker worker : workers.all()) {
+      if (worker.missedReports > 0 && worker.isLeaseOver(nowMs)) {
+        runs.closeAll(worker, nowMs);
+      }
+    }
+    workers.forgetGone(nowMs, takeover.isOver(nowMs));
+    List<Order> orders = new ArrayList<>();
+    List<AdviceQuery> queries = new ArrayList<>();
+    stopUnwanted(orders, nowMs);
+    startWaiting(orders, queries, nowMs, epochMs);
+    return new Decisions(orders, queries);
+  }
+
+  private void stopUnwanted(List<Order> orders, long nowMs) {
+    for (Worker worker : workers.all()) {
+      for (Attempt attempt : worker.attempts.values()) {
+        if (attempt.isStopWanted
+            && !attempt.isStopConfirmed
+            && !attempt.isStopInFlight
+            && attempt.phase != Attempt.Phase.ORDERED
+            && attempt.nextStopAtMs <= nowMs) {
+          attempt.isStopInFlight = true;
+          orders.add(new Order.Stop(worker.id, attempt.task.key.wireName(), attempt.run));
+        }
+      }
+    }
+  }
+
+  private void startWaiting(
+      List<Order> orders, List<AdviceQuery> queries, long nowMs, long epochMs) {
+    Map<String, List<Candidate>> byService = new HashMap<>();
+    for (Job job : liveJobs.values()) {
+      if (!job.status.isFinal()) {
+        collect(job, byService, nowMs, epochMs);
+      }
+    }
+    byService.forEach(
+        (service, candidates) -> {
+          candidates.sort(JobOrder.ORDER);
+          StartRound round =
+              new StartRound(
+                  new Placement(workers.pool(service), evacuated, settings.remotePenalty(), nowMs),
+                  orders,
+                  queries,
+                  nowMs);
+          round.run(candidates, workers.pool(service));
+        });
+  }
+
+  private void collect(Job job, Map<String, List<Candidate>> byService, long nowMs, long epochMs) {
+    Optional<QueueConfig> queue = config.queue(job.spec.queue());
+    if (queue.isEmpty()) {
+      return;
+    }
+    job.openOccurrences(epochMs);
+    String service = queue.get().service();
+    if (job.isInherited && takeover.isBlocked(workers.pool(service), nowMs)) {
+      return;
+    }
+    for (List<Step> steps : job.occurrences.values()) {
+      for (Step step : steps) {
+        if (!step.isDone() && Job.isUnlocked(step, steps) && hasStartable(step, nowMs)) {
+          byService
+              .computeIfAbsent(service, name -> new ArrayList<>())
+              .add(jobOrder.candidate(step, steps, queue.get(), nowMs, epochMs));
+        }
+      }
+    }
+  }
+
+  private static boolean hasStartable(Step step, long nowMs) {
+    for (Task task : step.tasks) {
+      if (task.isStartable(nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** One round of starts in one pool. */
+  private final class StartRound {
+    private final Placement placement;
+    private final List<Order> orders;
+    private final List<AdviceQuery> queries;
+    private final long nowMs;
+    private final Resources unseen;
+
+    StartRound(Placement placement, List<Order> orders, List<AdviceQuery> queries, long nowMs) {
+      this.placement = placement;
+      this.orders = orders;
+      this.queries = queries;
+      this.nowMs = nowMs;
+      this.unseen = takeover.unseen(workers.all(), nowMs);
+    }
+
+    void run(List<Candidate> candidates, List<Worker> pool) {
+      int misses = 0;
+      for (Candidate candidate : candidates) {
+        if (misses >= MAX_MISSES) {
+          return;
+        }
+        Step step = candidate.step();
+        boolean needsTicket = candidate.queue().advice().isPresent();
+        Map<String, String> stepTickets = tickets.of(step, nowMs);
+        if (needsTicket && stepTickets.isEmpty()) {
+          ask(candidate, pool);
+          continue;
+        }
+        boolean isPlaced =
+            step.spec.isGang()
+                ? startGang(step, stepTickets, needsTicket)
+                : startTasks(candidate, stepTickets, needsTicket);
+        misses += isPlaced ? 0 : 1;
+      }
+    }
+
+    private void ask(Candidate candidate, List<Worker> pool) {
+      List<String> ids =
+          pool.stream()
+              .filter(worker -> placement.mayRun(worker, candidate.step()))
+              .map(worker -> worker.id)
+              .toList();
+      tickets
+          .ask(candidate.step(), candidate.queue().advice().orElseThrow(), ids, nowMs)
+          .ifPresent(queries::add);
+    }
+
+    private boolean startTasks(
+        Candidate candidate, Map<String, String> stepTickets, boolean needsTicket) {
+      for (Task task : candidate.step().tasks) {
+        if (!task.isStartable(nowMs)) {
+          continue;
+        }
+        if (!teamAllows(candidate.step(), 1)) {
+          return false;
+        }
+        Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
+        if (worker.isEmpty()) {
+          if (candidate.rank() == JobOrder.Rank.LASTING) {
+            placement.keepFreeFor(task);
+          }
+          return false;
+        }
+        start(task, worker.get(), nextRun(task), stepTickets);
+      }
+      return true;
+    }
+
+    private boolean startGang(Step step, Map<String, String> stepTickets, boolean needsTicket) {
+      for (Task task : step.tasks) {
+        if (!task.isStartable(nowMs)) {
+          return false;
+        }
+      }
+      if (!teamAllows(step, step.tasks.size())) {
+        return false;
+      }
+      Optional<Map<Task, Worker>> chosen =
+          placement.chooseAll(step.tasks, stepTickets, needsTicket);
+      if (chosen.isEmpty()) {
+        return false;
+      }
+      long run = step.tasks.stream().mapToLong(this::nextRun).max().orElse(1);
+      String checkpoint =
+          step.tasks.stream()
+              .map(task -> task.checkpoint)
+              .filter(value -> !value.isEmpty())
+              .findFirst()
+              .orElse("");
+      for (Task task : step.tasks) {
+        task.checkpoint = checkpoint;
+        start(task, chosen.get().get(task), run, stepTickets);
+      }
+      return true;
+    }
+
+    private boolean teamAllows(Step step, int tasks) {
+      Resources need = step.spec.need();
+      Resources all =
+          new Resources(need.cpuMillis() * tasks, need.memoryMb() * tasks, need.gpus() * tasks);
+      return teamUse.allows(config, step.job.spec.team(), all, unseen);
+    }
+
+    private long nextRun(Task task) {
+      return Math.max(task.lastRun + 1, ((term - 1) << RUN_BITS) + 1);
+    }
+
+    private void start(Task task, Worker worker, long run, Map<String, String> stepTickets) {
+      long leaseEndClockMs = worker.clockMs(nowMs) + settings.leaseMs();
+      worker.leaseEndClockMs = Math.max(worker.leaseEndClockMs, leaseEndClockMs);
+      worker.ordersInFlight++;
+      Attempt attempt = runs.open(task, worker, run, nowMs, leaseEndClockMs);
+      orders.add(
+          new Order.Start(
+              worker.id,
+              task.key.wireName(),
+              run,
+              task.step.job.spec.program(),
+              leaseEndClockMs,
+              attempt.checkpoint,
+              stepTickets.getOrDefault(worker.id, "")));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/schedule/Step.java
@@ -0,0 +1,57 @@
+package org.laburnumarch.internal.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.laburnumarch.internal.job.StepSpec;
+import org.laburnumarch.internal.job.TaskKey;
+
+/** One step of one occurrence of a job. */
+final class Step {
+
+  final Job job;
+  final int occurrence;
+  final int number;
+  final StepSpec spec;
+  final List<Task> tasks;
+  int doneCount;
+
+  Step(Job job, int occurrence, int number, StepSpec spec) {
+    this.job = job;
+    this.occurrence = occurrence;
+    this.number = number;
+    this.spec = spec;
+    List<Task> list = new ArrayList<>(spec.count());
+    for (int i = 0; i < spec.count(); i++) {
+      list.add(new Task(new TaskKey(job.spec.id(), occurrence, number, i), this));
+    }
+    this.tasks = List.copyOf(list);
+  }
+
+  boolean isDone() {
+    return doneCount == tasks.size();
+  }
+
+  /** Returns the name that the advisory service knows the step by. */
+  String wireName() {
+    return job.spec.id() + '.' + occurrence + '.' + number;
+  }
+
+  /** Marks a task as done; a second call has no effect. */
+  void markDone(Task task) {
+    if (!task.isDone) {
+      task.isDone = true;
+      doneCount++;
+    }
+  }
+
+  /** Returns the number of tasks that are not at work. */
+  int unavailableCount() {
+    int count = 0;
+    for (Task task : tasks) {
+      if (task.attempt == null || !task.attempt.isAtWork()) {
+        count++;
+      }
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -0,0 +1,146 @@
+package org.laburnumarch.internal.schedule;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.laburnumarch.internal.job.Resources;
+
+/** One incarnation of a worker and what is known of it. */
+final class Worker {
+
+  /** An end that may be acknowledged once its record is stored. */
+  private record UnacknowledgedEnd(long number, long changeNumber) {}
+
+  /** Steady clocks may run this much slower than real time. */
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  final String id;
+  WorkerListing listing;
+
+  /** Whether the registry has an entry now. */
+  boolean isListed = true;
+
+  /** Whether it has reported under this owner's term, so that no earlier owner can order it. */
+  boolean isFenced;
+
+  /** Whether the set of workers that is stored names it; nothing starts there before. */
+  boolean isEnrolled;
+
+  /** Whether no new task may start because the instance is to move or go into maintenance. */
+  boolean isCordoned;
+
+  /** Start of its life as it says itself; 0 while unknown. */
+  long startedEpochMs;
+
+  private long clockReadingMs = -1;
+  private long clockReadAtMs;
+
+  /** Latest lease end that any order has named, on the worker's clock. */
+  long leaseEndClockMs = -1;
+
+  long lastEndNumber;
+  long acknowledgedEnd;
+
+  /** Highest acknowledgement that a renewal has carried. */
+  long sentAcknowledgement;
+
+  private final Deque<UnacknowledgedEnd> unacknowledged = new ArrayDeque<>();
+
+  /** All runs that may be going on there, by task name and run. */
+  final Map<String, Attempt> attempts = new LinkedHashMap<>();
+
+  Resources reserved = Resources.NONE;
+  int ordersInFlight;
+
+  /** Reports in a row that did not come. */
+  int missedReports;
+
+  /** Local time when the last report came, or was given up. */
+  long lastReportTryMs;
+
+  /** Local time before which nothing starts there, after refusals or failures. */
+  long blockedUntilMs;
+
+  final WorkerHealth health = new WorkerHealth();
+
+  Worker(WorkerListing listing) {
+    this.id = listing.id();
+    this.listing = listing;
+  }
+
+  static String attemptKey(String taskName, long run) {
+    return taskName + '#' + run;
+  }
+
+  void add(Attempt attempt) {
+    attempts.put(attemptKey(attempt.task.key.wireName(), attempt.run), attempt);
+    reserved = reserved.plus(attempt.reserved);
+  }
+
+  boolean remove(Attempt attempt) {
+    boolean isRemoved =
+        attempts.remove(attemptKey(attempt.task.key.wireName(), attempt.run), attempt);
+    if (isRemoved) {
+      reserved = reserved.minus(attempt.reserved);
+    }
+    return isRemoved;
+  }
+
+  Resources free() {
+    return listing.capacity().minus(reserved);
+  }
+
+  /** Forgets all that belongs to an earlier life of the worker. */
+  void resetLife(long newStartedEpochMs) {
+    startedEpochMs = newStartedEpochMs;
+    clockReadingMs = -1;
+    leaseEndClockMs = -1;
+    lastEndNumber = 0;
+    acknowledgedEnd = 0;
+    sentAcknowledgement = 0;
+    unacknowledged.clear();
+    isFenced = false;
+  }
+
+  boolean hasClock() {
+    return clockReadingMs >= 0;
+  }
+
+  /** Notes a reading of the worker's clock; older readings are ignored. */
+  void readClock(long workerClockMs, long nowMs) {
+    if (workerClockMs > clockReadingMs) {
+      clockReadingMs = workerClockMs;
+      clockReadAtMs = nowMs;
+    }
+  }
+
+  /** Returns the worker's clock, not later than it really is but for its drift. */
+  long clockMs(long nowMs) {
+    return clockReadingMs + (nowMs - clockReadAtMs);
+  }
+
+  /** Returns whether every lease that was granted here has surely run out. */
+  boolean isLeaseOver(long nowMs) {
+    double earliest = clockReadingMs + (nowMs - clockReadAtMs) * SLOWEST_CLOCK;
+    return !hasClock() || earliest > leaseEndClockMs;
+  }
+
+  /** Notes an end that has been dealt with; it may be acknowledged after the change is stored. */
+  void noteEnd(long number, long changeNumber) {
+    lastEndNumber = number;
+    unacknowledged.addLast(new UnacknowledgedEnd(number, changeNumber));
+  }
+
+  /** Moves the acknowledgement up to what is stored. */
+  void acknowledge(long storedChangeNumber) {
+    while (!unacknowledged.isEmpty()
+        && unacknowledged.peekFirst().changeNumber() <= storedChangeNumber) {
+      acknowledgedEnd = unacknowledged.removeFirst().number();
+    }
+  }
+
+  boolean hasUnacknowledgedEnds() {
+    return !unacknowledged.isEmpty();
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/state/ControlStateMachine.java
+++ b/src/main/java/org/laburnumarch/internal/state/ControlStateMachine.java
@@ -5,7 +5,7 @@
 import org.laburnumarch.Refusal;
 import org.laburnumarch.ResultCode;
 import org.laburnumarch.internal.text.TextChecker;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 
 /** Applies records of the control log; the same records give the same state on every daemon. */
 public final class ControlStateMachine {
--- a/src/main/java/org/laburnumarch/internal/task/AttemptEnds.java
+++ b/src/main/java/org/laburnumarch/internal/task/AttemptEnds.java
@@ -6,7 +6,7 @@
 import org.laburnumarch.internal.state.AttemptEnd;
 import org.laburnumarch.internal.state.TaskEnd;
 import org.laburnumarch.internal.state.TaskEntry;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.WorkerReport;
 
 /** Finds attempts that have certainly ended and are not recorded so. */
 final class AttemptEnds {
--- a/src/main/java/org/laburnumarch/internal/task/LearnedSizes.java
+++ b/src/main/java/org/laburnumarch/internal/task/LearnedSizes.java
@@ -6,8 +6,8 @@
 import java.util.function.ToIntFunction;
 import org.laburnumarch.internal.state.TaskSize;
 import org.laburnumarch.internal.state.TaskSpec;
-import org.laburnumarch.platform.AttemptId;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.AttemptId;
+import org.laburnumarch.spi.WorkerReport;
 
 /**
  * Learns the size of each team's jobs from usage.
--- a/src/main/java/org/laburnumarch/internal/task/MemoryRelief.java
+++ b/src/main/java/org/laburnumarch/internal/task/MemoryRelief.java
@@ -7,8 +7,8 @@
 import org.laburnumarch.internal.state.TaskClass;
 import org.laburnumarch.internal.state.TaskEntry;
 import org.laburnumarch.internal.state.WorkerEntry;
-import org.laburnumarch.platform.AttemptId;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.AttemptId;
+import org.laburnumarch.spi.WorkerReport;
 
 /** Lets tasks give way, in the order of their class, before a worker runs out of memory. */
 final class MemoryRelief {
--- a/src/main/java/org/laburnumarch/internal/task/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/task/Placement.java
@@ -10,7 +10,7 @@
 import org.laburnumarch.internal.state.Rendezvous;
 import org.laburnumarch.internal.state.TaskEntry;
 import org.laburnumarch.internal.state.TaskStart;
-import org.laburnumarch.platform.AttemptId;
+import org.laburnumarch.spi.AttemptId;
 
 /** Chooses workers for tasks that wait. */
 final class Placement {
--- a/src/main/java/org/laburnumarch/internal/task/Preemption.java
+++ b/src/main/java/org/laburnumarch/internal/task/Preemption.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import org.laburnumarch.internal.state.TaskEntry;
 import org.laburnumarch.internal.state.TaskSize;
-import org.laburnumarch.platform.AttemptId;
+import org.laburnumarch.spi.AttemptId;
 
 /** Checkpoints work that can wait, so that urgent work starts soon. */
 final class Preemption {
--- a/src/main/java/org/laburnumarch/internal/task/TaskDecisions.java
+++ b/src/main/java/org/laburnumarch/internal/task/TaskDecisions.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.laburnumarch.internal.state.RecordBody;
-import org.laburnumarch.platform.WorkerOrder;
+import org.laburnumarch.spi.WorkerOrder;
 
 /**
  * What a daemon does after a tick.
--- a/src/main/java/org/laburnumarch/internal/task/TaskIndex.java
+++ b/src/main/java/org/laburnumarch/internal/task/TaskIndex.java
@@ -10,7 +10,7 @@
 import org.laburnumarch.internal.state.TaskPhase;
 import org.laburnumarch.internal.state.TaskTables;
 import org.laburnumarch.internal.state.WorkerEntry;
-import org.laburnumarch.platform.AttemptId;
+import org.laburnumarch.spi.AttemptId;
 
 /** The open tasks of a state, by phase and worker; computed once for each state. */
 final class TaskIndex {
--- a/src/main/java/org/laburnumarch/internal/task/TaskScheduler.java
+++ b/src/main/java/org/laburnumarch/internal/task/TaskScheduler.java
@@ -13,9 +13,9 @@
 import org.laburnumarch.internal.state.RecordBody;
 import org.laburnumarch.internal.state.TaskEnd;
 import org.laburnumarch.internal.state.TaskStart;
-import org.laburnumarch.platform.AttemptId;
-import org.laburnumarch.platform.WorkerOrder;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.AttemptId;
+import org.laburnumarch.spi.WorkerOrder;
+import org.laburnumarch.spi.WorkerReport;
 
 /**
  * Decides on tasks for the workers that this daemon owns; one for each member id.
--- a/src/main/java/org/laburnumarch/internal/task/UnitBook.java
+++ b/src/main/java/org/laburnumarch/internal/task/UnitBook.java
@@ -7,7 +7,7 @@
 import org.laburnumarch.internal.state.TaskEntry;
 import org.laburnumarch.internal.state.TaskPhase;
 import org.laburnumarch.internal.state.TaskSpec;
-import org.laburnumarch.platform.AttemptId;
+import org.laburnumarch.spi.AttemptId;
 
 /** Keeps the units of each attempt until the log says that it has ended. */
 final class UnitBook {
--- a/src/main/java/org/laburnumarch/internal/task/WorkerOrders.java
+++ b/src/main/java/org/laburnumarch/internal/task/WorkerOrders.java
@@ -7,9 +7,9 @@
 import org.laburnumarch.internal.state.TaskClass;
 import org.laburnumarch.internal.state.TaskEntry;
 import org.laburnumarch.internal.state.WorkerEntry;
-import org.laburnumarch.platform.AttemptId;
-import org.laburnumarch.platform.WorkerOrder;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.AttemptId;
+import org.laburnumarch.spi.WorkerOrder;
+import org.laburnumarch.spi.WorkerReport;
 
 /** Writes the order for one worker from what the log says and what the worker has reported. */
 final class WorkerOrders {
--- a/src/main/java/org/laburnumarch/internal/task/WorkerView.java
+++ b/src/main/java/org/laburnumarch/internal/task/WorkerView.java
@@ -3,9 +3,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.laburnumarch.platform.AttemptId;
-import org.laburnumarch.platform.WorkerOrder;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.AttemptId;
+import org.laburnumarch.spi.WorkerOrder;
+import org.laburnumarch.spi.WorkerReport;
 
 /** What the owner of a worker knows of it; rebuilt from its reports. */
 final class WorkerView {
--- a/src/main/java/org/laburnumarch/platform/AttemptId.java
+++ b/src/main/java/org/laburnumarch/spi/AttemptId.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.platform;
+package org.laburnumarch.spi;
 
 /** One attempt of a task; the first has number 1. */
 public record AttemptId(String task, int attempt) {}
--- a/src/main/java/org/laburnumarch/platform/ListedInstance.java
+++ b/src/main/java/org/laburnumarch/spi/ListedInstance.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.platform;
+package org.laburnumarch.spi;
 
 /**
  * One entry of the instance list.
--- a/src/main/java/org/laburnumarch/platform/PlatformException.java
+++ b/src/main/java/org/laburnumarch/spi/PlatformException.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.platform;
+package org.laburnumarch.spi;
 
 /** A call to the platform failed. */
 public final class PlatformException extends RuntimeException {
--- a/src/main/java/org/laburnumarch/platform/PoolControl.java
+++ b/src/main/java/org/laburnumarch/spi/PoolControl.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.platform;
+package org.laburnumarch.spi;
 
 import java.util.concurrent.CompletionStage;
 
--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -94,7 +94,7 @@
     void shouldNotExposeInternalTypesOfThePlatform() {
       noClasses()
           .that()
-          .resideInAPackage("org.laburnumarch.platform")
+          .resideInAPackage("org.laburnumarch.spi")
           .should()
           .dependOnClassesThat()
           .resideInAPackage("org.laburnumarch.internal..")
@@ -106,7 +106,7 @@
       classes()
           .should()
           .resideInAnyPackage(
-              "org.laburnumarch", "org.laburnumarch.platform", "org.laburnumarch.internal..")
+              "org.laburnumarch", "org.laburnumarch.spi", "org.laburnumarch.internal..")
           .check(PRODUCTION);
     }
   }
--- a/src/test/java/org/laburnumarch/internal/daemon/ReplacementTest.java
+++ b/src/test/java/org/laburnumarch/internal/daemon/ReplacementTest.java
@@ -17,7 +17,7 @@
 import org.laburnumarch.ResultCode;
 import org.laburnumarch.internal.daemon.TestFleet.Answer;
 import org.laburnumarch.internal.daemon.TestFleet.Node;
-import org.laburnumarch.internal.platform.HttpPlatformLog;
+import org.laburnumarch.internal.http.HttpPlatformLog;
 import org.laburnumarch.internal.state.Envelope;
 import org.laburnumarch.internal.state.ExpulsionReason;
 import org.laburnumarch.internal.state.RecordBody;
--- a/src/test/java/org/laburnumarch/internal/entry/EntryFixture.java
+++ b/src/test/java/org/laburnumarch/internal/entry/EntryFixture.java
@@ -30,7 +30,7 @@
 import org.laburnumarch.internal.text.ServiceSpec;
 import org.laburnumarch.internal.text.TeamSpec;
 import org.laburnumarch.internal.text.Weighting;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 /** An entry on real sockets whose clock and control state the test holds. */
 final class EntryFixture implements AutoCloseable {
--- a/src/test/java/org/laburnumarch/internal/experiment/FleetRunsTest.java
+++ b/src/test/java/org/laburnumarch/internal/experiment/FleetRunsTest.java
@@ -21,7 +21,7 @@
 import org.laburnumarch.internal.state.InstanceHealth;
 import org.laburnumarch.internal.state.PoolBudget;
 import org.laburnumarch.internal.state.RecordBody;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 class FleetRunsTest {
   private static final long DAY_MS = 24 * 60 * 60 * 1_000L;
--- a/src/test/java/org/laburnumarch/internal/fleet/InstanceProposalsTest.java
+++ b/src/test/java/org/laburnumarch/internal/fleet/InstanceProposalsTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.state.History;
 import org.laburnumarch.internal.state.RecordBody;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 /** Guards against waves of moves that a late or faulty instance list sets off. */
 class InstanceProposalsTest {
--- a/src/test/java/org/laburnumarch/internal/platform/HttpPlatformLogTest.java
+++ b/src/test/java/org/laburnumarch/internal/http/HttpPlatformLogTest.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
@@ -19,8 +19,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.laburnumarch.internal.emulator.LogStandIn;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.PlatformException;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.PlatformException;
 
 class HttpPlatformLogTest {
 
--- a/src/test/java/org/laburnumarch/internal/platform/HttpPoolAdaptersTest.java
+++ b/src/test/java/org/laburnumarch/internal/http/HttpPoolAdaptersTest.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
@@ -14,9 +14,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.emulator.InstancesStandIn;
-import org.laburnumarch.platform.ListedInstance;
-import org.laburnumarch.platform.PlatformException;
-import org.laburnumarch.platform.PoolControl;
+import org.laburnumarch.spi.ListedInstance;
+import org.laburnumarch.spi.PlatformException;
+import org.laburnumarch.spi.PoolControl;
 
 class HttpPoolAdaptersTest {
 
--- a/src/test/java/org/laburnumarch/internal/platform/RawServer.java
+++ b/src/test/java/org/laburnumarch/internal/http/RawServer.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.internal.platform;
+package org.laburnumarch.internal.http;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/src/test/java/org/laburnumarch/internal/log/ConvergenceTest.java
+++ b/src/test/java/org/laburnumarch/internal/log/ConvergenceTest.java
@@ -11,7 +11,7 @@
 import org.laburnumarch.internal.state.SnapshotCodec;
 import org.laburnumarch.internal.state.StateDigest;
 import org.laburnumarch.internal.state.TestTexts;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 
 /** Daemons that get one log in different pieces and by different routes. */
 class ConvergenceTest {
--- a/src/test/java/org/laburnumarch/internal/log/FakeLog.java
+++ b/src/test/java/org/laburnumarch/internal/log/FakeLog.java
@@ -4,8 +4,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.laburnumarch.platform.LogPage;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogPage;
+import org.laburnumarch.spi.LogRecord;
 
 /** A log in memory with limited retention. */
 final class FakeLog {
--- a/src/test/java/org/laburnumarch/internal/log/TestDaemon.java
+++ b/src/test/java/org/laburnumarch/internal/log/TestDaemon.java
@@ -14,7 +14,7 @@
 import org.laburnumarch.internal.state.StateDigest;
 import org.laburnumarch.internal.state.TestTexts;
 import org.laburnumarch.internal.state.Verdict;
-import org.laburnumarch.platform.LogPage;
+import org.laburnumarch.spi.LogPage;
 
 /** A follower whose effects a test carries out by hand, on virtual time. */
 final class TestDaemon {
--- a/src/test/java/org/laburnumarch/internal/membership/FakeFleet.java
+++ b/src/test/java/org/laburnumarch/internal/membership/FakeFleet.java
@@ -32,7 +32,7 @@
 import org.laburnumarch.internal.text.TeamSpec;
 import org.laburnumarch.internal.text.TextSections;
 import org.laburnumarch.internal.text.Weighting;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 
 /**
  * Daemons, a log, a network and an instance list in virtual time, and what must hold at each step.
--- a/src/test/java/org/laburnumarch/internal/routing/RoutingRulesTest.java
+++ b/src/test/java/org/laburnumarch/internal/routing/RoutingRulesTest.java
@@ -12,7 +12,7 @@
 import org.laburnumarch.internal.state.DataCentreEntry;
 import org.laburnumarch.internal.state.InstanceEntry;
 import org.laburnumarch.internal.state.InstanceHealth;
-import org.laburnumarch.platform.ListedInstance;
+import org.laburnumarch.spi.ListedInstance;
 
 class RoutingRulesTest {
 
--- a/src/test/java/org/laburnumarch/internal/state/History.java
+++ b/src/test/java/org/laburnumarch/internal/state/History.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.laburnumarch.ResultCode;
 import org.laburnumarch.internal.text.TextSections;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 
 /** Applies records one after the other at virtual log time. */
 public final class History {
--- a/src/test/java/org/laburnumarch/internal/state/OperationLedgerTest.java
+++ b/src/test/java/org/laburnumarch/internal/state/OperationLedgerTest.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.ResultCode;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 
 class OperationLedgerTest {
 
--- a/src/test/java/org/laburnumarch/internal/state/RandomRecords.java
+++ b/src/test/java/org/laburnumarch/internal/state/RandomRecords.java
@@ -6,7 +6,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.laburnumarch.internal.text.SectionPatch;
 import org.laburnumarch.internal.text.TextSections;
-import org.laburnumarch.platform.LogRecord;
+import org.laburnumarch.spi.LogRecord;
 
 /** Writes a random log of all kinds of record, of copies and of bytes that are no record. */
 public final class RandomRecords {
--- a/src/test/java/org/laburnumarch/internal/task/FakeWorker.java
+++ b/src/test/java/org/laburnumarch/internal/task/FakeWorker.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.laburnumarch.platform.AttemptId;
-import org.laburnumarch.platform.WorkerOrder;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.AttemptId;
+import org.laburnumarch.spi.WorkerOrder;
+import org.laburnumarch.spi.WorkerReport;
 
 /** A worker in memory with leases, usage that lags, faults and wrong sizes. */
 final class FakeWorker {
--- a/src/test/java/org/laburnumarch/internal/task/TestDaemon.java
+++ b/src/test/java/org/laburnumarch/internal/task/TestDaemon.java
@@ -10,8 +10,8 @@
 import org.laburnumarch.internal.state.Envelope;
 import org.laburnumarch.internal.state.RecordBody;
 import org.laburnumarch.internal.state.RecordCodec;
-import org.laburnumarch.platform.WorkerOrder;
-import org.laburnumarch.platform.WorkerReport;
+import org.laburnumarch.spi.WorkerOrder;
+import org.laburnumarch.spi.WorkerReport;
 
 /** One daemon of the randomised run: its scheduler, its place in the log and its units. */
 final class TestDaemon implements UnitGate {
--- a/src/test/java/org/laburnumarch/internal/task/TestFleet.java
+++ b/src/test/java/org/laburnumarch/internal/task/TestFleet.java
@@ -21,9 +21,9 @@
 import org.laburnumarch.internal.state.TeamUnits;
 import org.laburnumarch.internal.state.TestTexts;
 import org.laburnumarch.internal.text.TextSections;
-import org.laburnumarch.platform.AttemptId;
-import org.laburnumarch.platform.LogRecord;
-import org.laburnumarch.platform.WorkerOrder;
+import org.laburnumarch.spi.AttemptId;
+import org.laburnumarch.spi.LogRecord;
+import org.laburnumarch.spi.WorkerOrder;
 
 /** Daemons, workers and a log in virtual time, with the checks of each step. */
 final class TestFleet {
--- a/src/test/java/org/laburnumarch/internal/task/UrgentStartTest.java
+++ b/src/test/java/org/laburnumarch/internal/task/UrgentStartTest.java
@@ -10,7 +10,7 @@
 import org.laburnumarch.internal.state.TaskPhase;
 import org.laburnumarch.internal.state.TaskSize;
 import org.laburnumarch.internal.state.TaskSpec;
-import org.laburnumarch.platform.AttemptId;
+import org.laburnumarch.spi.AttemptId;
 
 /** Guards against urgent work that waits until other work has ended by itself. */
 class UrgentStartTest {
