Carry out maintenance waves and let instances follow demand

Change: a planner cordons and empties instances before their maintenance or move; lasting tasks go elsewhere one at a time per step. Orders for instances carry rising tokens, so that a lost order cannot be carried out after its repeat.

--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -41,6 +41,9 @@
   /** Key of the workers that may have been given orders. */
   private static final String ENROLMENT = "w";
 
+  /** Key prefix of the state of maintenance waves. */
+  private static final String WAVE = "u";
+
   private static final long RETRY_MS = 120;
 
   /** Time after which a job that surely was not stored is refused. */
@@ -62,6 +65,7 @@
       List<Waiting> submissions,
       Optional<JobChanges> changes,
       Optional<List<WorkerListing>> enrolment,
+      List<WaveRecord> waves,
       List<String> forgotten) {}
 
   /** What the owner does around writes. */
@@ -91,6 +95,7 @@
   private final Deque<Waiting> queue = new ArrayDeque<>();
   private final Map<String, CompletableFuture<Submission>> pending = new HashMap<>();
   private final List<String> forgotten = new ArrayList<>();
+  private final List<WaveRecord> waves = new ArrayList<>();
   private Optional<List<WorkerListing>> enrolment = Optional.empty();
   private long nextSequence;
   private boolean isWriting;
@@ -107,7 +112,15 @@
 
   /** What an earlier owner left. */
   record Contents(
-      Map<String, JobSpec> jobs, Map<String, JobProgress> progress, List<WorkerListing> enrolled) {}
+      Map<String, JobSpec> jobs,
+      Map<String, JobProgress> progress,
+      List<WorkerListing> enrolled,
+      List<WaveRecord> waves) {
+
+    static Contents empty() {
+      return new Contents(new HashMap<>(), new HashMap<>(), new ArrayList<>(), new ArrayList<>());
+    }
+  }
 
   /** Fences earlier owners and reads what they left. Retries until it succeeds or is closed. */
   CompletionStage<Contents> open() {
@@ -135,10 +148,7 @@
               } else {
                 Logger.info("jobs: event=fenced term={} outcome={}", term, answer.outcome());
                 nextSequence++;
-                load(
-                    Optional.empty(),
-                    new Contents(new HashMap<>(), new HashMap<>(), new ArrayList<>()),
-                    result);
+                load(Optional.empty(), Contents.empty(), result);
               }
             });
   }
@@ -174,6 +184,8 @@
         byte[] value = stored.value().get();
         if (stored.key().equals(ENROLMENT)) {
           contents.enrolled().addAll(EnrolmentCodec.decode(value));
+        } else if (stored.key().startsWith(WAVE)) {
+          contents.waves().add(WaveRecord.decode(value));
         } else if (stored.key().startsWith(JOB)) {
           JobSpec job = JobCodec.decodeJob(value);
           contents.jobs().put(job.id(), job);
@@ -206,6 +218,12 @@
     flush();
   }
 
+  /** Stores the state of a wave. */
+  void keepWave(WaveRecord wave) {
+    waves.add(wave);
+    flush();
+  }
+
   /** Deletes what is left of jobs that need not be known any more. */
   void forget(List<String> jobIds) {
     forgotten.addAll(jobIds);
@@ -235,8 +253,14 @@
       submissions.add(queue.removeFirst());
     }
     Batch batch =
-        new Batch(submissions, callbacks.takeChanges(), enrolment, List.copyOf(forgotten));
+        new Batch(
+            submissions,
+            callbacks.takeChanges(),
+            enrolment,
+            List.copyOf(waves),
+            List.copyOf(forgotten));
     enrolment = Optional.empty();
+    waves.clear();
     forgotten.clear();
     return batch;
   }
@@ -265,6 +289,9 @@
         .ifPresent(
             workers ->
                 values.add(new KeyedValue(ENROLMENT, Optional.of(EnrolmentCodec.encode(workers)))));
+    for (WaveRecord wave : batch.waves()) {
+      values.add(new KeyedValue(WAVE + wave.number(), Optional.of(wave.encode())));
+    }
     for (String jobId : batch.forgotten()) {
       values.add(new KeyedValue(PROGRESS + jobId, Optional.empty()));
     }
@@ -326,7 +353,8 @@
         kept.add(waiting);
       }
     }
-    Batch rest = new Batch(kept, batch.changes(), batch.enrolment(), batch.forgotten());
+    Batch rest =
+        new Batch(kept, batch.changes(), batch.enrolment(), batch.waves(), batch.forgotten());
     List<KeyedValue> restValues = values(rest);
     if (restValues.isEmpty()) {
       retry(
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/MachineKeeper.java
@@ -0,0 +1,206 @@
+package org.laburnumarch.internal.node;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.laburnumarch.internal.lead.OwnerTenure;
+import org.laburnumarch.internal.platform.MachineClient;
+import org.laburnumarch.internal.platform.NodeSettings;
+import org.laburnumarch.internal.platform.OperatorRecords;
+import org.laburnumarch.internal.platform.PlatformFailures;
+import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.platform.StoreClient.KeyedValue;
+import org.laburnumarch.internal.pool.FleetPlan;
+import org.laburnumarch.internal.pool.FleetPlanner;
+import org.laburnumarch.internal.pool.MachineOrder;
+import org.laburnumarch.internal.pool.MachineOrderOutcome;
+import org.laburnumarch.internal.pool.MaintenanceWave;
+import org.laburnumarch.internal.schedule.Scheduler;
+import org.laburnumarch.internal.schedule.WorkerLoad;
+import org.tinylog.Logger;
+
+/** Carries out moves and maintenance of instances. Used on one thread only. */
+final class MachineKeeper implements AutoCloseable {
+
+  /** Time between two plans. */
+  private static final long PLAN_EVERY_MS = 100;
+
+  /** Least time between two lists of instances. */
+  private static final long LIST_EVERY_MS = 300;
+
+  /** Bits of a fencing token that count repeated orders within one term. */
+  private static final int TOKEN_BITS = 20;
+
+  private final MachineClient client;
+  private final LocalClock clock;
+  private final StoreClient store;
+  private final OperatorWatch operators;
+  private final Scheduler scheduler;
+  private final OwnerTenure tenure;
+  private final JobStore jobs;
+  private final FleetPlanner planner;
+  private final Map<Long, Long> seenEpochMs = new HashMap<>();
+  private final Map<Long, Set<String>> restored = new HashMap<>();
+  private final Set<Long> running = new HashSet<>();
+  private final Set<Long> completed = new HashSet<>();
+  private final Set<Long> writing = new HashSet<>();
+  private long plannedAtMs;
+  private long listedAtMs;
+  private long nextToken;
+  private boolean isListing;
+  private boolean isClosed;
+
+  MachineKeeper(
+      NodeSettings settings,
+      MachineClient client,
+      LocalClock clock,
+      StoreClient store,
+      OperatorWatch operators,
+      Scheduler scheduler,
+      OwnerTenure tenure,
+      JobStore jobs) {
+    this.client = client;
+    this.clock = clock;
+    this.store = store;
+    this.operators = operators;
+    this.scheduler = scheduler;
+    this.tenure = tenure;
+    this.jobs = jobs;
+    this.planner = new FleetPlanner(settings.moveMs(), settings.maintenanceMs());
+    this.nextToken = tenure.term() << TOKEN_BITS;
+  }
+
+  /** Takes up what an earlier owner stored of waves. */
+  void restore(List<WaveRecord> waves) {
+    for (WaveRecord wave : waves) {
+      seenEpochMs.put(wave.number(), wave.seenEpochMs());
+      restored.put(wave.number(), wave.begun());
+    }
+  }
+
+  void round(long nowMs) {
+    if (isClosed || nowMs - plannedAtMs < PLAN_EVERY_MS) {
+      return;
+    }
+    plannedAtMs = nowMs;
+    takeUpWaves(nowMs);
+    List<WorkerLoad> loads = scheduler.workerLoads(nowMs);
+    if (!isListing && nowMs - listedAtMs >= LIST_EVERY_MS && planner.wantsList(loads, nowMs)) {
+      list(nowMs);
+    }
+    FleetPlan plan =
+        planner.plan(
+            operators.config(),
+            scheduler.demands(nowMs, clock.epochMs()),
+            loads,
+            operators.evacuated(),
+            nowMs);
+    scheduler.cordon(plan.cordoned());
+    plan.vacated().forEach(scheduler::vacate);
+    plan.orders().forEach(this::send);
+    reportWaves();
+  }
+
+  private void takeUpWaves(long nowMs) {
+    for (MaintenanceWave wave : operators.waves().values()) {
+      long agoMs = nowMs - operators.waveSeenAtMs(wave.number());
+      Long knownEpochMs = seenEpochMs.get(wave.number());
+      if (knownEpochMs == null) {
+        seenEpochMs.put(wave.number(), clock.epochMs() - agoMs);
+        keep(wave.number());
+      } else {
+        agoMs = Math.max(agoMs, clock.epochMs() - knownEpochMs);
+      }
+      planner.addWave(wave, nowMs - agoMs, restored.getOrDefault(wave.number(), Set.of()));
+    }
+  }
+
+  private void keep(long wave) {
+    jobs.keepWave(new WaveRecord(wave, seenEpochMs.getOrDefault(wave, 0L), planner.begun(wave)));
+  }
+
+  private void list(long nowMs) {
+    isListing = true;
+    listedAtMs = nowMs;
+    client
+        .list()
+        .whenComplete(
+            (machines, failure) -> {
+              isListing = false;
+              if (failure == null) {
+                planner.onList(machines, nowMs);
+              } else {
+                Logger.warn(
+                    "machines: event=list-failed cause={}",
+                    PlatformFailures.unwrap(failure).getMessage());
+              }
+            });
+  }
+
+  private void send(MachineOrder order) {
+    // A repeated order needs a higher token, so that an earlier one that is still on its way is
+    // refused when it arrives.
+    long token = nextToken++;
+    var sent =
+        order instanceof MachineOrder.Move move
+            ? client.move(move.machine(), move.pool(), token)
+            : client.maintain(order.machine(), ((MachineOrder.Maintain) order).wave(), token);
+    sent.thenAccept(outcome -> onOutcome(order, token, outcome));
+  }
+
+  private void onOutcome(MachineOrder order, long token, MachineOrderOutcome outcome) {
+    if (isClosed) {
+      return;
+    }
+    Logger.info("machines: event=order order={} token={} outcome={}", order, token, outcome);
+    planner.onOutcome(order, outcome, clock.nowMs());
+    if (outcome == MachineOrderOutcome.DONE && order instanceof MachineOrder.Maintain maintain) {
+      keep(maintain.wave());
+    }
+  }
+
+  private void reportWaves() {
+    for (long wave : operators.waves().keySet()) {
+      boolean isCompleted = planner.isCompleted(wave);
+      boolean isNews = isCompleted ? !completed.contains(wave) : !running.contains(wave);
+      if (isNews && writing.add(wave)) {
+        report(wave, isCompleted);
+      }
+    }
+  }
+
+  private void report(long wave, boolean isCompleted) {
+    store
+        .append(
+            StoreClient.STATUS,
+            List.of(
+                new KeyedValue(
+                    OperatorRecords.WAVE_PREFIX + wave,
+                    Optional.of(OperatorRecords.waveStatus(isCompleted)))),
+            OptionalLong.empty(),
+            Optional.empty())
+        .whenComplete(
+            (result, failure) -> {
+              writing.remove(wave);
+              if (failure == null) {
+                (isCompleted ? completed : running).add(wave);
+                Logger.info(
+                    "machines: event=wave-status wave={} completed={} term={}",
+                    wave,
+                    isCompleted,
+                    tenure.term());
+              }
+            });
+  }
+
+  /** Stops giving orders. */
+  @Override
+  public void close() {
+    isClosed = true;
+    client.close();
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -1,6 +1,7 @@
 package org.laburnumarch.internal.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +16,7 @@
 import org.laburnumarch.internal.link.JobReply.Code;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 import org.laburnumarch.internal.node.JobStore.Submission;
+import org.laburnumarch.internal.platform.MachineClient;
 import org.laburnumarch.internal.platform.NodeSettings;
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.schedule.Decisions;
@@ -53,6 +55,7 @@
   private final Scheduler scheduler;
   private final JobStore jobs;
   private final WorkerDriver driver;
+  private final Optional<MachineKeeper> machines;
   private final Runnable onOperatorChange = this::takeUpOperators;
   private boolean isLoaded;
   private boolean isRoundPlanned;
@@ -90,6 +93,21 @@
     this.driver =
         new WorkerDriver(
             settings, loop, clock, store, tenure, scheduler, this::planRound, listener);
+    this.machines =
+        settings.machines().map(address -> machineKeeper(settings, address, loop, store));
+  }
+
+  private MachineKeeper machineKeeper(
+      NodeSettings settings, InetSocketAddress address, HttpLoop httpLoop, StoreClient store) {
+    return new MachineKeeper(
+        settings,
+        new MachineClient(address, settings.name(), httpLoop),
+        clock,
+        store,
+        operators,
+        scheduler,
+        tenure,
+        jobs);
   }
 
   void start() {
@@ -120,6 +138,7 @@
                 scheduler.restoreFinal(progress, nowMs);
               }
             });
+    machines.ifPresent(keeper -> keeper.restore(contents.waves()));
     isLoaded = true;
     Logger.info(
         "owner: event=loaded term={} jobs={} progress={} workers={}",
@@ -170,6 +189,7 @@
       enrol();
     }
     if (operators.config().isPresent()) {
+      machines.ifPresent(keeper -> keeper.round(nowMs));
       Decisions decisions = scheduler.decide(nowMs, clock.epochMs());
       driver.carryOut(decisions);
     }
@@ -274,6 +294,7 @@
     isClosed = true;
     jobs.close();
     driver.close();
+    machines.ifPresent(MachineKeeper::close);
     List.copyOf(waitingCancels)
         .forEach(waiting -> waiting.result().complete(JobReply.of(Code.UNDECIDED)));
     waitingCancels.clear();
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandMeter.java
@@ -0,0 +1,90 @@
+package org.laburnumarch.internal.schedule;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.laburnumarch.internal.job.QueueConfig;
+import org.laburnumarch.internal.job.Resources;
+
+/**
+ * Measures how many workers each pool needs now, in workers of its ordinary size. Answers demand
+ * that jumps to several times its mean within a second: what waits counts at the pace at which it
+ * has to run to be in time, and what arrives counts before it waits.
+ */
+final class DemandMeter {
+
+  /** Time over which arrivals are averaged. */
+  private static final double ARRIVAL_WINDOW_MS = 1_000;
+
+  /** Part of the time to its objective that a job is planned to take. */
+  private static final double PLANNED_TIME_SHARE = 0.6;
+
+  /** Weight of work that is late already. */
+  private static final double LATE_WEIGHT = 0.3;
+
+  private record Arrivals(double workersMs, long atMs) {
+
+    Arrivals decayed(long nowMs) {
+      return new Arrivals(workersMs * Math.exp(-(nowMs - atMs) / ARRIVAL_WINDOW_MS), nowMs);
+    }
+  }
+
+  private final JobOrder jobOrder;
+  private final RunTimes runTimes;
+  private final Map<String, Arrivals> arrivals = new HashMap<>();
+
+  DemandMeter(JobOrder jobOrder, RunTimes runTimes) {
+    this.jobOrder = jobOrder;
+    this.runTimes = runTimes;
+  }
+
+  /** Counts a job that has been accepted. */
+  void noteArrival(Job job, QueueConfig queue, Resources workerSize, long nowMs) {
+    if (job.spec.isLongRunning() || job.spec.isTimed()) {
+      return;
+    }
+    double workersMs = 0;
+    for (var step : job.spec.steps()) {
+      workersMs +=
+          step.count() * runTimes.expectedMs(queue.name(), step) * share(step.need(), workerSize);
+    }
+    double added = workersMs;
+    Arrivals before = arrivals.getOrDefault(queue.service(), new Arrivals(0, nowMs)).decayed(nowMs);
+    arrivals.put(queue.service(), new Arrivals(before.workersMs() + added, nowMs));
+  }
+
+  /** Returns the workers that the present rate of arrivals keeps busy. */
+  double arrivalWorkers(String service, long nowMs) {
+    Arrivals seen = arrivals.get(service);
+    return seen == null ? 0 : seen.decayed(nowMs).workersMs() / ARRIVAL_WINDOW_MS;
+  }
+
+  /** Returns the workers that the open steps of an occurrence need to be done in time. */
+  double workersFor(
+      List<Step> steps, QueueConfig queue, Resources workerSize, long nowMs, long epochMs) {
+    double workMs = 0;
+    for (Step step : steps) {
+      if (step.spec.isLongRunning()) {
+        continue;
+      }
+      int open = step.tasks.size() - step.doneCount;
+      workMs +=
+          open * runTimes.expectedMs(queue.name(), step.spec) * share(step.spec.need(), workerSize);
+    }
+    if (workMs == 0) {
+      return 0;
+    }
+    JobOrder.Candidate candidate = jobOrder.candidate(steps.get(0), steps, queue, nowMs, epochMs);
+    double chainMs = Math.max(1, jobOrder.chainMs(steps, queue, true));
+    double plannedMs = Math.max(chainMs, PLANNED_TIME_SHARE * (candidate.dueMs() - nowMs));
+    double weight = candidate.rank() == JobOrder.Rank.LATE ? LATE_WEIGHT : 1;
+    return weight * workMs / plannedMs;
+  }
+
+  /** Returns the part of a worker that an amount takes. */
+  static double share(Resources amount, Resources workerSize) {
+    double cpu = (double) amount.cpuMillis() / Math.max(1, workerSize.cpuMillis());
+    double memory = (double) amount.memoryMb() / Math.max(1, workerSize.memoryMb());
+    return Math.max(cpu, memory);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -14,6 +14,7 @@
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.QueueConfig;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.pool.PoolDemand;
 import org.laburnumarch.internal.schedule.JobOrder.Candidate;
 
 /**
@@ -40,6 +41,7 @@
   private final Tickets tickets = new Tickets();
   private final TeamRates teamRates = new TeamRates();
   private final JobOrder jobOrder = new JobOrder(runTimes);
+  private final DemandMeter demand = new DemandMeter(jobOrder, runTimes);
   private final RunBook runs;
   private FleetConfig config = FleetConfig.EMPTY;
   private Set<String> evacuated = Set.of();
@@ -138,6 +140,9 @@
     Job job = new Job(spec, nowMs, false);
     job.isSurplus = !teamRates.isWithinShare(config.team(spec.team()), nowMs);
     add(job);
+    config
+        .queue(spec.queue())
+        .ifPresent(queue -> demand.noteArrival(job, queue, workerSize(queue.service()), nowMs));
   }
 
   /** Returns what callers are told of a job; empty if it is not known. */
@@ -301,6 +306,110 @@
     return Optional.ofNullable(workers.find(workerId)).map(worker -> worker.listing);
   }
 
+  /** Returns what runs on each worker that is listed. */
+  public List<WorkerLoad> workerLoads(long nowMs) {
+    List<WorkerLoad> loads = new ArrayList<>();
+    for (Worker worker : workers.all()) {
+      if (worker.isListed) {
+        int lasting = worker.lastingRuns();
+        loads.add(
+            new WorkerLoad(
+                worker.id,
+                worker.listing.service(),
+                worker.isFenced && worker.isEnrolled && !worker.listing.isDraining(),
+                worker.attempts.size() - lasting,
+                lasting,
+                DemandMeter.share(worker.reserved, worker.listing.capacity())));
+      }
+    }
+    return loads;
+  }
+
+  /** Takes up the workers on which nothing may start, because their instances are to go. */
+  public void cordon(Set<String> workerIds) {
+    workers.all().forEach(worker -> worker.isCordoned = workerIds.contains(worker.id));
+  }
+
+  /** Stops lasting tasks of a worker, as far as the budgets of their steps allow. */
+  public void vacate(String workerId) {
+    Worker worker = workers.find(workerId);
+    if (worker != null) {
+      worker.attempts.values().stream()
+          .filter(attempt -> attempt.task.step.spec.isLongRunning())
+          .filter(attempt -> attempt.isAtWork() && mayInterrupt(attempt.task.step))
+          .forEach(attempt -> attempt.isStopWanted = true);
+    }
+  }
+
+  /** Returns whether one more task of a step may become unavailable by the system's doing. */
+  private static boolean mayInterrupt(Step step) {
+    int unavailable = step.unavailableCount();
+    return step.spec.maxUnavailable() == 0
+        ? unavailable == 0
+        : unavailable < step.spec.maxUnavailable();
+  }
+
+  /** Returns what each pool needs now. */
+  public Map<String, PoolDemand> demands(long nowMs, long epochMs) {
+    Map<String, PoolDemand> demands = new HashMap<>();
+    for (String service : config.services().keySet()) {
+      demands.put(service, new PoolDemand(0.8 * demand.arrivalWorkers(service, nowMs), 0, 0));
+    }
+    Map<String, Double> waiting = new HashMap<>();
+    for (Job job : liveJobs.values()) {
+      Optional<QueueConfig> queue = config.queue(job.spec.queue());
+      if (job.status.isFinal() || queue.isEmpty()) {
+        continue;
+      }
+      String service = queue.get().service();
+      Resources size = workerSize(service);
+      for (List<Step> steps : job.occurrences.values()) {
+        waiting.merge(
+            service, demand.workersFor(steps, queue.get(), size, nowMs, epochMs), Double::sum);
+        for (Step step : steps) {
+          if (step.spec.isLongRunning()) {
+            demands.merge(service, lasting(step, size), Scheduler::add);
+          }
+        }
+      }
+    }
+    waiting.forEach(
+        (service, need) ->
+            demands.merge(
+                service,
+                new PoolDemand(need, 0, 0),
+                (known, more) ->
+                    new PoolDemand(
+                        Math.max(known.shortWorkers(), more.shortWorkers()),
+                        known.lastingWorkers(),
+                        known.spread())));
+    return demands;
+  }
+
+  private static PoolDemand lasting(Step step, Resources size) {
+    int limit = step.spec.maxPerWorker();
+    int spread = limit == 0 ? 1 : (step.spec.count() + limit - 1) / limit;
+    return new PoolDemand(
+        0, step.spec.count() * DemandMeter.share(step.spec.reserved(), size), spread);
+  }
+
+  private static PoolDemand add(PoolDemand known, PoolDemand more) {
+    return new PoolDemand(
+        known.shortWorkers() + more.shortWorkers(),
+        known.lastingWorkers() + more.lastingWorkers(),
+        Math.max(known.spread(), more.spread()));
+  }
+
+  /** Returns the capacity of a pool's workers, or of any worker if it has none. */
+  private Resources workerSize(String service) {
+    List<Worker> pool = workers.pool(service);
+    Collection<Worker> sample = pool.isEmpty() ? workers.all() : pool;
+    return sample.stream()
+        .findFirst()
+        .map(worker -> worker.listing.capacity())
+        .orElse(new Resources(1, 1, 1));
+  }
+
   /** Decides what to start, stop and slow down now. */
   public Decisions decide(long nowMs, long epochMs) {
     for (Worker worker : workers.all()) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -87,6 +87,16 @@
     return isRemoved;
   }
 
+  int lastingRuns() {
+    int count = 0;
+    for (Attempt attempt : attempts.values()) {
+      if (attempt.task.step.spec.isLongRunning()) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   Resources free() {
     return listing.capacity().minus(reserved);
   }
