Let the lease of a silent worker run out, and announce a new owner

Change: no lease in renewals after a missed report; a team is charged what its own inherited tasks may use; a new owner tells all daemons and learns whether the earlier one has stopped; claims follow at once when the owner's process is gone; instances without a worker that has reported are left alone; SIGHUP is handled.

Ruled out: a shorter authority of the owner, as starts would stop in every outage of the store.

--- a/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
@@ -38,6 +38,15 @@
     return first;
   }
 
+  /** Runs an action at each SIGHUP, which would otherwise end the process. */
+  public static void onHangup(Runnable action) {
+    try {
+      handle("HUP", action);
+    } catch (ReflectiveOperationException e) {
+      Logger.warn("daemon: SIGHUP cannot be handled; it ends the process.");
+    }
+  }
+
   private static void handle(String name, Runnable onSignal) throws ReflectiveOperationException {
     Class<?> signal = Class.forName("sun.misc.Signal");
     Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
@@ -15,9 +15,16 @@
  * @param port port on which other daemons reach it
  * @param beat number of the renewal within the term
  * @param isReleased whether the holder has given the ownership up
+ * @param claimedEpochMs when it was claimed, in Unix milliseconds
  */
 public record OwnerRecord(
-    long term, String holder, String host, int port, long beat, boolean isReleased) {
+    long term,
+    String holder,
+    String host,
+    int port,
+    long beat,
+    boolean isReleased,
+    long claimedEpochMs) {
 
   private static final int FORMAT = 1;
 
@@ -30,7 +37,8 @@
           .packString(host)
           .packInt(port)
           .packLong(beat)
-          .packBoolean(isReleased);
+          .packBoolean(isReleased)
+          .packLong(claimedEpochMs);
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -54,17 +62,18 @@
           in.unpackString(),
           in.unpackInt(),
           in.unpackLong(),
-          in.unpackBoolean());
+          in.unpackBoolean(),
+          in.unpackLong());
     }
   }
 
   /** Returns the record that renews this ownership. */
   public OwnerRecord renewed() {
-    return new OwnerRecord(term, holder, host, port, beat + 1, false);
+    return new OwnerRecord(term, holder, host, port, beat + 1, false, claimedEpochMs);
   }
 
   /** Returns the record that gives this ownership up. */
   public OwnerRecord released() {
-    return new OwnerRecord(term, holder, host, port, beat + 1, true);
+    return new OwnerRecord(term, holder, host, port, beat + 1, true, claimedEpochMs);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -14,8 +14,8 @@
   /** Three missed renewals. */
   public static final long SILENCE_BEFORE_CLAIM_MS = 3 * OwnerTenure.RENEW_EVERY_MS;
 
-  /** One renewal and its answer, when the owner's process is known to have ended. */
-  public static final long SILENCE_AFTER_END_MS = OwnerTenure.RENEW_EVERY_MS + 200;
+  /** Time in which a claim of another daemon can be seen, once the owner's process has ended. */
+  public static final long SILENCE_AFTER_END_MS = 100;
 
   /** Reads further apart than this leave renewals unseen; silence counts from the later one. */
   private static final long WIDEST_READ_GAP_MS = 600;
@@ -24,16 +24,18 @@
   private long endOffset = -1;
   private long silentSinceMs;
   private long lastReadAtMs = Long.MIN_VALUE / 2;
+  private long pulsedAtMs = Long.MIN_VALUE / 2;
+  private long pulsedBeat = -1;
   private boolean isOwnerProcessGone;
 
   /** Notes what a read of the log found. */
   public void onRead(Optional<OwnerRecord> record, long newEndOffset, long nowMs) {
-    boolean isChanged = newEndOffset != endOffset;
-    boolean isAfterGap = nowMs - lastReadAtMs > WIDEST_READ_GAP_MS;
-    if (isChanged || isAfterGap) {
+    boolean isRenewed = record.isPresent() && !record.equals(newest) && !isPulsed(record.get());
+    boolean isAfterGap = nowMs - Math.max(lastReadAtMs, pulsedAtMs) > WIDEST_READ_GAP_MS;
+    if (isRenewed || isAfterGap) {
       silentSinceMs = nowMs;
     }
-    if (isChanged) {
+    if (record.isPresent() && newest.map(old -> old.term() != record.get().term()).orElse(true)) {
       isOwnerProcessGone = false;
     }
     newest = record.isPresent() ? record : newest;
@@ -46,9 +48,31 @@
     isOwnerProcessGone = true;
   }
 
-  /** Notes a sign of life of the owner that is as good as a renewal. */
-  public void onOwnerAlive(long nowMs) {
+  /**
+   * Notes a sign of life of the owner.
+   *
+   * @param beat number of its newest renewal
+   * @param renewedAgoMs age of that renewal
+   */
+  public void onPulse(long beat, long renewedAgoMs, long nowMs) {
+    isOwnerProcessGone = false;
+    pulsedBeat = beat;
+    pulsedAtMs = nowMs;
+    silentSinceMs = nowMs - renewedAgoMs;
+  }
+
+  private boolean isPulsed(OwnerRecord record) {
+    return newest.isPresent()
+        && newest.get().term() == record.term()
+        && record.beat() <= pulsedBeat;
+  }
+
+  /** Takes up an ownership that its holder has announced, which is newer than the one known. */
+  public void onAnnounced(OwnerRecord record, long nowMs) {
+    newest = Optional.of(record);
     isOwnerProcessGone = false;
+    pulsedBeat = record.beat();
+    pulsedAtMs = nowMs;
     silentSinceMs = nowMs;
   }
 
@@ -80,8 +104,8 @@
   }
 
   /** Returns the record of a claim that follows on what is known. */
-  public OwnerRecord claim(String holder, String host, int port) {
+  public OwnerRecord claim(String holder, String host, int port, long epochMs) {
     long term = newest.map(OwnerRecord::term).orElse(0L) + 1;
-    return new OwnerRecord(term, holder, host, port, 0, false);
+    return new OwnerRecord(term, holder, host, port, 0, false, epochMs);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/link/LinkClient.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkClient.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.laburnumarch.internal.link.LinkMessage.Announcement;
 import org.laburnumarch.internal.link.LinkMessage.Call;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
@@ -33,6 +34,9 @@
   /** What the connection tells its daemon. */
   public interface Listener {
 
+    /** Calls can be sent now. */
+    void onConnected();
+
     /** A sign of life came. */
     void onPulse(Pulse pulse);
 
@@ -132,6 +136,13 @@
   /** Time after which a caller may find an owner again. */
   private static final long RETRY_AFTER_MS = 1_000;
 
+  /** Tells the other daemon that this one owns the fleet. */
+  public void announce(byte[] record) {
+    if (isConnected()) {
+      Future<?> unused = channel.writeAndFlush(new Announcement(record));
+    }
+  }
+
   /** Asks for the operators' records. */
   public void wantRecords() {
     if (isConnected()) {
@@ -175,6 +186,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
       channel = context.channel();
+      listener.onConnected();
       if (isClosed) {
         Future<?> unused = context.close();
       }
--- a/src/main/java/org/laburnumarch/internal/link/LinkCodec.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkCodec.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.util.List;
+import org.laburnumarch.internal.link.LinkMessage.Announcement;
 import org.laburnumarch.internal.link.LinkMessage.Call;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
@@ -31,6 +32,7 @@
   private static final int PULSE = 3;
   private static final int RECORDS_WANTED = 4;
   private static final int OPERATOR_RECORD = 5;
+  private static final int ANNOUNCEMENT = 6;
 
   /** Adds the framing and this codec to a connection. */
   static void install(ChannelPipeline pipeline) {
@@ -64,10 +66,17 @@
       } else if (message instanceof Pulse pulse) {
         packer
             .packInt(PULSE)
+            .packString(pulse.holder())
             .packLong(pulse.term())
+            .packLong(pulse.beat())
             .packLong(pulse.renewedAgoMs())
             .packLong(pulse.configVersion())
             .packLong(pulse.configFreshAgoMs());
+      } else if (message instanceof Announcement announcement) {
+        packer
+            .packInt(ANNOUNCEMENT)
+            .packBinaryHeader(announcement.record().length)
+            .writePayload(announcement.record());
       } else if (message instanceof OperatorRecord stored) {
         packer
             .packInt(OPERATOR_RECORD)
@@ -108,6 +117,8 @@
                         unpacker.unpackLong()));
             case PULSE ->
                 new Pulse(
+                    unpacker.unpackString(),
+                    unpacker.unpackLong(),
                     unpacker.unpackLong(),
                     unpacker.unpackLong(),
                     unpacker.unpackLong(),
@@ -118,6 +129,8 @@
               yield new OperatorRecord(
                   key, unpacker.readPayload(unpacker.unpackBinaryHeader()), offset);
             }
+            case ANNOUNCEMENT ->
+                new Announcement(unpacker.readPayload(unpacker.unpackBinaryHeader()));
             case RECORDS_WANTED -> new RecordsWanted();
             default -> throw new IOException("message type " + type + " is not known");
           });
--- a/src/main/java/org/laburnumarch/internal/link/LinkMessage.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkMessage.java
@@ -25,16 +25,32 @@
   record Reply(long id, JobReply reply) implements LinkMessage {}
 
   /**
-   * A regular sign of life of the owner.
+   * A regular sign of life of the owner, and any daemon's first word on a connection.
    *
+   * @param holder name of the process
    * @param term number of its ownership; 0 if it does not own
+   * @param beat number of its newest renewal
    * @param renewedAgoMs age of its newest renewal
    * @param configVersion version of the configuration that it has in force
    * @param configFreshAgoMs age of its knowledge that no newer version exists
    */
-  record Pulse(long term, long renewedAgoMs, long configVersion, long configFreshAgoMs)
+  record Pulse(
+      String holder,
+      long term,
+      long beat,
+      long renewedAgoMs,
+      long configVersion,
+      long configFreshAgoMs)
       implements LinkMessage {}
 
+  /**
+   * Tells that the sender owns the fleet. Reaches daemons that the store does not serve.
+   *
+   * @param record the encoded record of the ownership
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  record Announcement(byte[] record) implements LinkMessage {}
+
   /** Asks for the operators' records, by a daemon that the store does not serve. */
   record RecordsWanted() implements LinkMessage {}
 
--- a/src/main/java/org/laburnumarch/internal/link/LinkServer.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkServer.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
+import org.laburnumarch.internal.link.LinkMessage.Announcement;
 import org.laburnumarch.internal.link.LinkMessage.Call;
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
 import org.laburnumarch.internal.link.LinkMessage.Pulse;
@@ -35,6 +36,12 @@
     /** Answers a call. */
     CompletionStage<JobReply> call(Call call);
 
+    /** Returns this daemon's sign of life. */
+    Pulse pulse();
+
+    /** Another daemon says that it owns the fleet. */
+    void onAnnouncement(byte[] record);
+
     /** Returns the operators' records that this daemon knows. */
     List<OperatorRecord> operatorRecords();
   }
@@ -95,6 +102,11 @@
   }
 
   private final class Handler extends SimpleChannelInboundHandler<LinkMessage> {
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+      Future<?> unused = context.writeAndFlush(service.pulse());
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, LinkMessage message) {
       if (message instanceof Call call) {
@@ -105,6 +117,9 @@
                   JobReply answer = failure == null ? reply : JobReply.of(JobReply.Code.UNDECIDED);
                   Future<?> unused = context.writeAndFlush(new Reply(call.id(), answer));
                 });
+      } else if (message instanceof Announcement announcement) {
+        service.onAnnouncement(announcement.record());
+        Future<?> unused = context.writeAndFlush(service.pulse());
       } else if (message instanceof RecordsWanted) {
         for (OperatorRecord stored : service.operatorRecords()) {
           Future<?> unused = context.write(stored);
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/Announcer.java
@@ -0,0 +1,202 @@
+package org.laburnumarch.internal.node;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.lead.OwnerRecord;
+import org.laburnumarch.internal.lead.OwnerTenure;
+import org.laburnumarch.internal.link.LinkClient;
+import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
+import org.laburnumarch.internal.link.LinkMessage.Pulse;
+import org.laburnumarch.internal.platform.NodeSettings;
+import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.platform.StoreClient.KeyedValue;
+import org.laburnumarch.internal.platform.StoreClient.StoreRecord;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.tinylog.Logger;
+
+/**
+ * Tells all daemons that this one owns the fleet, so that those which the store does not serve
+ * learn it too, and finds out whether the earlier owner has stopped. Used on one thread only.
+ */
+final class Announcer implements AutoCloseable {
+
+  private static final long RETRY_MS = 700;
+
+  /** Tries for a daemon that does not answer; it is probably gone after that. */
+  private static final int MAX_TRIES = 20;
+
+  /**
+   * Age of the earlier ownership from which the owner before that one has surely stopped: its
+   * authority and the leases that it granted have run out.
+   */
+  private static final long EARLIER_TENURE_MS = OwnerTenure.AUTHORITY_MS + 6_500;
+
+  private final StoreClient store;
+  private final HttpLoop loop;
+  private final LocalClock clock;
+  private final NodeSettings settings;
+  private final OwnerTenure tenure;
+  private final Optional<OwnerRecord> earlier;
+  private final Runnable onEarlierOwnerStopped;
+  private final Map<String, LinkClient> connections = new HashMap<>();
+  private boolean isClosed;
+
+  Announcer(
+      StoreClient store,
+      HttpLoop loop,
+      LocalClock clock,
+      NodeSettings settings,
+      OwnerTenure tenure,
+      Optional<OwnerRecord> earlier,
+      Runnable onEarlierOwnerStopped) {
+    this.store = store;
+    this.loop = loop;
+    this.clock = clock;
+    this.settings = settings;
+    this.tenure = tenure;
+    this.earlier = earlier;
+    this.onEarlierOwnerStopped = onEarlierOwnerStopped;
+  }
+
+  /** Stores where other daemons reach this one; retries until it succeeds. */
+  static void register(StoreClient store, HttpLoop loop, NodeSettings settings) {
+    store
+        .append(
+            StoreClient.NODES,
+            List.of(new KeyedValue(settings.name(), Optional.of(encode(settings)))),
+            OptionalLong.empty(),
+            Optional.empty())
+        .whenComplete(
+            (result, failure) -> {
+              if (failure != null) {
+                loop.after(RETRY_MS, () -> register(store, loop, settings));
+              }
+            });
+  }
+
+  private static byte[] encode(NodeSettings settings) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packString(settings.ip()).packInt(settings.linkPort());
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  void start() {
+    if (isClosed) {
+      return;
+    }
+    store
+        .newest(StoreClient.NODES, Optional.empty())
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                loop.after(RETRY_MS, this::start);
+              } else {
+                page.records().forEach(this::announceTo);
+              }
+            });
+  }
+
+  private void announceTo(StoreRecord node) {
+    if (node.key().equals(settings.name()) || node.value().isEmpty()) {
+      return;
+    }
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(node.value().get())) {
+      announce(node.key(), new InetSocketAddress(in.unpackString(), in.unpackInt()), 0);
+    } catch (IOException e) {
+      Logger.warn("nodes: event=unreadable node={} cause={}", node.key(), e.getMessage());
+    }
+  }
+
+  private void announce(String name, InetSocketAddress address, int tries) {
+    if (!isClosed && tries < MAX_TRIES) {
+      connections.put(name, new LinkClient(address, loop.group(), new Call(name, address, tries)));
+    }
+  }
+
+  private void onAnswer(String name, Pulse pulse) {
+    boolean isEarlierOwner = earlier.isPresent() && earlier.get().holder().startsWith(name + '/');
+    boolean isStopped =
+        isEarlierOwner
+            && (pulse.term() != earlier.get().term()
+                || !pulse.holder().equals(earlier.get().holder()));
+    boolean isEarlierAlone =
+        earlier.isPresent() && clock.epochMs() - earlier.get().claimedEpochMs() > EARLIER_TENURE_MS;
+    if (isStopped && (isEarlierAlone || earlier.get().term() == 1)) {
+      Logger.info(
+          "owner: event=earlier-stopped term={} holder={}",
+          earlier.get().term(),
+          earlier.get().holder());
+      onEarlierOwnerStopped.run();
+    }
+  }
+
+  /** Stops announcing. */
+  @Override
+  public void close() {
+    isClosed = true;
+    List.copyOf(connections.values()).forEach(LinkClient::close);
+    connections.clear();
+  }
+
+  /** One try to reach one daemon. */
+  private final class Call implements LinkClient.Listener {
+    private final String name;
+    private final InetSocketAddress address;
+    private final int tries;
+    private int pulses;
+
+    Call(String name, InetSocketAddress address, int tries) {
+      this.name = name;
+      this.address = address;
+      this.tries = tries;
+    }
+
+    @Override
+    public void onConnected() {
+      loop.execute(
+          () -> {
+            LinkClient client = connections.get(name);
+            if (client != null) {
+              client.announce(tenure.newest().encode());
+            }
+          });
+    }
+
+    @Override
+    public void onPulse(Pulse pulse) {
+      pulses++;
+      // The first comes with the connection, the second answers the announcement.
+      if (pulses == 2) {
+        onAnswer(name, pulse);
+        LinkClient client = connections.remove(name);
+        if (client != null) {
+          client.close();
+        }
+      }
+    }
+
+    @Override
+    public void onOperatorRecord(OperatorRecord stored) {
+      // The owner does not ask for records.
+    }
+
+    @Override
+    public void onClosed(boolean isRefused) {
+      if (pulses < 2 && !isClosed) {
+        loop.after(RETRY_MS, () -> announce(name, address, tries + 1));
+      }
+    }
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -9,6 +9,7 @@
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.lead.OwnerWatch;
+import org.laburnumarch.internal.link.LinkMessage.Pulse;
 import org.laburnumarch.internal.platform.PlatformFailures;
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.platform.StoreClient.KeyedValue;
@@ -24,7 +25,7 @@
   interface Listener {
 
     /** This daemon owns the fleet from now on. */
-    void onOwnershipGained(OwnerTenure tenure, boolean hadEarlierOwner);
+    void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier);
 
     /** This daemon does not own the fleet any more. */
     void onOwnershipLost();
@@ -123,13 +124,35 @@
   }
 
   /** Notes a sign of life that the owner sent over the link. */
-  void onPulse(long term, long renewedAgoMs) {
+  void onPulse(Pulse pulse) {
+    long nowMs = clock.nowMs();
     boolean isOwner =
-        watch.newest().map(record -> record.term() == term && !record.isReleased()).orElse(false);
-    if (isOwner && renewedAgoMs < RENEWAL_AGE_LIMIT_MS) {
-      heardAtMs = clock.nowMs();
-      watch.onOwnerAlive(heardAtMs);
+        watch
+            .newest()
+            .map(record -> record.term() == pulse.term() && !record.isReleased())
+            .orElse(false);
+    if (isOwner) {
+      watch.onPulse(pulse.beat(), pulse.renewedAgoMs(), nowMs);
+      if (pulse.renewedAgoMs() < RENEWAL_AGE_LIMIT_MS) {
+        heardAtMs = nowMs;
+      }
+    } else if (pulse.term() == 0) {
+      // The process that is said to own has ended or has stepped down.
+      heardAtMs = Long.MIN_VALUE / 2;
+      watch.onOwnerProcessGone();
+    }
+  }
+
+  /** Takes up an ownership that its holder has announced. */
+  void onAnnounced(OwnerRecord record) {
+    if (record.term() <= watch.newest().map(OwnerRecord::term).orElse(0L)) {
+      return;
+    }
+    watch.onAnnounced(record, clock.nowMs());
+    if (tenure.isPresent() && tenure.get().term() < record.term()) {
+      lose("another daemon has announced its ownership");
     }
+    listener.onOwnerChanged(record);
   }
 
   /** Notes that the link to the owner has ended. */
@@ -197,25 +220,25 @@
   }
 
   private void claim(long nowMs) {
-    OwnerRecord claim = watch.claim(holder, host, port);
-    boolean hadEarlierOwner = claim.term() > 1;
+    OwnerRecord claim = watch.claim(holder, host, port, clock.epochMs());
+    Optional<OwnerRecord> earlier = watch.newest();
     write(
         claim,
         watch.endOffset(),
         result -> {
           if (result.outcome() == WriteOutcome.STORED) {
-            gain(claim, nowMs, result.endOffset(), hadEarlierOwner);
+            gain(claim, nowMs, result.endOffset(), earlier);
           }
         });
   }
 
-  private void gain(OwnerRecord claim, long sentAtMs, long newEnd, boolean hadEarlierOwner) {
+  private void gain(OwnerRecord claim, long sentAtMs, long newEnd, Optional<OwnerRecord> earlier) {
     endOffset = newEnd;
     lastRenewTryMs = sentAtMs;
     OwnerTenure gained = new OwnerTenure(claim, sentAtMs);
     tenure = Optional.of(gained);
     Logger.info("owner: event=gained term={} holder={}", claim.term(), holder);
-    listener.onOwnershipGained(gained, hadEarlierOwner);
+    listener.onOwnershipGained(gained, earlier);
   }
 
   private void renew(long nowMs) {
--- a/src/main/java/org/laburnumarch/internal/node/MachineKeeper.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineKeeper.java
@@ -32,6 +32,12 @@
   /** Least time between two lists of instances. */
   private static final long LIST_EVERY_MS = 300;
 
+  /**
+   * Age of the ownership's renewal up to which orders are given, and time after a take-over before
+   * the first. Together they keep two owners from giving orders for one wave at the same time.
+   */
+  private static final long RENEWAL_AGE_LIMIT_MS = 1_200;
+
   /** Bits of a fencing token that count repeated orders within one term. */
   private static final int TOKEN_BITS = 20;
 
@@ -48,6 +54,7 @@
   private final Set<Long> running = new HashSet<>();
   private final Set<Long> completed = new HashSet<>();
   private final Set<Long> writing = new HashSet<>();
+  private final long startedAtMs;
   private long plannedAtMs;
   private long listedAtMs;
   private long nextToken;
@@ -71,6 +78,7 @@
     this.tenure = tenure;
     this.jobs = jobs;
     this.planner = new FleetPlanner(settings.moveMs(), settings.maintenanceMs());
+    this.startedAtMs = tenure.term() == 1 ? Long.MIN_VALUE / 2 : clock.nowMs();
     this.nextToken = tenure.term() << TOKEN_BITS;
   }
 
@@ -83,7 +91,10 @@
   }
 
   void round(long nowMs) {
-    if (isClosed || nowMs - plannedAtMs < PLAN_EVERY_MS) {
+    if (isClosed
+        || nowMs - plannedAtMs < PLAN_EVERY_MS
+        || nowMs - startedAtMs < RENEWAL_AGE_LIMIT_MS
+        || tenure.renewedAgoMs(nowMs) > RENEWAL_AGE_LIMIT_MS) {
       return;
     }
     plannedAtMs = nowMs;
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -1,6 +1,7 @@
 package org.laburnumarch.internal.node;
 
 import io.servicetalk.http.api.HttpServerContext;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +32,9 @@
   /** Time without a sign of life after which a link counts as silent. */
   private static final long LINK_SILENCE_MS = 1_000;
 
+  /** Age of the owner's renewal from which new callers should go elsewhere. */
+  private static final long RENEWAL_AGE_LIMIT_MS = 3_000;
+
   /** Time after SIGTERM during which open connections are still served. */
   private static final long LINGER_MS = 3_000;
 
@@ -52,6 +56,9 @@
   private final HttpServerContext readiness;
   private Optional<Owner> owner = Optional.empty();
   private Optional<LinkClient> link = Optional.empty();
+  private final String holder;
+  private Optional<Announcer> announcer = Optional.empty();
+  private long ownerRenewedAgoMs;
   private long linkHeardAtMs;
   private long recordsWantedAtMs;
   private boolean isStopping;
@@ -68,7 +75,7 @@
     this.store = new StoreClient(settings.store(), loop);
     this.operators = new OperatorWatch(store, loop, clock);
     this.router = new JobRouter(loop, clock);
-    String holder = settings.name() + '/' + clock.epochMs();
+    this.holder = settings.name() + '/' + clock.epochMs();
     this.election =
         new Election(
             store,
@@ -106,11 +113,39 @@
         "node: event=started name={} dataCentre={}", settings.name(), settings.dataCentre());
     operators.start();
     election.start();
+    register();
     pulse();
   }
 
+  /** Stores where other daemons reach this one. */
+  private void register() {
+    Announcer.register(store, loop, settings);
+  }
+
   private boolean isReady() {
-    return !isStopping && operators.isServing() && router.isConnected();
+    return !isStopping && operators.isServing() && router.isConnected() && isOwnerStoring();
+  }
+
+  /** Returns whether the owner can probably store what callers submit. */
+  private boolean isOwnerStoring() {
+    long nowMs = clock.nowMs();
+    return election
+        .tenure()
+        .map(tenure -> tenure.renewedAgoMs(nowMs) < RENEWAL_AGE_LIMIT_MS)
+        .orElse(
+            nowMs - linkHeardAtMs < LINK_SILENCE_MS && ownerRenewedAgoMs < RENEWAL_AGE_LIMIT_MS);
+  }
+
+  private Pulse ownPulse() {
+    long nowMs = clock.nowMs();
+    Optional<OwnerTenure> tenure = election.tenure();
+    return new Pulse(
+        holder,
+        tenure.map(OwnerTenure::term).orElse(0L),
+        tenure.map(held -> held.newest().beat()).orElse(0L),
+        tenure.map(held -> held.renewedAgoMs(nowMs)).orElse(0L),
+        operators.config().version(),
+        operators.freshAgoMs());
   }
 
   private void pulse() {
@@ -120,12 +155,7 @@
     long nowMs = clock.nowMs();
     Optional<OwnerTenure> tenure = election.tenure();
     if (tenure.isPresent() && linkServer.hasConnections()) {
-      linkServer.broadcast(
-          new Pulse(
-              tenure.get().term(),
-              tenure.get().renewedAgoMs(nowMs),
-              operators.config().version(),
-              operators.freshAgoMs()));
+      linkServer.broadcast(ownPulse());
     }
     if (link.isPresent() && nowMs - linkHeardAtMs > LINK_SILENCE_MS) {
       reconnect(link.get().address());
@@ -190,7 +220,7 @@
 
   private final class ElectionListener implements Election.Listener {
     @Override
-    public void onOwnershipGained(OwnerTenure tenure, boolean hadEarlierOwner) {
+    public void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier) {
       dropLink();
       owner.ifPresent(Owner::close);
       Owner created =
@@ -201,15 +231,32 @@
               store,
               operators,
               tenure,
-              hadEarlierOwner,
+              earlier,
               where -> election.abdicate("fenced at " + where));
       owner = Optional.of(created);
       router.useOwner(owner);
       created.start();
+      announcer.ifPresent(Announcer::close);
+      Announcer started =
+          new Announcer(
+              store,
+              loop,
+              clock,
+              settings,
+              tenure,
+              earlier,
+              () -> {
+                if (owner.isPresent() && owner.get() == created) {
+                  created.onEarlierOwnerStopped();
+                }
+              });
+      announcer = Optional.of(started);
+      started.start();
     }
 
     @Override
     public void onOwnershipLost() {
+      announcer.ifPresent(Announcer::close);
       owner.ifPresent(Owner::close);
       owner = Optional.empty();
       router.useOwner(owner);
@@ -227,11 +274,17 @@
   private final class LinkListener implements LinkClient.Listener {
     private LinkClient client;
 
+    @Override
+    public void onConnected() {
+      // Calls that wait for an owner are tried again by the router.
+    }
+
     @Override
     public void onPulse(Pulse pulse) {
       long nowMs = clock.nowMs();
       linkHeardAtMs = nowMs;
-      election.onPulse(pulse.term(), pulse.renewedAgoMs());
+      election.onPulse(pulse);
+      ownerRenewedAgoMs = pulse.term() == 0 ? Long.MAX_VALUE : pulse.renewedAgoMs();
       operators.onOwnerKnows(pulse.configVersion(), pulse.configFreshAgoMs());
       boolean isBehind = pulse.configVersion() > operators.config().version();
       if (isBehind && nowMs - recordsWantedAtMs > LINK_SILENCE_MS) {
@@ -272,6 +325,20 @@
           .call(call.kind(), call.queue(), call.jobId(), call.payload(), Long.MAX_VALUE);
     }
 
+    @Override
+    public Pulse pulse() {
+      return ownPulse();
+    }
+
+    @Override
+    public void onAnnouncement(byte[] record) {
+      try {
+        election.onAnnounced(OwnerRecord.decode(record));
+      } catch (IOException e) {
+        Logger.warn("link: event=unreadable-announcement cause={}", e.getMessage());
+      }
+    }
+
     @Override
     public List<OperatorRecord> operatorRecords() {
       return operators.export();
--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -36,6 +36,7 @@
 
   private static int runUntilSignal(NodeSettings settings) {
     CompletableFuture<Void> signal = TerminationSignals.firstSignal();
+    TerminationSignals.onHangup(() -> Logger.info("node: event=reload"));
     try (Node node = new Node(settings)) {
       signal.get();
       node.stop().toCompletableFuture().get(settings.shutdownBoundMs(), TimeUnit.MILLISECONDS);
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -11,6 +11,7 @@
 import org.laburnumarch.internal.job.JobCodec;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.link.JobReply;
 import org.laburnumarch.internal.link.JobReply.Code;
@@ -69,7 +70,7 @@
       StoreClient store,
       OperatorWatch operators,
       OwnerTenure tenure,
-      boolean hadEarlierOwner,
+      Optional<OwnerRecord> earlier,
       Listener listener) {
     this.loop = loop;
     this.clock = clock;
@@ -88,7 +89,7 @@
                 OwnerTenure.AUTHORITY_MS),
             tenure.term(),
             clock.nowMs(),
-            hadEarlierOwner);
+            earlier.isPresent());
     this.jobs = new JobStore(store, loop, clock, tenure.term(), new StoreCallbacks());
     this.driver =
         new WorkerDriver(
@@ -110,6 +111,12 @@
         jobs);
   }
 
+  /** Notes that the earlier owner has surely stopped giving orders. */
+  void onEarlierOwnerStopped() {
+    scheduler.onEarlierOwnerStopped(clock.nowMs());
+    planRound();
+  }
+
   void start() {
     operators.onChange(onOperatorChange);
     takeUpOperators();
--- a/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
@@ -41,6 +41,9 @@
   /** Log of this system's ownership records. */
   public static final String OWNER = "keyed.owner";
 
+  /** Log of this system's daemons and their addresses. */
+  public static final String NODES = "keyed.nodes";
+
   /**
    * A write takes about 4 ms, 50 times as long when the store is slow. Waiting longer than this
    * delays the retry on a new connection when the open one has gone silent.
--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -145,7 +145,9 @@
 
   /** Returns whether a new list of instances is wanted. */
   public boolean wantsList(Collection<WorkerLoad> loads, long nowMs) {
-    if (machines.isEmpty() || away.values().stream().anyMatch(it -> it.untilMs() < nowMs)) {
+    if (machines.isEmpty()
+        || away.values().stream().anyMatch(it -> it.untilMs() < nowMs)
+        || machines.values().stream().anyMatch(it -> it.state() != Machine.State.UP)) {
       return true;
     }
     Set<String> known = new HashSet<>();
@@ -207,10 +209,16 @@
     loads.forEach(load -> loadsById.put(load.workerId(), load));
     planMaintenance(config, demands, loadsById, nowMs);
     planMoves(config, demands, loadsById, evacuated, nowMs);
-    return carryOut(loadsById, nowMs);
+    return carryOut(config, loadsById, nowMs);
   }
 
-  private FleetPlan carryOut(Map<String, WorkerLoad> loads, long nowMs) {
+  /** Returns whether nothing can run on an instance because it is switched off. */
+  private static boolean isWithoutWorker(Machine machine, FleetConfig config) {
+    return machine.workerId().isEmpty()
+        || config.service(machine.pool()).map(ServiceConfig::isSpare).orElse(false);
+  }
+
+  private FleetPlan carryOut(FleetConfig config, Map<String, WorkerLoad> loads, long nowMs) {
     List<MachineOrder> orders = new ArrayList<>();
     Set<String> cordoned = new HashSet<>();
     Set<String> vacated = new HashSet<>();
@@ -232,7 +240,8 @@
         cordoned.add(load.workerId());
         vacated.add(load.workerId());
       }
-      boolean isEmpty = load == null || load.isEmpty();
+      boolean isEmpty =
+          load == null ? isWithoutWorker(machine, config) : load.isEmpty() && load.isUsable();
       boolean isUp = machine.state() == Machine.State.UP;
       if (isEmpty && isUp && !errand.isOrdered && errand.notBeforeMs <= nowMs) {
         errand.isOrdered = true;
@@ -260,6 +269,10 @@
         if ((errand != null && errand.wave.equals(Optional.of(state.wave.number())))
             || (gone != null && gone.wave().equals(Optional.of(state.wave.number())))) {
           underway++;
+        } else if (machine != null && machine.state() == Machine.State.MAINTENANCE) {
+          // An earlier owner ordered it.
+          state.begun.add(name);
+          underway++;
         } else if (machine != null
             && gone == null
             && errand == null
--- a/src/main/java/org/laburnumarch/internal/schedule/Renewals.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Renewals.java
@@ -46,10 +46,17 @@
           ? Optional.of(new Renewal(worker.id, -1, worker.acknowledgedEnd, 0))
           : Optional.empty();
     }
-    long pauseMs = worker.hasUnacknowledgedEnds() ? UNSTORED_PAUSE_MS : REPORT_PAUSE_MS;
+    long pauseMs =
+        worker.missedReports > 0
+            ? MISS_PAUSE_MS
+            : worker.hasUnacknowledgedEnds() ? UNSTORED_PAUSE_MS : REPORT_PAUSE_MS;
     if (sinceReportMs < pauseMs) {
       return Optional.empty();
     }
+    if (worker.missedReports > 0) {
+      // A worker that does not answer must not have its lease extended by what reaches it late.
+      return Optional.of(new Renewal(worker.id, -1, worker.acknowledgedEnd, 0));
+    }
     long leaseEndClockMs = worker.clockMs(nowMs) + settings.leaseMs();
     worker.leaseEndClockMs = Math.max(worker.leaseEndClockMs, leaseEndClockMs);
     long waitMs = worker.hasUnacknowledgedEnds() ? 0 : LONGEST_WAIT_MS;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -80,6 +80,11 @@
     }
   }
 
+  /** Notes that the earlier owner has surely stopped giving orders. */
+  public void onEarlierOwnerStopped(long nowMs) {
+    takeover.onEarlierOwnerStopped(nowMs);
+  }
+
   /** Takes up a worker that an earlier owner may have given orders to. */
   public void restoreEnrolled(WorkerListing listing) {
     workers.addEnrolled(listing);
@@ -443,9 +448,10 @@
   private void startWaiting(
       List<Order> orders, List<AdviceQuery> queries, long nowMs, long epochMs) {
     Map<String, List<Candidate>> byService = new HashMap<>();
+    Map<String, Resources> unseenByTeam = new HashMap<>();
     for (Job job : liveJobs.values()) {
       if (!job.status.isFinal()) {
-        collect(job, byService, nowMs, epochMs);
+        collect(job, byService, unseenByTeam, nowMs, epochMs);
       }
     }
     byService.forEach(
@@ -456,12 +462,18 @@
                   new Placement(workers.pool(service), evacuated, settings.remotePenalty(), nowMs),
                   orders,
                   queries,
+                  unseenByTeam,
                   nowMs);
           round.run(candidates, workers.pool(service));
         });
   }
 
-  private void collect(Job job, Map<String, List<Candidate>> byService, long nowMs, long epochMs) {
+  private void collect(
+      Job job,
+      Map<String, List<Candidate>> byService,
+      Map<String, Resources> unseenByTeam,
+      long nowMs,
+      long epochMs) {
     Optional<QueueConfig> queue = config.queue(job.spec.queue());
     if (queue.isEmpty()) {
       return;
@@ -469,6 +481,7 @@
     job.openOccurrences(epochMs);
     String service = queue.get().service();
     if (job.isInherited && takeover.isBlocked(workers.pool(service), nowMs)) {
+      unseenByTeam.merge(job.spec.team(), takeover.unseen(job), Resources::plus);
       return;
     }
     for (List<Step> steps : job.occurrences.values()) {
@@ -497,14 +510,19 @@
     private final List<Order> orders;
     private final List<AdviceQuery> queries;
     private final long nowMs;
-    private final Resources unseen;
-
-    StartRound(Placement placement, List<Order> orders, List<AdviceQuery> queries, long nowMs) {
+    private final Map<String, Resources> unseenByTeam;
+
+    StartRound(
+        Placement placement,
+        List<Order> orders,
+        List<AdviceQuery> queries,
+        Map<String, Resources> unseenByTeam,
+        long nowMs) {
       this.placement = placement;
       this.orders = orders;
       this.queries = queries;
+      this.unseenByTeam = unseenByTeam;
       this.nowMs = nowMs;
-      this.unseen = takeover.unseen(workers.all(), nowMs);
     }
 
     void run(List<Candidate> candidates, List<Worker> pool) {
@@ -592,7 +610,8 @@
       Resources need = step.spec.need();
       Resources all =
           new Resources(need.cpuMillis() * tasks, need.memoryMb() * tasks, need.gpus() * tasks);
-      return teamUse.allows(config, step.job.spec.team(), all, unseen);
+      String team = step.job.spec.team();
+      return teamUse.allows(config, team, all, unseenByTeam.getOrDefault(team, Resources.NONE));
     }
 
     private long nextRun(Task task) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Takeover.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Takeover.java
@@ -1,6 +1,7 @@
 package org.laburnumarch.internal.schedule;
 
 import java.util.Collection;
+import java.util.List;
 import org.laburnumarch.internal.job.Resources;
 
 /**
@@ -14,10 +15,12 @@
   private static final double CLOCK_DRIFT = 1.03;
 
   private final boolean hadEarlierOwner;
-  private final long overAtMs;
+  private final long leaseMs;
+  private long overAtMs;
 
   Takeover(SchedulerSettings settings, long nowMs, boolean hadEarlierOwner) {
     this.hadEarlierOwner = hadEarlierOwner;
+    this.leaseMs = settings.leaseMs();
     this.overAtMs =
         nowMs + (long) ((settings.earlierOwnerLimitMs() + settings.leaseMs()) * CLOCK_DRIFT);
   }
@@ -31,17 +34,29 @@
     return !isOver(nowMs) && pool.stream().anyMatch(worker -> !worker.isFenced);
   }
 
-  /** Returns the most that may be running unseen on workers that have not reported. */
-  Resources unseen(Collection<Worker> workers, long nowMs) {
+  /**
+   * Returns the most that tasks of a job may be using on workers that have not reported: all its
+   * tasks that might have been started before the take-over and that no worker has shown.
+   */
+  Resources unseen(Job job) {
     Resources sum = Resources.NONE;
-    if (isOver(nowMs)) {
-      return sum;
-    }
-    for (Worker worker : workers) {
-      if (!worker.isFenced && worker.isEnrolled) {
-        sum = sum.plus(worker.listing.capacity());
+    for (List<Step> steps : job.occurrences.values()) {
+      for (Step step : steps) {
+        if (step.isDone() || !Job.isUnlocked(step, steps)) {
+          continue;
+        }
+        for (Task task : step.tasks) {
+          if (!task.isDone && task.attempt == null) {
+            sum = sum.plus(step.spec.need());
+          }
+        }
       }
     }
     return sum;
   }
+
+  /** Notes that the earlier owner has surely stopped; only its leases have to run out. */
+  void onEarlierOwnerStopped(long nowMs) {
+    overAtMs = Math.min(overAtMs, nowMs + (long) (leaseMs * CLOCK_DRIFT));
+  }
 }
