Fill workers one after the other and empty surplus instances

Cause: tasks were spread over all instances of a pool, so that none became empty when demand fell, and surplus instances left only when they happened to be idle.

Change: placement prefers full workers; surplus instances are cordoned and leave within the time of a short task; the registry is read every 120 ms, so that moved instances are found sooner.

--- a/src/main/java/org/laburnumarch/internal/node/MachineKeeper.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineKeeper.java
@@ -29,6 +29,9 @@
   /** Time between two plans. */
   private static final long PLAN_EVERY_MS = 100;
 
+  /** Time between two log lines on the sizes of pools. */
+  private static final long DESCRIBE_EVERY_MS = 1_000;
+
   /** Least time between two lists of instances. */
   private static final long LIST_EVERY_MS = 300;
 
@@ -56,6 +59,7 @@
   private final Set<Long> writing = new HashSet<>();
   private final long startedAtMs;
   private long plannedAtMs;
+  private long describedAtMs;
   private long listedAtMs;
   private long nextToken;
   private boolean isListing;
@@ -113,6 +117,10 @@
     scheduler.cordon(plan.cordoned());
     plan.vacated().forEach(scheduler::vacate);
     plan.orders().forEach(this::send);
+    if (nowMs - describedAtMs >= DESCRIBE_EVERY_MS) {
+      describedAtMs = nowMs;
+      Logger.info("machines: event=pools {}", planner.describePools());
+    }
     reportWaves();
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -32,7 +32,7 @@
   private static final long REGISTRY_WAIT_MS = 2_000;
 
   /** Time between two reads of the registry; each worker writes there every 1.5 s. */
-  private static final long REGISTRY_PAUSE_MS = 250;
+  private static final long REGISTRY_PAUSE_MS = 120;
 
   private record Connection(WorkerListing listing, WorkerClient client) {}
 
--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -28,7 +28,7 @@
   private static final double HEADROOM = 1.2;
 
   /** Time that a pool must have too many instances before it gives one up. */
-  private static final long SURPLUS_MS = 1_200;
+  private static final long SURPLUS_MS = 800;
 
   /** Time before a wave's end by which its last maintenance should have begun. */
   private static final long WAVE_MARGIN_MS = 3_500;
@@ -87,6 +87,7 @@
   private final Map<String, Long> surplusSinceMs = new HashMap<>();
   private final Set<String> impossible = new HashSet<>();
   private Map<String, Machine> machines = Map.of();
+  private String poolSizes = "";
 
   private record Away(long untilMs, Optional<Long> wave, String pool) {}
 
@@ -109,6 +110,11 @@
     state.begun.addAll(begun);
   }
 
+  /** Returns the sizes of all pools, as they are to be and as they will be, for the log. */
+  public String describePools() {
+    return poolSizes;
+  }
+
   /** Returns the instances of a wave whose maintenance has begun. */
   public Set<String> begun(long wave) {
     WaveState state = waves.get(wave);
@@ -352,6 +358,7 @@
     }
     Map<String, Integer> wanted = wantedSizes(config, demands);
     Map<String, Integer> present = presentSizes(evacuated);
+    poolSizes = "wanted=" + wanted + " present=" + present;
     List<String> lacking = new ArrayList<>(wanted.keySet());
     lacking.sort(
         Comparator.comparingInt(
@@ -466,14 +473,16 @@
       if (nowMs - sinceMs < SURPLUS_MS) {
         continue;
       }
-      for (Machine machine : machines.values()) {
-        WorkerLoad load = loads.get(machine.workerId());
-        boolean isIdle = load != null && load.isEmpty();
-        if (surplus > 0 && machine.pool().equals(pool) && isFree(machine) && isIdle) {
-          send(machine, spare, present, nowMs);
-          surplus--;
-        }
-      }
+      List<Machine> leaving =
+          machines.values().stream()
+              .filter(machine -> machine.pool().equals(pool) && isFree(machine))
+              .filter(machine -> loads.containsKey(machine.workerId()))
+              .filter(machine -> loads.get(machine.workerId()).lastingRuns() == 0)
+              .sorted(
+                  Comparator.comparingDouble(machine -> loads.get(machine.workerId()).usedShare()))
+              .limit(surplus)
+              .toList();
+      leaving.forEach(machine -> send(machine, spare, present, nowMs));
     }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandMeter.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandMeter.java
@@ -14,7 +14,7 @@
 final class DemandMeter {
 
   /** Time over which arrivals are averaged. */
-  private static final double ARRIVAL_WINDOW_MS = 1_000;
+  private static final double ARRIVAL_WINDOW_MS = 1_500;
 
   /** Part of the time to its objective that a job is planned to take. */
   private static final double PLANNED_TIME_SHARE = 0.6;
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -19,6 +19,12 @@
 
   private static final double AVOIDED_COST = 2;
 
+  /**
+   * Weight of the room that is left. Filling workers one after the other leaves others empty, whose
+   * instances can then move at once; it stays below the difference that a slow worker makes.
+   */
+  private static final double FULLNESS_WEIGHT = 0.3;
+
   private final Collection<Worker> pool;
   private final Set<String> evacuated;
   private final double remotePenalty;
@@ -94,7 +100,7 @@
     if (worker.id.equals(task.avoidedWorker)) {
       cost += AVOIDED_COST;
     }
-    return cost + usedShareAfter(worker, spec);
+    return cost + FULLNESS_WEIGHT * (1 - usedShareAfter(worker, spec));
   }
 
   private static boolean leavesRackOf(Worker worker, Step step) {
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -0,0 +1,334 @@
+package org.laburnumarch.internal.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.schedule.OrderReply.Outcome;
+
+/** Guards the scheduler's promises one by one, against workers in virtual time. */
+class SchedulerTest {
+
+  private static final long START_MS = 1_000_000;
+
+  private long nowMs = START_MS;
+  private Scheduler scheduler;
+  private final SimulatedWorker one = new SimulatedWorker("w1", TestJobs.SERVICE, "r1", START_MS);
+  private final SimulatedWorker two = new SimulatedWorker("w2", TestJobs.SERVICE, "r2", START_MS);
+
+  @BeforeEach
+  void openSchedulerWithTwoWorkers() {
+    scheduler = newScheduler(1, false);
+    report(one, 1);
+    report(two, 1);
+  }
+
+  private Scheduler newScheduler(long term, boolean hadEarlierOwner) {
+    Scheduler created = new Scheduler(TestJobs.SETTINGS, term, nowMs, hadEarlierOwner);
+    created.configure(TestJobs.config(100_000, 2));
+    created.listWorkers(List.of(one.listing(), two.listing()), nowMs);
+    created.confirmEnrolment(created.enrolment());
+    return created;
+  }
+
+  private void report(SimulatedWorker worker, long term) {
+    scheduler
+        .renewal(worker.id, nowMs)
+        .ifPresent(
+            renewal -> scheduler.onReport(worker.id, worker.renew(renewal, term, nowMs), nowMs));
+  }
+
+  private List<Order> decide() {
+    return scheduler.decide(nowMs, nowMs).orders();
+  }
+
+  private List<Order.Start> starts() {
+    List<Order.Start> starts = new ArrayList<>();
+    for (Order order : decide()) {
+      if (order instanceof Order.Start start) {
+        starts.add(start);
+      }
+    }
+    return starts;
+  }
+
+  private SimulatedWorker worker(Order order) {
+    return order.workerId().equals(one.id) ? one : two;
+  }
+
+  private void obey(Order.Start start, long runMs, boolean isFailing) {
+    OrderReply reply = worker(start).start(start, 1, nowMs + runMs, isFailing, nowMs);
+    scheduler.onStartReply(start, reply, nowMs);
+  }
+
+  private void store() {
+    scheduler.takeChanges().ifPresent(changes -> scheduler.confirmStored(changes, nowMs));
+  }
+
+  @Nested
+  class WhenAJobRuns {
+
+    @Test
+    void shouldStartALaterStepOnlyAfterTheEarlierHasEnded() {
+      scheduler.accept(
+          TestJobs.job("a", nowMs, TestJobs.step(2, 1_000), TestJobs.step(1, 1_000, 0)), nowMs);
+      List<Order.Start> first = starts();
+      assertThat(first).extracting(Order.Start::taskName).containsExactly("a.0.0.0", "a.0.0.1");
+      obey(first.get(0), 100, false);
+      obey(first.get(1), 900, false);
+      nowMs += 200;
+      report(one, 1);
+      report(two, 1);
+      assertThat(starts()).isEmpty();
+      nowMs += 900;
+      report(one, 1);
+      report(two, 1);
+      assertThat(starts()).extracting(Order.Start::taskName).containsExactly("a.0.1.0");
+    }
+
+    @Test
+    void shouldShowCompletedOnlyWhenThatIsStored() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      obey(starts().get(0), 100, false);
+      nowMs += 300;
+      report(one, 1);
+      report(two, 1);
+      assertThat(scheduler.status("a")).contains(JobStatus.RUNNING);
+      store();
+      assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
+    }
+
+    @Test
+    void shouldAcknowledgeAnEndOnlyWhenItIsStored() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(2, 1_000)), nowMs);
+      starts().forEach(start -> obey(start, start.taskName().endsWith("0") ? 100 : 9_000, false));
+      nowMs += 300;
+      report(one, 1);
+      report(two, 1);
+      nowMs += 300;
+      assertThat(acknowledged()).isZero();
+      store();
+      nowMs += 1_000;
+      assertThat(acknowledged()).isEqualTo(1);
+    }
+
+    private long acknowledged() {
+      return Math.max(
+          scheduler.renewal(one.id, nowMs).map(Renewal::acknowledgedEnd).orElse(0L),
+          scheduler.renewal(two.id, nowMs).map(Renewal::acknowledgedEnd).orElse(0L));
+    }
+
+    @Test
+    void shouldFailAJobAfterTheLastAttempt() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      for (int attempt = 0; attempt < 2; attempt++) {
+        obey(starts().get(0), 50, true);
+        nowMs += 300;
+        report(one, 1);
+        report(two, 1);
+      }
+      assertThat(starts()).isEmpty();
+      store();
+      assertThat(scheduler.status("a")).contains(JobStatus.FAILED);
+    }
+
+    @Test
+    void shouldKeepATeamWithinItsLimit() {
+      scheduler.configure(TestJobs.config(3_000, 2));
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(8, 1_000)), nowMs);
+      assertThat(starts()).hasSize(3);
+    }
+
+    @Test
+    void shouldNotStartInADataCentreOutOfService() {
+      scheduler.evacuate(Set.of("dc"));
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      assertThat(starts()).isEmpty();
+    }
+
+    @Test
+    void shouldStartAllMembersOfAGangWithOneRunNumber() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.gangStep(4, 4_000)), nowMs);
+      List<Order.Start> members = starts();
+      assertThat(members).hasSize(4);
+      assertThat(members).extracting(Order.Start::run).containsOnly(1L);
+    }
+
+    @Test
+    void shouldNotStartAGangThatDoesNotFitAtOnce() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.gangStep(5, 4_000)), nowMs);
+      assertThat(starts()).isEmpty();
+    }
+  }
+
+  @Nested
+  class WhenAStartGetsNoAnswer {
+
+    @Test
+    void shouldNotStartTheTaskAgainBeforeTheWorkerSaysThatItDoesNotRun() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      Order.Start lost = starts().get(0);
+      scheduler.onStartReply(lost, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      nowMs += 100;
+      List<Order> next = decide();
+      assertThat(next).containsExactly(new Order.Stop(lost.workerId(), "a.0.0.0", lost.run()));
+      Order.Stop stop = (Order.Stop) next.get(0);
+      scheduler.onStopReply(stop, worker(stop).stop(stop, 1, nowMs), nowMs);
+      assertThat(starts()).isEmpty();
+      nowMs += 50;
+      report(one, 1);
+      report(two, 1);
+      nowMs += 50;
+      assertThat(starts()).hasSize(1);
+      // The lost order arrives late and must not run beside the new one.
+      OrderReply late = worker(lost).start(lost, 1, nowMs + 500, false, nowMs);
+      assertThat(late.outcome()).isEqualTo(Outcome.OUTDATED);
+    }
+  }
+
+  @Nested
+  class WhenAWorkerGoesSilent {
+
+    @Test
+    void shouldRestartItsTasksOnlyAfterEveryLeaseHasRunOut() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
+      Order.Start start = starts().get(0);
+      obey(start, Long.MAX_VALUE / 4, false);
+      long grantedUntilMs = one.bornAtMs + start.leaseEndClockMs();
+      List<Order.Start> again = List.of();
+      while (again.isEmpty() && nowMs < START_MS + 20_000) {
+        nowMs += 100;
+        // Each renewal is lost on its way, and so may reach the worker late.
+        scheduler.renewal(start.workerId(), nowMs).ifPresent(lost -> {});
+        scheduler.onReportMissed(start.workerId(), nowMs);
+        report(worker(start) == one ? two : one, 1);
+        again = starts();
+      }
+      assertThat(again).hasSize(1);
+      assertThat(nowMs).isGreaterThan(grantedUntilMs).isLessThan(grantedUntilMs + 7_000);
+    }
+
+    @Test
+    void shouldRestartAtOnceWhatRanInAnEarlierLifeOfTheWorker() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
+      Order.Start start = starts().get(0);
+      obey(start, Long.MAX_VALUE / 4, false);
+      nowMs += 500;
+      worker(start).crash(nowMs);
+      nowMs += 100;
+      report(worker(start), 1);
+      assertThat(starts()).hasSize(1);
+    }
+  }
+
+  @Nested
+  class AfterATakeOver {
+
+    @Test
+    void shouldAdoptWhatWorkersShowAndNotStartItAgain() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
+      obey(starts().get(0), Long.MAX_VALUE / 4, false);
+      nowMs += 500;
+      scheduler = newScheduler(2, true);
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.lastingStep(1, 0, 0)),
+          Optional.empty(),
+          nowMs,
+          nowMs);
+      assertThat(starts()).isEmpty();
+      report(one, 2);
+      report(two, 2);
+      assertThat(starts()).isEmpty();
+      assertThat(scheduler.status("a")).contains(JobStatus.RUNNING);
+    }
+
+    @Test
+    void shouldHoldInheritedWorkWhileAWorkerHasNotReported() {
+      scheduler = newScheduler(2, true);
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
+      report(one, 2);
+      assertThat(starts()).isEmpty();
+      scheduler.accept(TestJobs.job("b", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      assertThat(starts()).extracting(Order.Start::taskName).containsExactly("b.0.0.0");
+    }
+
+    @Test
+    void shouldChargeATeamWithWhatMayRunUnseen() {
+      scheduler = newScheduler(2, true);
+      scheduler.configure(TestJobs.config(5_000, 2));
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.step(3, 1_000)), Optional.empty(), nowMs, nowMs);
+      report(one, 2);
+      scheduler.accept(TestJobs.job("b", nowMs, TestJobs.step(8, 1_000)), nowMs);
+      assertThat(starts()).hasSize(2);
+    }
+
+    @Test
+    void shouldGoOnSoonerWhenTheEarlierOwnerHasStopped() {
+      scheduler = newScheduler(2, true);
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
+      report(one, 2);
+      scheduler.onEarlierOwnerStopped(nowMs);
+      nowMs += 7_000;
+      report(one, 2);
+      assertThat(starts()).hasSize(1);
+    }
+
+    @Test
+    void shouldUseRunNumbersAboveThoseOfTheEarlierOwner() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      long earlierRun = starts().get(0).run();
+      scheduler = newScheduler(2, true);
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
+      report(one, 2);
+      report(two, 2);
+      assertThat(starts().get(0).run()).isGreaterThan(earlierRun + 1_000);
+    }
+  }
+
+  @Nested
+  class WhenAnInstanceIsToGo {
+
+    @Test
+    void shouldInterruptOnlyAsManyTasksAsTheBudgetAllows() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(4, 0, 1)), nowMs);
+      starts().forEach(start -> obey(start, Long.MAX_VALUE / 4, false));
+      nowMs += 300;
+      report(one, 1);
+      report(two, 1);
+      scheduler.cordon(Set.of(one.id, two.id));
+      scheduler.vacate(one.id);
+      scheduler.vacate(two.id);
+      assertThat(decide()).filteredOn(Order.Stop.class::isInstance).hasSize(1);
+    }
+  }
+
+  @Nested
+  class WhenAJobIsCancelled {
+
+    @Test
+    void shouldStopItsTasksAndStartNoMore() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(2, 1_000)), nowMs);
+      starts().forEach(start -> obey(start, 5_000, false));
+      assertThat(scheduler.cancel("a")).isPresent();
+      assertThat(decide()).hasSize(2).allMatch(Order.Stop.class::isInstance);
+      store();
+      assertThat(scheduler.status("a")).contains(JobStatus.CANCELLED);
+    }
+
+    @Test
+    void shouldNotKnowAJobThatWasNeverAccepted() {
+      assertThat(scheduler.cancel("b")).isEmpty();
+      assertThat(scheduler.status("b")).isEmpty();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/schedule/TestJobs.java
@@ -0,0 +1,111 @@
+package org.laburnumarch.internal.schedule;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.laburnumarch.internal.job.FleetConfig;
+import org.laburnumarch.internal.job.FleetConfig.CallerLimits;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.QueueConfig;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.ServiceConfig;
+import org.laburnumarch.internal.job.StepSpec;
+import org.laburnumarch.internal.job.TeamConfig;
+
+/** Jobs and configurations for tests. */
+final class TestJobs {
+
+  static final String QUEUE = "holds";
+  static final String SERVICE = "desk";
+  static final String TEAM = "gangs";
+  static final SchedulerSettings SETTINGS =
+      new SchedulerSettings(6_000, 200, 3_000, 120_000, 4_500, 3, 8_000);
+
+  private TestJobs() {}
+
+  static FleetConfig config(long teamCpuMillis, int maxAttempts) {
+    return new FleetConfig(
+        1,
+        List.of(
+            new QueueConfig(
+                QUEUE,
+                "host",
+                "/holds/",
+                SERVICE,
+                0,
+                maxAttempts,
+                1.6,
+                600,
+                false,
+                Optional.empty())),
+        List.of(
+            new ServiceConfig(SERVICE, true, false, "/health"),
+            new ServiceConfig("reserve", true, true, "/health")),
+        List.of(new TeamConfig(TEAM, Set.of("key"), 1_000, new Resources(teamCpuMillis, 0, 0))),
+        CallerLimits.DEFAULT);
+  }
+
+  static StepSpec step(int count, long cpuMillis, Integer... after) {
+    return new StepSpec(
+        count,
+        new Resources(cpuMillis, 1_000, 0),
+        500,
+        List.of(after),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  static StepSpec lastingStep(int count, int maxPerWorker, int maxUnavailable) {
+    return new StepSpec(
+        count,
+        new Resources(500, 1_000, 0),
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        maxPerWorker,
+        false,
+        true,
+        "image",
+        0,
+        false,
+        maxUnavailable);
+  }
+
+  static StepSpec gangStep(int count, long cpuMillis) {
+    return new StepSpec(
+        count,
+        new Resources(cpuMillis, 1_000, 0),
+        500,
+        List.of(),
+        false,
+        true,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  static JobSpec job(String id, long submittedEpochMs, StepSpec... steps) {
+    return new JobSpec(id, QUEUE, TEAM, "program", List.of(steps), 0, 0, 0, submittedEpochMs);
+  }
+}
