Shorten the wait after a take-over and keep log output from blocking

Change: the wait ends when the earlier owner's leases are over and the owner before it can have granted nothing more; authority without renewal 8 s -> 6 s. Standard output goes through a bounded queue; lines beyond it are dropped and counted. Tests of the claim, the planner, the stored forms and the adapter's decoding.

Ruled out: leaving out workers that are not in the registry; they may be cut off from the store only.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerTenure.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerTenure.java
@@ -7,11 +7,11 @@
   public static final long RENEW_EVERY_MS = 500;
 
   /**
-   * Time after the last renewal during which the owner goes on giving orders. The platform's store
-   * is down for up to ten seconds at a time, and work should not stop meanwhile. A later owner
-   * waits this long, and the longest lease more, for workers that it cannot reach.
+   * Time after the last renewal during which the owner goes on giving orders, so that work does not
+   * stop in a short outage of the store. A later owner waits this long, and a lease more, for
+   * workers that it cannot reach.
    */
-  public static final long AUTHORITY_MS = 8_000;
+  public static final long AUTHORITY_MS = 6_000;
 
   private final OwnerRecord claim;
   private OwnerRecord newest;
--- a/src/main/java/org/laburnumarch/internal/node/Announcer.java
+++ b/src/main/java/org/laburnumarch/internal/node/Announcer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.laburnumarch.internal.http.HttpLoop;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
@@ -34,33 +35,26 @@
   /** Tries for a daemon that does not answer; it is probably gone after that. */
   private static final int MAX_TRIES = 20;
 
-  /**
-   * Age of the earlier ownership from which the owner before that one has surely stopped: its
-   * authority and the leases that it granted have run out.
-   */
-  private static final long EARLIER_TENURE_MS = OwnerTenure.AUTHORITY_MS + 6_500;
-
   private final StoreClient store;
   private final HttpLoop loop;
-  private final LocalClock clock;
+
   private final NodeSettings settings;
   private final OwnerTenure tenure;
   private final Optional<OwnerRecord> earlier;
-  private final Runnable onEarlierOwnerStopped;
+  private final Consumer<OwnerRecord> onEarlierOwnerStopped;
   private final Map<String, LinkClient> connections = new HashMap<>();
   private boolean isClosed;
 
   Announcer(
       StoreClient store,
       HttpLoop loop,
-      LocalClock clock,
       NodeSettings settings,
       OwnerTenure tenure,
       Optional<OwnerRecord> earlier,
-      Runnable onEarlierOwnerStopped) {
+      Consumer<OwnerRecord> onEarlierOwnerStopped) {
     this.store = store;
     this.loop = loop;
-    this.clock = clock;
+
     this.settings = settings;
     this.tenure = tenure;
     this.earlier = earlier;
@@ -131,14 +125,12 @@
         isEarlierOwner
             && (pulse.term() != earlier.get().term()
                 || !pulse.holder().equals(earlier.get().holder()));
-    boolean isEarlierAlone =
-        earlier.isPresent() && clock.epochMs() - earlier.get().claimedEpochMs() > EARLIER_TENURE_MS;
-    if (isStopped && (isEarlierAlone || earlier.get().term() == 1)) {
+    if (isStopped) {
       Logger.info(
           "owner: event=earlier-stopped term={} holder={}",
           earlier.get().term(),
           earlier.get().holder());
-      onEarlierOwnerStopped.run();
+      onEarlierOwnerStopped.accept(earlier.get());
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -241,13 +241,12 @@
           new Announcer(
               store,
               loop,
-              clock,
               settings,
               tenure,
               earlier,
-              () -> {
+              stopped -> {
                 if (owner.isPresent() && owner.get() == created) {
-                  created.onEarlierOwnerStopped();
+                  created.onEarlierOwnerStopped(stopped);
                 }
               });
       announcer = Optional.of(started);
--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -35,6 +35,7 @@
   }
 
   private static int runUntilSignal(NodeSettings settings) {
+    BoundedOutput.install();
     CompletableFuture<Void> signal = TerminationSignals.firstSignal();
     TerminationSignals.onHangup(() -> Logger.info("node: event=reload"));
     try (Node node = new Node(settings)) {
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -112,8 +112,10 @@
   }
 
   /** Notes that the earlier owner has surely stopped giving orders. */
-  void onEarlierOwnerStopped() {
-    scheduler.onEarlierOwnerStopped(clock.nowMs());
+  void onEarlierOwnerStopped(OwnerRecord earlier) {
+    long nowMs = clock.nowMs();
+    long claimedAgoMs = Math.max(0, clock.epochMs() - earlier.claimedEpochMs());
+    scheduler.onEarlierOwnerStopped(nowMs - claimedAgoMs, nowMs);
     planRound();
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -84,9 +84,13 @@
     }
   }
 
-  /** Notes that the earlier owner has surely stopped giving orders. */
-  public void onEarlierOwnerStopped(long nowMs) {
-    takeover.onEarlierOwnerStopped(nowMs);
+  /**
+   * Notes that the earlier owner has surely stopped giving orders.
+   *
+   * @param earlierClaimedAtMs local time at which the earlier owner claimed
+   */
+  public void onEarlierOwnerStopped(long earlierClaimedAtMs, long nowMs) {
+    takeover.onEarlierOwnerStopped(earlierClaimedAtMs, nowMs);
   }
 
   /** Takes up a worker that an earlier owner may have given orders to. */
--- a/src/main/java/org/laburnumarch/internal/schedule/Takeover.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Takeover.java
@@ -16,13 +16,14 @@
 
   private final boolean hadEarlierOwner;
   private final long leaseMs;
+  private final long wholeWaitMs;
   private long overAtMs;
 
   Takeover(SchedulerSettings settings, long nowMs, boolean hadEarlierOwner) {
     this.hadEarlierOwner = hadEarlierOwner;
     this.leaseMs = settings.leaseMs();
-    this.overAtMs =
-        nowMs + (long) ((settings.earlierOwnerLimitMs() + settings.leaseMs()) * CLOCK_DRIFT);
+    this.wholeWaitMs = (long) ((settings.earlierOwnerLimitMs() + settings.leaseMs()) * CLOCK_DRIFT);
+    this.overAtMs = nowMs + wholeWaitMs;
   }
 
   boolean isOver(long nowMs) {
@@ -55,8 +56,13 @@
     return sum;
   }
 
-  /** Notes that the earlier owner has surely stopped; only its leases have to run out. */
-  void onEarlierOwnerStopped(long nowMs) {
-    overAtMs = Math.min(overAtMs, nowMs + (long) (leaseMs * CLOCK_DRIFT));
+  /**
+   * Notes that the earlier owner has surely stopped. Its leases have to run out, and so has what
+   * the owner before it may have granted, which stopped by itself after the earlier one's claim.
+   */
+  void onEarlierOwnerStopped(long earlierClaimedAtMs, long nowMs) {
+    long leasesOverAtMs = nowMs + (long) (leaseMs * CLOCK_DRIFT);
+    long olderOverAtMs = earlierClaimedAtMs + wholeWaitMs;
+    overAtMs = Math.min(overAtMs, Math.max(leasesOverAtMs, olderOverAtMs));
   }
 }
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/job/JobCodecTest.java
@@ -0,0 +1,68 @@
+package org.laburnumarch.internal.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.JobProgress.FailedRuns;
+import org.laburnumarch.internal.job.JobProgress.StepProgress;
+
+/** Guards against stored jobs that a later owner reads differently or not at all. */
+class JobCodecTest {
+
+  private static final JobSpec JOB =
+      new JobSpec(
+          "5c0e7a21d94b36f8",
+          "holds",
+          "team",
+          "program",
+          List.of(
+              new StepSpec(
+                  3,
+                  new Resources(500, 256, 1),
+                  900,
+                  List.of(),
+                  true,
+                  false,
+                  true,
+                  "a",
+                  "r1-3",
+                  2,
+                  true,
+                  false,
+                  "image",
+                  40,
+                  false,
+                  1)),
+          2,
+          1_000,
+          500,
+          77);
+
+  @Test
+  void shouldReadBackAJob() throws IOException {
+    assertThat(JobCodec.decodeJob(JobCodec.encode(JOB))).isEqualTo(JOB);
+  }
+
+  @Test
+  void shouldReadBackProgress() throws IOException {
+    JobProgress progress =
+        new JobProgress(
+            JOB.id(),
+            JobStatus.RUNNING,
+            List.of(
+                new StepProgress(
+                    1, 0, new byte[] {5}, List.of(new FailedRuns(2, List.of(1L, 4097L))))));
+    JobProgress read = JobCodec.decodeProgress(JobCodec.encode(progress));
+    assertThat(read).usingRecursiveComparison().isEqualTo(progress);
+  }
+
+  @Test
+  void shouldRefuseAnUnknownFormat() {
+    assertThatThrownBy(() -> JobCodec.decodeJob(new byte[] {9}))
+        .isInstanceOf(IOException.class)
+        .hasMessageContaining("format 9");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -0,0 +1,123 @@
+package org.laburnumarch.internal.lead;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards the moments at which a daemon claims the fleet. */
+class OwnerWatchTest {
+
+  private static final OwnerRecord OWNER =
+      new OwnerRecord(4, "north-1/17", "127.0.0.1", 7000, 9, false, 1_000);
+
+  private final OwnerWatch watch = new OwnerWatch();
+
+  /** Reads the same record at intervals, as a daemon without a link does. */
+  private void readUntil(OwnerRecord record, long fromMs, long toMs) {
+    for (long nowMs = fromMs; nowMs <= toMs; nowMs += 100) {
+      watch.onRead(Optional.of(record), 10, nowMs);
+    }
+  }
+
+  @Nested
+  class WithoutAnOwner {
+
+    @Test
+    void shouldClaimAtOnce() {
+      watch.onRead(Optional.empty(), 0, 100);
+      assertThat(watch.shouldClaim(100, 0)).isTrue();
+      assertThat(watch.claim("south-1/3", "127.0.0.1", 7000, 5).term()).isEqualTo(1);
+    }
+
+    @Test
+    void shouldNotClaimBeforeTheLogHasBeenRead() {
+      assertThat(watch.shouldClaim(100, 0)).isFalse();
+    }
+
+    @Test
+    void shouldClaimWhatHasBeenReleased() {
+      watch.onRead(Optional.of(OWNER.released()), 10, 100);
+      assertThat(watch.shouldClaim(100, 0)).isTrue();
+      assertThat(watch.claim("south-1/3", "127.0.0.1", 7000, 5).term()).isEqualTo(5);
+    }
+  }
+
+  @Nested
+  class WithAnOwner {
+
+    @Test
+    void shouldWaitWhileTheOwnerRenews() {
+      for (int beat = 0; beat < 20; beat++) {
+        OwnerRecord renewed =
+            new OwnerRecord(4, OWNER.holder(), OWNER.host(), 7000, beat, false, 1_000);
+        watch.onRead(Optional.of(renewed), 10 + beat, 500L * beat);
+        assertThat(watch.shouldClaim(500L * beat, 0)).isFalse();
+      }
+    }
+
+    @Test
+    void shouldClaimAfterThreeMissedRenewals() {
+      readUntil(OWNER, 0, OwnerWatch.SILENCE_BEFORE_CLAIM_MS - 100);
+      assertThat(watch.shouldClaim(OwnerWatch.SILENCE_BEFORE_CLAIM_MS - 100, 0)).isFalse();
+      readUntil(OWNER, OwnerWatch.SILENCE_BEFORE_CLAIM_MS, OwnerWatch.SILENCE_BEFORE_CLAIM_MS);
+      assertThat(watch.shouldClaim(OwnerWatch.SILENCE_BEFORE_CLAIM_MS, 0)).isTrue();
+    }
+
+    /** Guards against claiming at the end of an outage in which nobody could renew. */
+    @Test
+    void shouldGiveTheOwnerTimeAfterAnOutageOfTheStore() {
+      readUntil(OWNER, 0, 500);
+      watch.onRead(Optional.of(OWNER), 10, 6_000);
+      assertThat(watch.shouldClaim(6_000, 0)).isFalse();
+    }
+
+    @Test
+    void shouldCountSilenceFromTheRenewalThatAPulseNames() {
+      watch.onRead(Optional.of(OWNER), 10, 0);
+      watch.onPulse(9, 1_400, 2_000);
+      watch.onRead(Optional.of(OWNER), 10, 2_100);
+      assertThat(watch.shouldClaim(2_100, 0)).isTrue();
+    }
+
+    @Test
+    void shouldClaimSoonWhenTheOwnersProcessHasEnded() {
+      readUntil(OWNER, 0, 200);
+      watch.onOwnerProcessGone();
+      assertThat(watch.shouldClaim(200, 0)).isTrue();
+    }
+
+    @Test
+    void shouldLetOthersGoFirstByItsHandicap() {
+      readUntil(OWNER, 0, 1_600);
+      assertThat(watch.shouldClaim(1_600, 300)).isFalse();
+    }
+  }
+
+  @Nested
+  class Tenure {
+
+    @Test
+    void shouldEndAuthorityWhenRenewalsStop() {
+      OwnerTenure tenure = new OwnerTenure(OWNER, 1_000);
+      assertThat(tenure.hasAuthority(1_000 + OwnerTenure.AUTHORITY_MS - 1)).isTrue();
+      assertThat(tenure.hasAuthority(1_000 + OwnerTenure.AUTHORITY_MS)).isFalse();
+      tenure.onRenewed(OWNER.renewed(), 3_000);
+      assertThat(tenure.hasAuthority(1_000 + OwnerTenure.AUTHORITY_MS)).isTrue();
+    }
+
+    @Test
+    void shouldEndAuthorityAtOnceWhenLost() {
+      OwnerTenure tenure = new OwnerTenure(OWNER, 1_000);
+      tenure.onLost();
+      assertThat(tenure.hasAuthority(1_000)).isFalse();
+    }
+  }
+
+  @Test
+  void shouldReadBackWhatWasWritten() throws IOException {
+    assertThat(OwnerRecord.decode(OWNER.encode())).isEqualTo(OWNER);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/node/BoundedOutputTest.java
@@ -0,0 +1,44 @@
+package org.laburnumarch.internal.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a request that waits because nobody reads the log. */
+class BoundedOutputTest {
+
+  private static PrintStream print(BoundedOutput output, int lines) {
+    PrintStream out = new PrintStream(output, true, StandardCharsets.UTF_8);
+    for (int i = 0; i < lines; i++) {
+      out.println("line");
+    }
+    return out;
+  }
+
+  @Test
+  void shouldDropLinesInsteadOfWaitingWhenNobodyReads() {
+    BoundedOutput output = new BoundedOutput();
+    print(output, BoundedOutput.MAX_WAITING_LINES + 50);
+    assertThat(output.droppedLines()).isEqualTo(50);
+  }
+
+  @Test
+  void shouldSayHowManyLinesWereDropped() {
+    BoundedOutput output = new BoundedOutput();
+    print(output, BoundedOutput.MAX_WAITING_LINES + 3);
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    PrintStream target = new PrintStream(read, true, StandardCharsets.UTF_8);
+    Thread reader = new Thread(() -> output.drainTo(target));
+    reader.setDaemon(true);
+    reader.start();
+    Awaitility.await()
+        .atMost(Duration.ofSeconds(20))
+        .until(() -> read.toString(StandardCharsets.UTF_8).contains("event=dropped lines=3"));
+    reader.interrupt();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/platform/OperatorRecordsTest.java
@@ -0,0 +1,109 @@
+package org.laburnumarch.internal.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.FleetConfig;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.schedule.WorkerListing;
+
+/** Guards the boundary: messages of the platform are read whole or refused, never half. */
+class OperatorRecordsTest {
+
+  private static byte[] bytes(String text) {
+    return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Nested
+  class Configuration {
+
+    @Test
+    void shouldRouteByHostAndLongestPrefix() throws MalformedMessageException {
+      FleetConfig config =
+          OperatorRecords.config(
+              bytes(
+                  "{'version':7,'routes':["
+                      + "{'name':'short','host':'h','pathPrefix':'/a/','service':'s'},"
+                      + "{'name':'long','host':'h','pathPrefix':'/a/b/','service':'s'}],"
+                      + "'services':[{'name':'s','spare':true}],"
+                      + "'tenants':[{'name':'t','apiKeys':['k'],'weight':2,"
+                      + "'maxCount':{'cpu':5,'memMb':0,'gpus':0}}]}"));
+      assertThat(config.route("h", "/a/b/1").orElseThrow().name()).isEqualTo("long");
+      assertThat(config.route("h", "/a/1").orElseThrow().name()).isEqualTo("short");
+      assertThat(config.route("other", "/a/1")).isEmpty();
+      assertThat(config.teamOfKey("k")).contains("t");
+      assertThat(config.team("t").orElseThrow().limit()).isEqualTo(new Resources(5, 0, 0));
+      assertThat(config.service("s").orElseThrow().isSpare()).isTrue();
+    }
+
+    @Test
+    void shouldRefuseARecordWithoutVersion() {
+      assertThatThrownBy(() -> OperatorRecords.config(bytes("{}")))
+          .isInstanceOf(MalformedMessageException.class)
+          .hasMessageContaining("version");
+    }
+  }
+
+  @Nested
+  class Registry {
+
+    private static final String ENTRY =
+        "{'service':'s','address':'10.0.0.1:80','zone':'z','state':'STATE',"
+            + "'capacity':{'cpu':16000,'memMb':100,'gpus':0},'labels':['a','r1-3'],'born':17}";
+
+    @Test
+    void shouldReadAWorker() throws MalformedMessageException {
+      WorkerListing worker =
+          OperatorRecords.worker("i-1", bytes(ENTRY.replace("STATE", "draining")));
+      assertThat(worker.isDraining()).isTrue();
+      assertThat(worker.rack()).isEqualTo("r1-3");
+      assertThat(worker.startedEpochMs()).isEqualTo(17);
+    }
+
+    @Test
+    void shouldNameNoWorkerForAStrangersEntry() {
+      assertThatThrownBy(() -> OperatorRecords.worker("i-1", bytes(ENTRY)))
+          .isInstanceOf(MalformedMessageException.class);
+      assertThatThrownBy(() -> OperatorRecords.worker("i-1", new byte[] {1, 2}))
+          .isInstanceOf(MalformedMessageException.class);
+      assertThatThrownBy(
+              () -> OperatorRecords.worker("i-1", bytes("{'service':3,'state':'ready'}")))
+          .isInstanceOf(MalformedMessageException.class);
+    }
+  }
+
+  @Nested
+  class Submissions {
+
+    @Test
+    void shouldReadAJob() throws MalformedMessageException {
+      JobSpec job =
+          SubmittedJobs.decode(
+              "5c0e7a21d94b36f8",
+              "q",
+              "t",
+              bytes("{'spec':'x','steps':[{'count':4,'cpu':500},{'count':1,'after':[0]}]}"),
+              5);
+      assertThat(job.steps()).hasSize(2);
+      assertThat(job.steps().get(1).after()).containsExactly(0);
+    }
+
+    @Test
+    void shouldRefuseAStepThatWaitsForALaterOne() {
+      assertThatThrownBy(
+              () ->
+                  SubmittedJobs.decode(
+                      "5c0e7a21d94b36f8",
+                      "q",
+                      "t",
+                      bytes("{'spec':'x','steps':[{'count':1,'after':[0]}]}"),
+                      5))
+          .isInstanceOf(MalformedMessageException.class)
+          .hasMessageContaining("earlier steps");
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -0,0 +1,176 @@
+package org.laburnumarch.internal.pool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.FleetConfig;
+import org.laburnumarch.internal.job.FleetConfig.CallerLimits;
+import org.laburnumarch.internal.job.ServiceConfig;
+import org.laburnumarch.internal.schedule.WorkerLoad;
+
+/** Guards the orders for instances: what is emptied first, what is counted, what moves. */
+class FleetPlannerTest {
+
+  private static final long MOVE_MS = 1_500;
+  private static final long MAINTENANCE_MS = 2_000;
+  private static final FleetConfig CONFIG =
+      new FleetConfig(
+          1,
+          List.of(),
+          List.of(
+              new ServiceConfig("desk", true, false, "/health"),
+              new ServiceConfig("office", true, false, "/health"),
+              new ServiceConfig("reserve", true, true, "/health")),
+          List.of(),
+          CallerLimits.DEFAULT);
+
+  private final FleetPlanner planner = new FleetPlanner(MOVE_MS, MAINTENANCE_MS);
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Map<String, WorkerLoad> loads = new LinkedHashMap<>();
+  private long nowMs = 10_000;
+
+  private void add(String name, String pool, int shortRuns, int lastingRuns, boolean isUsable) {
+    machines.put(
+        name, new Machine(name, pool, Machine.State.UP, "dc", List.of("a", "r"), "w" + name));
+    if (!pool.equals("reserve")) {
+      loads.put(
+          name,
+          new WorkerLoad("w" + name, pool, isUsable, shortRuns, lastingRuns, shortRuns / 10.0));
+    }
+  }
+
+  private FleetPlan plan(double deskWorkers, double officeWorkers) {
+    planner.onList(machines.values(), nowMs);
+    return planner.plan(
+        CONFIG,
+        Map.of(
+            "desk", new PoolDemand(deskWorkers, 0, 1),
+            "office", new PoolDemand(officeWorkers, 0, 1)),
+        new ArrayList<>(loads.values()),
+        Set.of(),
+        nowMs);
+  }
+
+  private static MaintenanceWave wave(int atOnce, String... names) {
+    return new MaintenanceWave(1, Set.of(names), 20_000, atOnce);
+  }
+
+  @Nested
+  class InAWave {
+
+    @Test
+    void shouldNotExceedTheNumberAtOnce() {
+      for (int i = 0; i < 6; i++) {
+        add("m" + i, "desk", 0, 0, true);
+      }
+      planner.addWave(wave(2, "m0", "m1", "m2", "m3"), nowMs, Set.of());
+      assertThat(maintained(plan(6, 1))).hasSize(2);
+      assertThat(maintained(plan(6, 1))).isEmpty();
+    }
+
+    @Test
+    void shouldCountMaintenanceThatAnEarlierOwnerOrdered() {
+      add("m0", "desk", 0, 0, true);
+      add("m1", "desk", 0, 0, true);
+      machines.put(
+          "m1", new Machine("m1", "desk", Machine.State.MAINTENANCE, "dc", List.of("a", "r"), ""));
+      loads.remove("m1");
+      planner.addWave(wave(1, "m0", "m1"), nowMs, Set.of());
+      assertThat(maintained(plan(2, 1))).isEmpty();
+    }
+
+    @Test
+    void shouldEmptyAnInstanceBeforeItsMaintenance() {
+      add("m0", "desk", 0, 2, true);
+      add("m1", "desk", 0, 0, true);
+      planner.addWave(wave(2, "m0"), nowMs, Set.of());
+      FleetPlan plan = plan(2, 1);
+      assertThat(maintained(plan)).isEmpty();
+      assertThat(plan.cordoned()).contains("wm0");
+      assertThat(plan.vacated()).contains("wm0");
+    }
+
+    /** Guards against ending tasks on workers that a new owner has not heard of yet. */
+    @Test
+    void shouldLeaveAnInstanceAloneWhileItsWorkerHasNotReported() {
+      add("m0", "desk", 0, 0, false);
+      add("m1", "desk", 0, 0, true);
+      loads.remove("m1");
+      planner.addWave(wave(2, "m0", "m1"), nowMs, Set.of());
+      assertThat(maintained(plan(2, 1))).isEmpty();
+    }
+
+    @Test
+    void shouldNotMaintainAgainWhatHasBegun() {
+      add("m0", "desk", 0, 0, true);
+      planner.addWave(wave(2, "m0"), nowMs, Set.of("m0"));
+      assertThat(maintained(plan(1, 1))).isEmpty();
+      assertThat(planner.isCompleted(1)).isTrue();
+    }
+
+    @Test
+    void shouldRepeatAnOrderWhoseAnswerWasLost() {
+      add("m0", "desk", 0, 0, true);
+      planner.addWave(wave(2, "m0"), nowMs, Set.of());
+      MachineOrder order = maintained(plan(1, 1)).get(0);
+      planner.onOutcome(order, MachineOrderOutcome.UNKNOWN, nowMs);
+      assertThat(planner.isCompleted(1)).isFalse();
+      nowMs += 500;
+      assertThat(maintained(plan(1, 1))).containsExactly(order);
+    }
+
+    private List<MachineOrder> maintained(FleetPlan plan) {
+      return plan.orders().stream().filter(MachineOrder.Maintain.class::isInstance).toList();
+    }
+  }
+
+  @Nested
+  class WhenDemandTurns {
+
+    @Test
+    void shouldSendSpareInstancesToThePoolThatIsAsked() {
+      add("m0", "desk", 0, 0, true);
+      add("m1", "office", 0, 0, true);
+      for (int i = 2; i < 6; i++) {
+        add("m" + i, "reserve", 0, 0, true);
+      }
+      assertThat(plan(3, 0).orders())
+          .filteredOn(MachineOrder.Move.class::isInstance)
+          .extracting(order -> ((MachineOrder.Move) order).pool())
+          .contains("desk");
+    }
+
+    @Test
+    void shouldReturnSurplusOnlyAfterAWhile() {
+      for (int i = 0; i < 6; i++) {
+        add("m" + i, "desk", 0, 0, true);
+      }
+      add("m6", "office", 0, 0, true);
+      add("m7", "office", 0, 0, true);
+      assertThat(plan(1, 1).orders()).isEmpty();
+      nowMs += 2_000;
+      assertThat(plan(1, 1).orders())
+          .isNotEmpty()
+          .allMatch(order -> ((MachineOrder.Move) order).pool().equals("reserve"));
+    }
+
+    @Test
+    void shouldNotTakeInstancesWithLastingTasksForSurplus() {
+      for (int i = 0; i < 4; i++) {
+        add("m" + i, "desk", 0, 1, true);
+      }
+      // The other pool lacks nothing, so nothing but the surplus could make an instance leave.
+      add("m4", "office", 0, 1, true);
+      add("m5", "office", 0, 1, true);
+      plan(0, 0);
+      nowMs += 2_000;
+      assertThat(plan(0, 0).cordoned()).isEmpty();
+    }
+  }
+}
