Ask at once after a stopped start, log ends, and split the scheduler

Change: such a worker is asked for a second report at once; each end is logged once; the rounds of starts and the demand of pools are classes of their own.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -17,12 +17,14 @@
 import org.laburnumarch.internal.platform.WorkerRefusalException;
 import org.laburnumarch.internal.schedule.AdviceQuery;
 import org.laburnumarch.internal.schedule.Decisions;
+import org.laburnumarch.internal.schedule.EndedTask;
 import org.laburnumarch.internal.schedule.Order;
 import org.laburnumarch.internal.schedule.OrderReply;
 import org.laburnumarch.internal.schedule.OrderReply.Outcome;
 import org.laburnumarch.internal.schedule.Renewal;
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.WorkerListing;
+import org.laburnumarch.internal.schedule.WorkerReport;
 import org.tinylog.Logger;
 
 /** Follows the registry of workers and carries orders to them. Used on one thread only. */
@@ -47,6 +49,8 @@
   private final Map<String, WorkerListing> listings = new HashMap<>();
   private final Map<String, Connection> connections = new HashMap<>();
   private final Set<String> renewing = new HashSet<>();
+  private final Set<String> peeking = new HashSet<>();
+  private final Map<String, Long> loggedEnds = new HashMap<>();
   private final Set<String> unreadable = new HashSet<>();
   private boolean isRegistryRead;
   private boolean isClosed;
@@ -226,36 +230,55 @@
   void renewLeases() {
     for (String workerId : scheduler.workerIds()) {
       if (!renewing.contains(workerId)) {
-        scheduler.renewal(workerId, clock.nowMs()).ifPresent(this::renew);
+        scheduler.renewal(workerId, clock.nowMs()).ifPresent(renewal -> renew(renewal, renewing));
+      } else if (!peeking.contains(workerId)) {
+        scheduler.peek(workerId).ifPresent(renewal -> renew(renewal, peeking));
       }
     }
   }
 
-  private void renew(Renewal renewal) {
+  private void renew(Renewal renewal, Set<String> underway) {
     Optional<WorkerClient> client = client(renewal.workerId());
     if (client.isEmpty()) {
       return;
     }
-    renewing.add(renewal.workerId());
+    underway.add(renewal.workerId());
     client
         .get()
         .renew(
             renewal.leaseEndClockMs(), tenure.term(), renewal.acknowledgedEnd(), renewal.waitMs())
         .whenComplete(
             (report, failure) -> {
-              renewing.remove(renewal.workerId());
+              underway.remove(renewal.workerId());
               if (isClosed) {
                 return;
               }
               if (failure != null) {
                 onRenewalFailed(renewal, failure);
               } else {
+                logEnds(renewal.workerId(), report);
                 scheduler.onReport(renewal.workerId(), report, clock.nowMs()).forEach(this::send);
               }
               onEvent.run();
             });
   }
 
+  /** Logs ends that have not been listed before. */
+  private void logEnds(String workerId, WorkerReport report) {
+    String life = workerId + '/' + report.startedEpochMs();
+    for (EndedTask ended : report.ended()) {
+      if (ended.number() > loggedEnds.getOrDefault(life, 0L)) {
+        loggedEnds.put(life, ended.number());
+        Logger.info(
+            "orders: event=End task={} run={} worker={} how={}",
+            ended.taskName(),
+            ended.run(),
+            workerId,
+            ended.how());
+      }
+    }
+  }
+
   private void onRenewalFailed(Renewal renewal, Throwable failure) {
     Throwable cause = PlatformFailures.unwrap(failure);
     Logger.info(
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandMeter.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandMeter.java
@@ -1,10 +1,15 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.QueueConfig;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.pool.PoolDemand;
 
 /**
  * Measures how many workers each pool needs now, in workers of its ordinary size. Answers demand
@@ -71,13 +76,13 @@
   }
 
   /** Returns the workers that the present rate of arrivals keeps busy. */
-  double arrivalWorkers(String service, long nowMs) {
+  private double arrivalWorkers(String service, long nowMs) {
     Arrivals seen = arrivals.get(service);
     return seen == null ? 0 : seen.workersAt(nowMs);
   }
 
   /** Returns the workers that the open steps of an occurrence need to be done in time. */
-  double workersFor(
+  private double workersFor(
       List<Step> steps, QueueConfig queue, Resources workerSize, long nowMs, long epochMs) {
     double workMs = 0;
     for (Step step : steps) {
@@ -104,4 +109,58 @@
     double memory = (double) amount.memoryMb() / Math.max(1, workerSize.memoryMb());
     return Math.max(cpu, memory);
   }
+
+  /** Returns what each pool needs now. */
+  Map<String, PoolDemand> demands(
+      Collection<Job> jobs,
+      FleetConfig config,
+      Function<String, Resources> workerSize,
+      long nowMs,
+      long epochMs) {
+    Map<String, PoolDemand> demands = new HashMap<>();
+    for (String service : config.services().keySet()) {
+      demands.put(service, new PoolDemand(0.8 * arrivalWorkers(service, nowMs), 0, 0));
+    }
+    Map<String, Double> waiting = new HashMap<>();
+    for (Job job : jobs) {
+      Optional<QueueConfig> queue = config.queue(job.spec.queue());
+      if (job.status.isFinal() || queue.isEmpty()) {
+        continue;
+      }
+      String service = queue.get().service();
+      Resources size = workerSize.apply(service);
+      for (List<Step> steps : job.occurrences.values()) {
+        waiting.merge(service, workersFor(steps, queue.get(), size, nowMs, epochMs), Double::sum);
+        for (Step step : steps) {
+          if (step.spec.isLongRunning()) {
+            demands.merge(service, lasting(step, size), DemandMeter::add);
+          }
+        }
+      }
+    }
+    waiting.forEach(
+        (service, need) ->
+            demands.merge(
+                service,
+                new PoolDemand(need, 0, 0),
+                (known, more) ->
+                    new PoolDemand(
+                        Math.max(known.shortWorkers(), more.shortWorkers()),
+                        known.lastingWorkers(),
+                        known.spread())));
+    return demands;
+  }
+
+  private static PoolDemand lasting(Step step, Resources size) {
+    int limit = step.spec.maxPerWorker();
+    int spread = limit == 0 ? 1 : (step.spec.count() + limit - 1) / limit;
+    return new PoolDemand(0, step.spec.count() * share(step.spec.reserved(), size), spread);
+  }
+
+  private static PoolDemand add(PoolDemand known, PoolDemand more) {
+    return new PoolDemand(
+        known.shortWorkers() + more.shortWorkers(),
+        known.lastingWorkers() + more.lastingWorkers(),
+        Math.max(known.spread(), more.spread()));
+  }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -23,14 +23,8 @@
  */
 public final class Scheduler {
 
-  /** Bits of a run number that count runs within one term. */
-  private static final int RUN_BITS = 12;
-
   private static final long CHECK_RUNS_EVERY_MS = 1_000;
 
-  /** Steps in one round that found no worker, after which the pool counts as full. */
-  private static final int MAX_MISSES = 24;
-
   private final SchedulerSettings settings;
   private final long term;
   private final Takeover takeover;
@@ -313,6 +307,23 @@
     return worker == null ? Optional.empty() : Renewals.decide(worker, settings, nowMs);
   }
 
+  /**
+   * Returns a report to ask for beside the one that waits at a worker, because a start without an
+   * answer has been stopped there and its task waits for the word that it does not run.
+   */
+  public Optional<Renewal> peek(String workerId) {
+    Worker worker = workers.find(workerId);
+    boolean isWanted =
+        worker != null
+            && worker.attempts.values().stream()
+                .anyMatch(
+                    attempt ->
+                        attempt.phase == Attempt.Phase.UNANSWERED && attempt.isStopConfirmed);
+    return isWanted
+        ? Optional.of(new Renewal(worker.id, -1, worker.sentAcknowledgement, 0))
+        : Optional.empty();
+  }
+
   /** Returns the ids of all workers that are known. */
   public List<String> workerIds() {
     return workers.all().stream().map(worker -> worker.id).toList();
@@ -368,53 +379,7 @@
 
   /** Returns what each pool needs now. */
   public Map<String, PoolDemand> demands(long nowMs, long epochMs) {
-    Map<String, PoolDemand> demands = new HashMap<>();
-    for (String service : config.services().keySet()) {
-      demands.put(service, new PoolDemand(0.8 * demand.arrivalWorkers(service, nowMs), 0, 0));
-    }
-    Map<String, Double> waiting = new HashMap<>();
-    for (Job job : liveJobs.values()) {
-      Optional<QueueConfig> queue = config.queue(job.spec.queue());
-      if (job.status.isFinal() || queue.isEmpty()) {
-        continue;
-      }
-      String service = queue.get().service();
-      Resources size = workerSize(service);
-      for (List<Step> steps : job.occurrences.values()) {
-        waiting.merge(
-            service, demand.workersFor(steps, queue.get(), size, nowMs, epochMs), Double::sum);
-        for (Step step : steps) {
-          if (step.spec.isLongRunning()) {
-            demands.merge(service, lasting(step, size), Scheduler::add);
-          }
-        }
-      }
-    }
-    waiting.forEach(
-        (service, need) ->
-            demands.merge(
-                service,
-                new PoolDemand(need, 0, 0),
-                (known, more) ->
-                    new PoolDemand(
-                        Math.max(known.shortWorkers(), more.shortWorkers()),
-                        known.lastingWorkers(),
-                        known.spread())));
-    return demands;
-  }
-
-  private static PoolDemand lasting(Step step, Resources size) {
-    int limit = step.spec.maxPerWorker();
-    int spread = limit == 0 ? 1 : (step.spec.count() + limit - 1) / limit;
-    return new PoolDemand(
-        0, step.spec.count() * DemandMeter.share(step.spec.reserved(), size), spread);
-  }
-
-  private static PoolDemand add(PoolDemand known, PoolDemand more) {
-    return new PoolDemand(
-        known.shortWorkers() + more.shortWorkers(),
-        known.lastingWorkers() + more.lastingWorkers(),
-        Math.max(known.spread(), more.spread()));
+    return demand.demands(liveJobs.values(), config, this::workerSize, nowMs, epochMs);
   }
 
   /** Returns the capacity of a pool's workers, or of any worker if it has none. */
@@ -473,17 +438,15 @@
         collect(job, byService, unseenByTeam, nowMs, epochMs);
       }
     }
+    StartRound.Context context =
+        new StartRound.Context(
+            config, settings, term, runs, teamUse, tickets, unseenByTeam, orders, queries, nowMs);
     byService.forEach(
         (service, candidates) -> {
           candidates.sort(JobOrder.ORDER);
-          StartRound round =
-              new StartRound(
-                  new Placement(workers.pool(service), evacuated, settings.remotePenalty(), nowMs),
-                  orders,
-                  queries,
-                  unseenByTeam,
-                  nowMs);
-          round.run(candidates, workers.pool(service));
+          List<Worker> pool = workers.pool(service);
+          Placement placement = new Placement(pool, evacuated, settings.remotePenalty(), nowMs);
+          new StartRound(context, placement).run(candidates, pool);
         });
   }
 
@@ -522,135 +485,4 @@
     }
     return false;
   }
-
-  /** One round of starts in one pool. */
-  private final class StartRound {
-    private final Placement placement;
-    private final List<Order> orders;
-    private final List<AdviceQuery> queries;
-    private final long nowMs;
-    private final Map<String, Resources> unseenByTeam;
-
-    StartRound(
-        Placement placement,
-        List<Order> orders,
-        List<AdviceQuery> queries,
-        Map<String, Resources> unseenByTeam,
-        long nowMs) {
-      this.placement = placement;
-      this.orders = orders;
-      this.queries = queries;
-      this.unseenByTeam = unseenByTeam;
-      this.nowMs = nowMs;
-    }
-
-    void run(List<Candidate> candidates, List<Worker> pool) {
-      int misses = 0;
-      for (Candidate candidate : candidates) {
-        if (misses >= MAX_MISSES) {
-          return;
-        }
-        Step step = candidate.step();
-        boolean needsTicket = candidate.queue().advice().isPresent();
-        Map<String, String> stepTickets = tickets.of(step, nowMs);
-        if (needsTicket && stepTickets.isEmpty()) {
-          ask(candidate, pool);
-          continue;
-        }
-        boolean isPlaced =
-            step.spec.isGang()
-                ? startGang(step, stepTickets, needsTicket)
-                : startTasks(candidate, stepTickets, needsTicket);
-        misses += isPlaced ? 0 : 1;
-      }
-    }
-
-    private void ask(Candidate candidate, List<Worker> pool) {
-      List<String> ids =
-          pool.stream()
-              .filter(worker -> placement.mayRun(worker, candidate.step()))
-              .map(worker -> worker.id)
-              .toList();
-      tickets
-          .ask(candidate.step(), candidate.queue().advice().orElseThrow(), ids, nowMs)
-          .ifPresent(queries::add);
-    }
-
-    private boolean startTasks(
-        Candidate candidate, Map<String, String> stepTickets, boolean needsTicket) {
-      for (Task task : candidate.step().tasks) {
-        if (!task.isStartable(nowMs)) {
-          continue;
-        }
-        if (!teamAllows(candidate.step(), 1)) {
-          return false;
-        }
-        Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
-        if (worker.isEmpty()) {
-          if (candidate.rank() == JobOrder.Rank.LASTING) {
-            placement.keepFreeFor(task);
-          }
-          return false;
-        }
-        start(task, worker.get(), nextRun(task), stepTickets);
-      }
-      return true;
-    }
-
-    private boolean startGang(Step step, Map<String, String> stepTickets, boolean needsTicket) {
-      for (Task task : step.tasks) {
-        if (!task.isStartable(nowMs)) {
-          return false;
-        }
-      }
-      if (!teamAllows(step, step.tasks.size())) {
-        return false;
-      }
-      Optional<Map<Task, Worker>> chosen =
-          placement.chooseAll(step.tasks, stepTickets, needsTicket);
-      if (chosen.isEmpty()) {
-        return false;
-      }
-      long run = step.tasks.stream().mapToLong(this::nextRun).max().orElse(1);
-      String checkpoint =
-          step.tasks.stream()
-              .map(task -> task.checkpoint)
-              .filter(value -> !value.isEmpty())
-              .findFirst()
-              .orElse("");
-      for (Task task : step.tasks) {
-        task.checkpoint = checkpoint;
-        start(task, chosen.get().get(task), run, stepTickets);
-      }
-      return true;
-    }
-
-    private boolean teamAllows(Step step, int tasks) {
-      Resources need = step.spec.need();
-      Resources all =
-          new Resources(need.cpuMillis() * tasks, need.memoryMb() * tasks, need.gpus() * tasks);
-      String team = step.job.spec.team();
-      return teamUse.allows(config, team, all, unseenByTeam.getOrDefault(team, Resources.NONE));
-    }
-
-    private long nextRun(Task task) {
-      return Math.max(task.lastRun + 1, ((term - 1) << RUN_BITS) + 1);
-    }
-
-    private void start(Task task, Worker worker, long run, Map<String, String> stepTickets) {
-      long leaseEndClockMs = worker.clockMs(nowMs) + settings.leaseMs();
-      worker.leaseEndClockMs = Math.max(worker.leaseEndClockMs, leaseEndClockMs);
-      worker.ordersInFlight++;
-      Attempt attempt = runs.open(task, worker, run, nowMs, leaseEndClockMs);
-      orders.add(
-          new Order.Start(
-              worker.id,
-              task.key.wireName(),
-              run,
-              task.step.job.spec.program(),
-              leaseEndClockMs,
-              attempt.checkpoint,
-              stepTickets.getOrDefault(worker.id, "")));
-    }
-  }
 }
--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -87,6 +87,53 @@
     }
   }
 
+  /** The decisions on the users' platform; addresses are data to them. */
+  @Nested
+  class PlatformDecisions {
+
+    private final String[] packages = {
+      INTERNAL + "job..", INTERNAL + "schedule..", INTERNAL + "pool..", INTERNAL + "lead..",
+    };
+
+    @Test
+    void shouldNotUseNetworkOrFiles() {
+      noClasses()
+          .that()
+          .resideInAnyPackage(packages)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "io.servicetalk..", "io.netty..", "java.nio.file..", "java.nio.channels..")
+          .check(PRODUCTION);
+    }
+
+    @Test
+    void shouldNotReadClocksOrStartThreads() {
+      noClasses()
+          .that()
+          .resideInAnyPackage(packages)
+          .should()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .dependOnClassesThat()
+          .areAssignableTo(Thread.class)
+          .check(PRODUCTION);
+    }
+
+    @Test
+    void shouldNotKnowTheAdapter() {
+      noClasses()
+          .that()
+          .resideInAnyPackage(packages)
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage(INTERNAL + "platform..")
+          .check(PRODUCTION);
+    }
+  }
+
   @Nested
   class PublicPackages {
 
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -179,7 +179,9 @@
       List<Order> next = decide();
       assertThat(next).containsExactly(new Order.Stop(lost.workerId(), "a.0.0.0", lost.run()));
       Order.Stop stop = (Order.Stop) next.get(0);
+      assertThat(scheduler.peek(stop.workerId())).isEmpty();
       scheduler.onStopReply(stop, worker(stop).stop(stop, 1, nowMs), nowMs);
+      assertThat(scheduler.peek(stop.workerId())).isPresent();
       assertThat(starts()).isEmpty();
       nowMs += 50;
       report(one, 1);
