Read-through: one interface for callers' requests, fields before methods, a reload that says its outcome

Cause: reading the change as a newcomer: two interfaces with the same method, fields declared between methods, an unused query, and a SIGHUP that claimed to reload.

Change: JobService moves beside JobReply and serves the adapter, too; SIGHUP reads the settings file and logs whether it is unchanged, needs a restart or cannot be used, with the old settings in force.

--- a/src/main/java/org/laburnumarch/internal/node/JobService.java
+++ b/src/main/java/org/laburnumarch/internal/link/JobService.java
@@ -1,7 +1,6 @@
-package org.laburnumarch.internal.node;
+package org.laburnumarch.internal.link;
 
 import java.util.concurrent.CompletionStage;
-import org.laburnumarch.internal.link.JobReply;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 
 /** Answers callers' requests, here or at the owner. */
--- a/src/main/java/org/laburnumarch/internal/link/LinkClient.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkClient.java
@@ -49,6 +49,9 @@
 
   private static final int CONNECT_TIMEOUT_MS = 500;
 
+  /** Time after which a caller may find an owner again. */
+  private static final long RETRY_AFTER_MS = 1_000;
+
   private final InetSocketAddress address;
   private final EventLoopGroup group;
   private final Listener listener;
@@ -133,9 +136,6 @@
     return stage.whenComplete((reply, failure) -> timeout.cancel(false));
   }
 
-  /** Time after which a caller may find an owner again. */
-  private static final long RETRY_AFTER_MS = 1_000;
-
   /** Tells the other daemon that this one owns the fleet. */
   public void announce(byte[] record) {
     if (isConnected()) {
--- a/src/main/java/org/laburnumarch/internal/node/JobRouter.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobRouter.java
@@ -6,6 +6,7 @@
 import org.laburnumarch.internal.http.HttpLoop;
 import org.laburnumarch.internal.link.JobReply;
 import org.laburnumarch.internal.link.JobReply.Code;
+import org.laburnumarch.internal.link.JobService;
 import org.laburnumarch.internal.link.LinkClient;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 
--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -229,11 +229,6 @@
     forgotten.addAll(jobIds);
   }
 
-  /** Returns since when writes have failed; -1 if the last one succeeded. */
-  long failingSinceMs() {
-    return failingSinceMs;
-  }
-
   /** Writes what waits, unless a write is under way. */
   void flush() {
     if (isWriting || isClosed || nextSequence == 0) {
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -98,7 +98,7 @@
             new CallerService(
                 new CallerService.Environment(
                     operators::config, operators::isServing, () -> isStopping, clock::epochMs),
-                router::call));
+                router));
     this.readiness = HttpListeners.listenForReadiness(settings.readiness(), loop, this::isReady);
     loop.execute(this::start);
   }
--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -27,17 +27,29 @@
       return ResultCode.USAGE.outcome().exitStatus();
     }
     try {
-      return runUntilSignal(NodeSettings.read(Path.of(path)));
+      return runUntilSignal(NodeSettings.read(Path.of(path)), Path.of(path));
     } catch (IOException | MalformedMessageException e) {
       err.println("node: the settings in " + path + " cannot be used: " + e.getMessage());
       return ResultCode.USAGE.outcome().exitStatus();
     }
   }
 
-  private static int runUntilSignal(NodeSettings settings) {
+  /**
+   * Says what has changed in the settings file; addresses and bounds change with a restart only.
+   */
+  private static void checkSettings(NodeSettings inForce, Path file) {
+    try {
+      boolean isSame = NodeSettings.read(file).equals(inForce);
+      Logger.info("node: event=reload outcome={}", isSame ? "unchanged" : "needs-restart");
+    } catch (IOException | MalformedMessageException e) {
+      Logger.warn("node: event=reload outcome=unusable cause=\"{}\"", e.getMessage());
+    }
+  }
+
+  private static int runUntilSignal(NodeSettings settings, Path file) {
     BoundedOutput.install();
     CompletableFuture<Void> signal = TerminationSignals.firstSignal();
-    TerminationSignals.onHangup(() -> Logger.info("node: event=reload"));
+    TerminationSignals.onHangup(() -> checkSettings(settings, file));
     try (Node node = new Node(settings)) {
       signal.get();
       node.stop().toCompletableFuture().get(settings.shutdownBoundMs(), TimeUnit.MILLISECONDS);
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -15,6 +15,7 @@
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.link.JobReply;
 import org.laburnumarch.internal.link.JobReply.Code;
+import org.laburnumarch.internal.link.JobService;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 import org.laburnumarch.internal.node.JobStore.Submission;
 import org.laburnumarch.internal.platform.MachineClient;
@@ -48,6 +49,9 @@
     void onFenced(String where);
   }
 
+  /** A cancellation that is confirmed when its change is stored. */
+  private record WaitingCancel(long change, CompletableFuture<JobReply> result) {}
+
   private final HttpLoop loop;
   private final LocalClock clock;
   private final OwnerTenure tenure;
@@ -58,7 +62,9 @@
   private final WorkerDriver driver;
   private final Optional<MachineKeeper> machines;
   private final Runnable onOperatorChange = this::takeUpOperators;
+  private final List<WaitingCancel> waitingCancels = new ArrayList<>();
   private boolean isLoaded;
+  private boolean isEnrolling;
   private boolean isRoundPlanned;
   private boolean isClosed;
   private long forgotAtMs;
@@ -210,8 +216,6 @@
     jobs.flush();
   }
 
-  private boolean isEnrolling;
-
   private void enrol() {
     if (!isEnrolling) {
       isEnrolling = true;
@@ -282,15 +286,6 @@
     return result;
   }
 
-  private record WaitingCancel(long change, CompletableFuture<JobReply> result) {}
-
-  private final List<WaitingCancel> waitingCancels = new ArrayList<>();
-
-  /** Returns whether jobs could be stored lately. */
-  boolean isStoring() {
-    return jobs.failingSinceMs() < 0;
-  }
-
   private void fenced(String where) {
     if (!isClosed) {
       listener.onFenced(where);
--- a/src/main/java/org/laburnumarch/internal/platform/CallerService.java
+++ b/src/main/java/org/laburnumarch/internal/platform/CallerService.java
@@ -11,7 +11,6 @@
 import io.servicetalk.http.api.HttpService;
 import io.servicetalk.http.api.HttpServiceContext;
 import java.util.Optional;
-import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -22,20 +21,13 @@
 import org.laburnumarch.internal.job.QueueConfig;
 import org.laburnumarch.internal.link.JobReply;
 import org.laburnumarch.internal.link.JobReply.Code;
+import org.laburnumarch.internal.link.JobService;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 import org.tinylog.Logger;
 
 /** Callers' HTTP interface: submits, shows and cancels jobs. */
 public final class CallerService implements HttpService {
 
-  /** Answers requests that are allowed. */
-  public interface Jobs {
-
-    /** Answers one request; see {@link CallKind}. */
-    CompletionStage<JobReply> call(
-        CallKind kind, String queue, String jobId, byte[] payload, long patienceMs);
-  }
-
   /** What the interface needs to know of its daemon. */
   public record Environment(
       Supplier<FleetConfig> config,
@@ -54,10 +46,10 @@
   private static final int SHORTEST_RETRY_AFTER_S = 1;
 
   private final Environment environment;
-  private final Jobs jobs;
+  private final JobService jobs;
 
   /** Creates the interface. */
-  public CallerService(Environment environment, Jobs jobs) {
+  public CallerService(Environment environment, JobService jobs) {
     this.environment = environment;
     this.jobs = jobs;
   }
