Judge what has run out as of the last stored renewal

Reading showed that an owner cut off with its zone gave up unreachable workers when its own grants had run out and started their tasks again, while its successor had adopted them and prolonged the leases.

Ruled out: a shorter authority, since any authority longer than a lease leaves the hole.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -203,6 +203,7 @@
     if (scheduler.needsEnrolment() && driver.hasRegistry()) {
       enrol();
     }
+    scheduler.onOwnershipProven(nowMs - tenure.renewedAgoMs(nowMs));
     if (operators.config().isPresent()) {
       machines.ifPresent(keeper -> keeper.round(nowMs));
       Decisions decisions = scheduler.decide(nowMs, clock.epochMs());
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -45,6 +45,9 @@
   private Set<String> evacuated = Set.of();
   private long storedChange;
 
+  /** Local time at which this owner was the newest one for certain. */
+  private long ownedAtMs;
+
   /**
    * Creates a scheduler without jobs.
    *
@@ -56,6 +59,7 @@
   public Scheduler(SchedulerSettings settings, long term, long nowMs, boolean hadEarlierOwner) {
     this.settings = settings;
     this.term = term;
+    this.ownedAtMs = nowMs;
     this.takeover = new Takeover(settings, nowMs, hadEarlierOwner);
     this.runs = new RunBook(jobs, teamUse, changes, runTimes, queue -> this.config.queue(queue));
   }
@@ -141,6 +145,14 @@
     }
   }
 
+  /**
+   * Notes that no later owner existed at a local time. What an earlier grant has surely ended by is
+   * judged as of that time, because a later owner may prolong it.
+   */
+  public void onOwnershipProven(long atMs) {
+    ownedAtMs = Math.max(ownedAtMs, atMs);
+  }
+
   /** Returns whether a job with this id has been accepted. */
   public boolean knows(String jobId) {
     return jobs.containsKey(jobId);
@@ -395,11 +407,11 @@
   /** Decides what to start, stop and slow down now. */
   public Decisions decide(long nowMs, long epochMs) {
     for (Worker worker : workers.all()) {
-      if (worker.missedReports > 0 && worker.isLeaseOver(nowMs)) {
+      if (worker.missedReports > 0 && worker.isLeaseOver(ownedAtMs)) {
         runs.closeAll(worker, nowMs);
       }
     }
-    workers.forgetGone(nowMs, takeover.isOver(nowMs));
+    workers.forgetGone(ownedAtMs, takeover.isOver(ownedAtMs));
     if (nowMs - checkedRunsAtMs >= CHECK_RUNS_EVERY_MS) {
       checkedRunsAtMs = nowMs;
       workers.all().forEach(worker -> worker.health.fade());
@@ -462,7 +474,7 @@
     }
     job.openOccurrences(epochMs);
     String service = queue.get().service();
-    if (job.isInherited && takeover.isBlocked(workers.pool(service), nowMs)) {
+    if (job.isInherited && takeover.isBlocked(workers.pool(service), ownedAtMs)) {
       unseenByTeam.merge(job.spec.team(), takeover.unseen(job), Resources::plus);
       return;
     }
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -45,6 +45,7 @@
   }
 
   private List<Order> decide() {
+    scheduler.onOwnershipProven(nowMs);
     return scheduler.decide(nowMs, nowMs).orders();
   }
 
@@ -216,6 +217,22 @@
       assertThat(nowMs).isGreaterThan(grantedUntilMs).isLessThan(grantedUntilMs + 7_000);
     }
 
+    /**
+     * Guards against an owner that is cut off while its successor keeps the worker's lease alive.
+     */
+    @Test
+    void shouldNotGiveTheWorkerUpWhileItsOwnershipIsNotProven() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
+      Order.Start start = starts().get(0);
+      obey(start, Long.MAX_VALUE / 4, false);
+      for (int i = 0; i < 70; i++) {
+        nowMs += 100;
+        scheduler.onReportMissed(start.workerId(), nowMs);
+        assertThat(scheduler.decide(nowMs, nowMs).orders()).isEmpty();
+      }
+      assertThat(starts()).hasSize(1);
+    }
+
     @Test
     void shouldRestartAtOnceWhatRanInAnEarlierLifeOfTheWorker() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
