Remove members that nothing reads

Cause: reading the whole change again: a ready time, a time at work and two pacing fields were written and never read, two queries of the store's copy had no caller, and a time was passed through four methods for the first of them only.

Change: they are removed, with the parameters that only they needed.

--- a/src/main/java/org/laburnumarch/internal/node/StoreTail.java
+++ b/src/main/java/org/laburnumarch/internal/node/StoreTail.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -76,11 +75,6 @@
     return freshAtMs;
   }
 
-  /** Returns whether the log has been read whole at least once. */
-  boolean isComplete() {
-    return nextOffset >= 0;
-  }
-
   private void readNewest() {
     readPage(Optional.empty(), new HashSet<>(), -1, clock.nowMs());
   }
@@ -188,11 +182,6 @@
     loop.after(RETRY_MS, again);
   }
 
-  /** Returns what the copy holds, for tests and other daemons. */
-  List<String> keys() {
-    return List.copyOf(offsets.keySet());
-  }
-
   /** Stops reading. */
   @Override
   public void close() {
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -53,11 +53,6 @@
 
   long load = -1;
 
-  /** Part of its processor time that the run may use, in hundredths. */
-  int pacePercent = 100;
-
-  long nextPaceAtMs;
-
   Attempt(
       Task task,
       Worker worker,
--- a/src/main/java/org/laburnumarch/internal/schedule/RunBook.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunBook.java
@@ -73,14 +73,13 @@
   }
 
   /** Removes a run that cannot be going on any more; its task may run again. */
-  private void close(Attempt attempt, long nowMs) {
+  private void close(Attempt attempt) {
     if (attempt.worker.remove(attempt)) {
       teamUse.remove(attempt.task.step.job.spec.team(), attempt.task.step.spec.need());
     }
     Task task = attempt.task;
     if (task.attempt == attempt) {
       task.attempt = null;
-      task.readySinceMs = nowMs;
     }
   }
 
@@ -113,7 +112,7 @@
 
   private void refuse(Attempt attempt, long pauseMs, long nowMs) {
     Worker worker = attempt.worker;
-    close(attempt, nowMs);
+    close(attempt);
     attempt.task.avoidedWorker = worker.id;
     attempt.task.notBeforeMs = nowMs + 2;
     if (pauseMs > 0) {
@@ -141,7 +140,7 @@
    * @return runs that should not go on and are not known here, as stops to order
    */
   List<Order> onReport(Worker worker, WorkerReport report, long nowMs) {
-    noteIncarnation(worker, report.startedEpochMs(), nowMs);
+    noteIncarnation(worker, report.startedEpochMs());
     worker.readClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
     worker.missedReports = 0;
@@ -158,34 +157,34 @@
       seen.add(Worker.attemptKey(running.taskName(), running.run()));
       onRunning(worker, running, report.workerClockMs(), nowMs).ifPresent(strays::add);
     }
-    closeAbsent(worker, report, seen, nowMs);
+    closeAbsent(worker, report, seen);
     return strays;
   }
 
   /** Notes when a worker's life began; if that has changed, nothing of before runs any more. */
-  void noteIncarnation(Worker worker, long startedEpochMs, long nowMs) {
+  void noteIncarnation(Worker worker, long startedEpochMs) {
     // A registry entry may be older than the worker's own report.
     if (startedEpochMs <= worker.startedEpochMs) {
       return;
     }
     if (worker.startedEpochMs != 0 || worker.hasClock()) {
-      closeAll(worker, nowMs);
+      closeAll(worker);
     }
     worker.resetLife(startedEpochMs);
   }
 
   /** Closes all runs on a worker on which nothing can run any more. */
-  void closeAll(Worker worker, long nowMs) {
-    List.copyOf(worker.attempts.values()).forEach(attempt -> close(attempt, nowMs));
+  void closeAll(Worker worker) {
+    List.copyOf(worker.attempts.values()).forEach(this::close);
   }
 
-  private void closeAbsent(Worker worker, WorkerReport report, Set<String> seen, long nowMs) {
+  private void closeAbsent(Worker worker, WorkerReport report, Set<String> seen) {
     for (Map.Entry<String, Attempt> entry : List.copyOf(worker.attempts.entrySet())) {
       Attempt attempt = entry.getValue();
       boolean isConfirmed = attempt.confirmedClockMs >= 0;
       long knownFromClockMs = isConfirmed ? attempt.confirmedClockMs : attempt.startDeadlineClockMs;
       if (!seen.contains(entry.getKey()) && report.workerClockMs() > knownFromClockMs) {
-        close(attempt, nowMs);
+        close(attempt);
       }
     }
   }
@@ -263,7 +262,7 @@
     Task task = attempt == null ? find(ended.taskName()) : attempt.task;
     boolean isStopOrdered = attempt != null && attempt.isStopWanted;
     if (attempt != null) {
-      close(attempt, nowMs);
+      close(attempt);
     }
     if (task == null) {
       return 0;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -78,7 +78,7 @@
   public void listWorkers(Collection<WorkerListing> listings, long nowMs) {
     workers.list(listings);
     for (WorkerListing listing : listings) {
-      runs.noteIncarnation(workers.find(listing.id()), listing.startedEpochMs(), nowMs);
+      runs.noteIncarnation(workers.find(listing.id()), listing.startedEpochMs());
     }
   }
 
@@ -408,7 +408,7 @@
   public Decisions decide(long nowMs, long epochMs) {
     for (Worker worker : workers.all()) {
       if (worker.missedReports > 0 && worker.isLeaseOver(ownedAtMs)) {
-        runs.closeAll(worker, nowMs);
+        runs.closeAll(worker);
       }
     }
     workers.forgetGone(ownedAtMs, takeover.isOver(ownedAtMs));
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -26,15 +26,9 @@
   /** Worker on which the last run ended badly; avoided while others have room. */
   String avoidedWorker = "";
 
-  /** Local time since which the task could have run. */
-  long readySinceMs = -1;
-
   /** Local time before which no new run is ordered, after a refusal. */
   long notBeforeMs;
 
-  /** Local time when the task was last at work; for budgets of unavailable tasks. */
-  long lastAtWorkMs = -1;
-
   Task(TaskKey key, Step step) {
     this.key = key;
     this.step = step;
