Keep what recent peaks needed, and a place for each lasting task

A lasting task was stopped while every other worker already had as many tasks of its step as it may have; the budget of the step then kept the other instances from being emptied, so nothing went on. Ruled out by the owner's log: no refusal, no limit of the team, no start that was tried. Now a lasting task is stopped only if another worker can take it, and a pool with lasting tasks gets one instance more for each that is in maintenance. Both tests failed first.

Cause 2: pools were emptied 0.8 s after their peak and before anybody had asked them, so each peak began with a pool at its smallest size; a move takes 1.5 s of the 4 s of a peak. Now a pool keeps what it needed in the last 20 s, and all it has until its demand is known.

The test on returned surplus now waits for the 20 s; it asserts the same and that nothing leaves before.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -84,6 +84,7 @@
   /** Instances that are away: until when at least, and for which wave. */
   private final Map<String, Away> away = new HashMap<>();
 
+  private final PoolMemory memory = new PoolMemory();
   private final Map<String, Long> surplusSinceMs = new HashMap<>();
   private final Set<String> impossible = new HashSet<>();
   private Map<String, Machine> machines = Map.of();
@@ -358,6 +359,7 @@
     }
     Map<String, Integer> wanted = wantedSizes(config, demands);
     Map<String, Integer> present = presentSizes(evacuated);
+    wanted.forEach((pool, size) -> memory.note(pool, size, isAsked(demands, pool), nowMs));
     poolSizes = "wanted=" + wanted + " present=" + present;
     List<String> lacking = new ArrayList<>(wanted.keySet());
     lacking.sort(
@@ -377,19 +379,40 @@
     returnSurplus(spare.get(), wanted, present, loads, nowMs);
   }
 
-  private static Map<String, Integer> wantedSizes(
-      FleetConfig config, Map<String, PoolDemand> demands) {
+  private Map<String, Integer> wantedSizes(FleetConfig config, Map<String, PoolDemand> demands) {
     Map<String, Integer> wanted = new HashMap<>();
     for (ServiceConfig service : config.services().values()) {
       if (!service.isSpare()) {
         PoolDemand demand = demands.getOrDefault(service.name(), PoolDemand.NONE);
         double workers = demand.shortWorkers() * HEADROOM + demand.lastingWorkers();
-        wanted.put(service.name(), Math.max(demand.spread() + 1, (int) Math.ceil(workers)));
+        int size = Math.max(demand.spread() + 1, (int) Math.ceil(workers));
+        // Lasting tasks that leave an instance need another one; short ones can wait for it.
+        int unusable = demand.spread() > 0 ? inMaintenance(service.name()) : 0;
+        wanted.put(service.name(), size + unusable);
       }
     }
     return wanted;
   }
 
+  private static boolean isAsked(Map<String, PoolDemand> demands, String pool) {
+    return demands.getOrDefault(pool, PoolDemand.NONE).shortWorkers() > 0;
+  }
+
+  /** Counts a pool's instances that are in maintenance or are emptied for it. */
+  private int inMaintenance(String pool) {
+    int count = 0;
+    for (Machine machine : machines.values()) {
+      Errand errand = errands.get(machine.name());
+      Away gone = away.get(machine.name());
+      boolean isConcerned =
+          (errand != null && errand.isMaintenance()) || (gone != null && gone.wave().isPresent());
+      if (isConcerned && machine.pool().equals(pool)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   /** Counts instances per pool as they will be when all that is under way has been done. */
   private Map<String, Integer> presentSizes(Set<String> evacuated) {
     Map<String, Integer> sizes = new HashMap<>();
@@ -464,7 +487,8 @@
       long nowMs) {
     for (Map.Entry<String, Integer> entry : wanted.entrySet()) {
       String pool = entry.getKey();
-      int surplus = present.getOrDefault(pool, 0) - entry.getValue();
+      int size = present.getOrDefault(pool, 0);
+      int surplus = size - Math.max(entry.getValue(), memory.keep(pool, size, nowMs));
       if (surplus <= 0) {
         surplusSinceMs.remove(pool);
         continue;
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -61,6 +61,16 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns whether some worker could take a task now. */
+  boolean hasRoom(Task task) {
+    for (Worker worker : pool) {
+      if (worker.free().holds(task.step.spec.reserved()) && mayRun(worker, task.step)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns whether a worker may run tasks of a step at all, whatever room it has. */
   boolean mayRun(Worker worker, Step step) {
     StepSpec spec = step.spec;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -180,6 +180,11 @@
     return job.hasStarted ? JobStatus.RUNNING : JobStatus.QUEUED;
   }
 
+  /** Returns the number of jobs that are not finished. */
+  public int liveJobCount() {
+    return liveJobs.size();
+  }
+
   /** Returns the number of a queue's accepted jobs of which nothing has started. */
   public int waitingJobs(String queue) {
     int count = 0;
@@ -370,14 +375,26 @@
     workers.all().forEach(worker -> worker.isCordoned = workerIds.contains(worker.id));
   }
 
-  /** Stops lasting tasks of a worker, as far as the budgets of their steps allow. */
-  public void vacate(String workerId) {
+  /**
+   * Stops lasting tasks of a worker, as far as the budgets of their steps allow and as far as
+   * another worker can take them at once.
+   */
+  public void vacate(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
-    if (worker != null) {
-      worker.attempts.values().stream()
-          .filter(attempt -> attempt.task.step.spec.isLongRunning())
-          .filter(attempt -> attempt.isAtWork() && mayInterrupt(attempt.task.step))
-          .forEach(attempt -> attempt.isStopWanted = true);
+    if (worker == null || worker.lastingRuns() == 0) {
+      return;
+    }
+    Placement placement =
+        new Placement(
+            workers.pool(worker.listing.service()), evacuated, settings.remotePenalty(), nowMs);
+    for (Attempt attempt : worker.attempts.values()) {
+      Step step = attempt.task.step;
+      if (step.spec.isLongRunning()
+          && attempt.isAtWork()
+          && mayInterrupt(step)
+          && placement.hasRoom(attempt.task)) {
+        attempt.isStopWanted = true;
+      }
     }
   }
 
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -96,6 +96,18 @@
       assertThat(plan.vacated()).contains("wm0");
     }
 
+    /** Guards against lasting tasks without a place while their instances are emptied. */
+    @Test
+    void shouldReplaceAnInstanceWithLastingTasksThatIsToGoIntoMaintenance() {
+      add("m0", "desk", 0, 2, true);
+      add("m1", "desk", 0, 2, true);
+      add("m2", "reserve", 0, 0, true);
+      add("m3", "office", 0, 0, true);
+      add("m4", "office", 0, 0, true);
+      planner.addWave(wave(1, "m0"), nowMs, Set.of());
+      assertThat(plan(0, 1).orders()).contains(new MachineOrder.Move("m2", "desk"));
+    }
+
     /** Guards against ending tasks on workers that a new owner has not heard of yet. */
     @Test
     void shouldLeaveAnInstanceAloneWhileItsWorkerHasNotReported() {
@@ -154,12 +166,42 @@
       add("m6", "office", 0, 0, true);
       add("m7", "office", 0, 0, true);
       assertThat(plan(1, 1).orders()).isEmpty();
+      nowMs += PoolMemory.MEMORY_MS + 1;
+      plan(1, 1);
       nowMs += 2_000;
       assertThat(plan(1, 1).orders())
           .isNotEmpty()
           .allMatch(order -> ((MachineOrder.Move) order).pool().equals("reserve"));
     }
 
+    /** Guards against a pool that is emptied between two peaks and late at each of them. */
+    @Test
+    void shouldKeepWhatTheLastPeakNeededThroughAPause() {
+      for (int i = 0; i < 6; i++) {
+        add("m" + i, "desk", 0, 0, true);
+      }
+      plan(4, 1);
+      nowMs += PoolMemory.MEMORY_MS;
+      plan(4, 1);
+      nowMs += 12_000;
+      plan(0.1, 1);
+      nowMs += 2_000;
+      assertThat(plan(0.1, 1).orders()).isEmpty();
+    }
+
+    /** Guards against pools that are emptied before anybody has asked them. */
+    @Test
+    void shouldKeepAllInstancesOfAPoolWhoseDemandIsNotKnown() {
+      for (int i = 0; i < 6; i++) {
+        add("m" + i, "desk", 0, 0, true);
+      }
+      plan(0, 0);
+      nowMs += 2 * PoolMemory.MEMORY_MS;
+      plan(0, 0);
+      nowMs += 2_000;
+      assertThat(plan(0, 0).orders()).isEmpty();
+    }
+
     @Test
     void shouldNotTakeInstancesWithLastingTasksForSurplus() {
       for (int i = 0; i < 4; i++) {
@@ -168,6 +210,8 @@
       // The other pool lacks nothing, so nothing but the surplus could make an instance leave.
       add("m4", "office", 0, 1, true);
       add("m5", "office", 0, 1, true);
+      plan(0.1, 0.1);
+      nowMs += PoolMemory.MEMORY_MS + 1;
       plan(0, 0);
       nowMs += 2_000;
       assertThat(plan(0, 0).cordoned()).isEmpty();
