--- a/src/main/java/org/laburnumarch/Laburnumarch.java
+++ b/src/main/java/org/laburnumarch/Laburnumarch.java
@@ -6,6 +6,7 @@
 import org.laburnumarch.internal.emulator.EmulatorCommand;
 import org.laburnumarch.internal.experiment.ExperimentCommand;
 import org.laburnumarch.internal.node.NodeCommand;
+import org.laburnumarch.internal.soak.SoakCommand;
 
 /** Entry point of the runnable file. */
 public final class Laburnumarch {
@@ -22,6 +23,7 @@
     return Subcommands.ofOperators()
         .plug("daemon", "Run one daemon until it is told to stop", new DaemonCommand())
         .plug("node", "Run one daemon on the users' platform", new NodeCommand())
+        .plug("soak", "Run daemons under random faults and check promises", new SoakCommand())
         .plug("experiment", "Measure policies against baselines", new ExperimentCommand()::run)
         .plug(
             "emulator",
--- a/src/main/java/org/laburnumarch/internal/entry/EntryService.java
+++ b/src/main/java/org/laburnumarch/internal/entry/EntryService.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletionStage;
 import org.laburnumarch.Refusal;
 import org.laburnumarch.ResultCode;
+import org.laburnumarch.internal.metrics.ExpositionText;
 import org.tinylog.Logger;
 
 /** The endpoints of the HTTP server. */
--- a/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
+++ b/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
@@ -78,9 +78,10 @@
    *
    * @param status the HTTP status code
    * @param bytes the whole body; may be empty
+   * @param retryAfterSeconds when the request may be sent again; empty if the answer does not say
    */
   @SuppressWarnings("ArrayRecordComponent")
-  public record Answer(int status, byte[] bytes) {
+  public record Answer(int status, byte[] bytes, Optional<Long> retryAfterSeconds) {
 
     /** Returns the body as text. */
     public String body() {
@@ -166,7 +167,17 @@
     Buffer payload = response.payloadBody();
     byte[] bytes = new byte[payload.readableBytes()];
     payload.readBytes(bytes);
-    return new Answer(response.status().code(), bytes);
+    return new Answer(response.status().code(), bytes, retryAfterSeconds(response));
+  }
+
+  private static Optional<Long> retryAfterSeconds(HttpResponse response) {
+    CharSequence header = response.headers().get("Retry-After");
+    try {
+      return header == null ? Optional.empty() : Optional.of(Long.valueOf(header.toString()));
+    } catch (NumberFormatException e) {
+      Logger.debug("platform: an answer says Retry-After: {}", header);
+      return Optional.empty();
+    }
   }
 
   private PlatformException classify(String call, Throwable failure) {
--- a/src/main/java/org/laburnumarch/internal/job/JobStatus.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobStatus.java
@@ -30,6 +30,11 @@
     return Arrays.stream(values()).filter(status -> status.code == code).findFirst();
   }
 
+  /** Returns the status with a label; empty if there is none. */
+  public static Optional<JobStatus> named(String label) {
+    return Arrays.stream(values()).filter(status -> status.label().equals(label)).findFirst();
+  }
+
   /** Returns whether the job never changes again. */
   public boolean isFinal() {
     return isFinal;
--- a/src/main/java/org/laburnumarch/internal/metrics/ExpositionText.java
+++ b/src/main/java/org/laburnumarch/internal/metrics/ExpositionText.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.internal.entry;
+package org.laburnumarch.internal.metrics;
 
 import com.codahale.metrics.Counting;
 import com.codahale.metrics.Gauge;
@@ -18,16 +18,17 @@
  * <p>The unit is the last part of a name, before {@code _total}; labels may follow the name in
  * braces.
  */
-final class ExpositionText {
+public final class ExpositionText {
   /** Content type of the rendered text. */
-  static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+  public static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double[] QUANTILES = {0.5, 0.99};
 
   private ExpositionText() {}
 
-  static String render(MetricRegistry registry) {
+  /** Renders all metrics of a registry. */
+  public static String render(MetricRegistry registry) {
     SortedMap<String, SortedMap<String, Metric>> families = new TreeMap<>();
     for (Map.Entry<String, Metric> metric : registry.getMetrics().entrySet()) {
       int brace = metric.getKey().indexOf('{');
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/metrics/Meters.java
@@ -0,0 +1,68 @@
+package org.laburnumarch.internal.metrics;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * The counters, times and gauges of one process, by name. The unit is the last part of a name,
+ * before {@code _total}. Used on one thread, apart from {@link #render}.
+ */
+public final class Meters {
+
+  private static final String PREFIX = "laburnumarch_";
+
+  private final MetricRegistry registry = new MetricRegistry();
+
+  /** Counters by name and label, so that counting builds no names. */
+  private final Map<String, Map<String, Counter>> counters = new HashMap<>();
+
+  private final Map<String, Timer> timers = new HashMap<>();
+
+  /**
+   * Counts one event.
+   *
+   * @param name name of the counter, such as {@code orders_total}
+   * @param label what kind of event it was; the values must be few
+   */
+  public void count(String name, String label) {
+    counters
+        .computeIfAbsent(name, ignored -> new HashMap<>())
+        .computeIfAbsent(label, kind -> registry.counter(PREFIX + name + "{kind=\"" + kind + "\"}"))
+        .inc();
+  }
+
+  /**
+   * Adds a time to a latency histogram.
+   *
+   * @param name name of the histogram, which ends with {@code _seconds}
+   * @param tookMs the time, in milliseconds
+   */
+  public void time(String name, long tookMs) {
+    timers
+        .computeIfAbsent(
+            name,
+            key ->
+                registry.timer(
+                    PREFIX + key,
+                    () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build())))
+        .update(tookMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Shows a value that is read whenever the metrics are asked for; replaces one of that name. */
+  public void show(String name, Supplier<Number> value) {
+    registry.remove(PREFIX + name);
+    registry.gauge(PREFIX + name, () -> (Gauge<Number>) value::get);
+  }
+
+  /** Returns all metrics in the text exposition format. */
+  public String render() {
+    return ExpositionText.render(registry);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/node/BoundedOutput.java
+++ b/src/main/java/org/laburnumarch/internal/node/BoundedOutput.java
@@ -20,16 +20,18 @@
 
   private final BlockingQueue<byte[]> waiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
   private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong lost = new AtomicLong();
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
   /** Puts a bounded queue before standard output. Call it before the first log line. */
-  static void install() {
+  static BoundedOutput install() {
     BoundedOutput output = new BoundedOutput();
     PrintStream target = System.out;
     Thread writer = new Thread(() -> output.drainTo(target), "log-writer");
     writer.setDaemon(true);
     writer.start();
     System.setOut(new PrintStream(output, true, StandardCharsets.UTF_8));
+    return output;
   }
 
   @Override
@@ -51,10 +53,16 @@
   private void endLine() {
     if (!waiting.offer(line.toByteArray())) {
       dropped.incrementAndGet();
+      lost.incrementAndGet();
     }
     line.reset();
   }
 
+  /** Returns the number of lines that were dropped since the start. */
+  long lostLines() {
+    return lost.get();
+  }
+
   /** Returns the number of lines that were dropped and not reported yet. */
   long droppedLines() {
     return dropped.get();
@@ -69,9 +77,9 @@
         if (waiting.isEmpty()) {
           target.flush();
         }
-        long lost = dropped.getAndSet(0);
-        if (lost > 0) {
-          target.println("log: event=dropped lines=" + lost);
+        long unreported = dropped.getAndSet(0);
+        if (unreported > 0) {
+          target.println("log: event=dropped lines=" + unreported);
         }
       }
     } catch (InterruptedException e) {
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -16,6 +16,7 @@
 import org.laburnumarch.internal.platform.StoreClient.NewestPage;
 import org.laburnumarch.internal.platform.StoreClient.WriteOutcome;
 import org.laburnumarch.internal.platform.StoreClient.WriteResult;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /** Follows and claims the ownership in the store. Used on one thread only. */
--- a/src/main/java/org/laburnumarch/internal/node/JobRouter.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobRouter.java
@@ -9,6 +9,7 @@
 import org.laburnumarch.internal.link.JobService;
 import org.laburnumarch.internal.link.LinkClient;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
+import org.laburnumarch.internal.time.LocalClock;
 
 /**
  * Passes callers' requests to the owner, here or over the link. All requests are idempotent by the
--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -15,6 +15,7 @@
 import org.laburnumarch.internal.job.JobCodec;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.metrics.Meters;
 import org.laburnumarch.internal.platform.PlatformFailures;
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.platform.StoreClient.KeyedValue;
@@ -24,6 +25,7 @@
 import org.laburnumarch.internal.platform.StoreClient.WriterPosition;
 import org.laburnumarch.internal.schedule.JobChanges;
 import org.laburnumarch.internal.schedule.WorkerListing;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /**
@@ -91,6 +93,7 @@
   private final HttpLoop loop;
   private final LocalClock clock;
   private final long term;
+  private final Meters meters;
   private final Callbacks callbacks;
   private final Deque<Waiting> queue = new ArrayDeque<>();
   private final Map<String, CompletableFuture<Submission>> pending = new HashMap<>();
@@ -102,11 +105,18 @@
   private boolean isClosed;
   private long failingSinceMs = -1;
 
-  JobStore(StoreClient store, HttpLoop loop, LocalClock clock, long term, Callbacks callbacks) {
+  JobStore(
+      StoreClient store,
+      HttpLoop loop,
+      LocalClock clock,
+      long term,
+      Meters meters,
+      Callbacks callbacks) {
     this.store = store;
     this.loop = loop;
     this.clock = clock;
     this.term = term;
+    this.meters = meters;
     this.callbacks = callbacks;
   }
 
@@ -297,6 +307,7 @@
     if (isClosed) {
       return;
     }
+    long sentAtMs = clock.nowMs();
     store
         .append(
             StoreClient.JOBS,
@@ -308,6 +319,8 @@
               if (isClosed) {
                 return;
               }
+              meters.time("store_write_seconds", clock.nowMs() - sentAtMs);
+              meters.count("store_writes_total", failure == null ? "answered" : "failed");
               if (failure != null) {
                 boolean maybe = mayBeStored || PlatformFailures.mayHaveTakenEffect(failure);
                 onWriteFailed(batch, values, maybe, failure);
--- a/src/main/java/org/laburnumarch/internal/node/MachineKeeper.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineKeeper.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.laburnumarch.internal.lead.OwnerTenure;
+import org.laburnumarch.internal.metrics.Meters;
 import org.laburnumarch.internal.platform.MachineClient;
 import org.laburnumarch.internal.platform.NodeSettings;
 import org.laburnumarch.internal.platform.OperatorRecords;
@@ -21,6 +22,7 @@
 import org.laburnumarch.internal.pool.MaintenanceWave;
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.WorkerLoad;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /** Carries out moves and maintenance of instances. Used on one thread only. */
@@ -51,6 +53,7 @@
   private final Scheduler scheduler;
   private final OwnerTenure tenure;
   private final JobStore jobs;
+  private final Meters meters;
   private final FleetPlanner planner;
   private final Map<Long, Long> seenEpochMs = new HashMap<>();
   private final Map<Long, Set<String>> restored = new HashMap<>();
@@ -73,7 +76,8 @@
       OperatorWatch operators,
       Scheduler scheduler,
       OwnerTenure tenure,
-      JobStore jobs) {
+      JobStore jobs,
+      Meters meters) {
     this.client = client;
     this.clock = clock;
     this.store = store;
@@ -81,6 +85,7 @@
     this.scheduler = scheduler;
     this.tenure = tenure;
     this.jobs = jobs;
+    this.meters = meters;
     this.planner = new FleetPlanner(settings.moveMs(), settings.maintenanceMs());
     this.startedAtMs = tenure.term() == 1 ? Long.MIN_VALUE / 2 : clock.nowMs();
     this.nextToken = tenure.term() << TOKEN_BITS;
@@ -115,7 +120,7 @@
             operators.evacuated(),
             nowMs);
     scheduler.cordon(plan.cordoned());
-    plan.vacated().forEach(scheduler::vacate);
+    plan.vacated().forEach(worker -> scheduler.vacate(worker, nowMs));
     plan.orders().forEach(this::send);
     if (nowMs - describedAtMs >= DESCRIBE_EVERY_MS) {
       describedAtMs = nowMs;
@@ -176,6 +181,7 @@
       return;
     }
     Logger.info("machines: event=order order={} token={} outcome={}", order, token, outcome);
+    meters.count("instance_orders_total", order.getClass().getSimpleName() + ' ' + outcome);
     planner.onOutcome(order, outcome, clock.nowMs());
     if (outcome == MachineOrderOutcome.DONE && order instanceof MachineOrder.Maintain maintain) {
       keep(maintain.wave());
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongSupplier;
 import org.laburnumarch.internal.http.HttpLoop;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
@@ -17,10 +18,12 @@
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
 import org.laburnumarch.internal.link.LinkMessage.Pulse;
 import org.laburnumarch.internal.link.LinkServer;
+import org.laburnumarch.internal.metrics.Meters;
 import org.laburnumarch.internal.platform.CallerService;
 import org.laburnumarch.internal.platform.HttpListeners;
 import org.laburnumarch.internal.platform.NodeSettings;
 import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /** One daemon: serves callers, and owns the fleet when it has claimed it. */
@@ -47,6 +50,7 @@
   private final NodeSettings settings;
   private final HttpLoop loop;
   private final LocalClock clock = new LocalClock();
+  private final Meters meters = new Meters();
   private final StoreClient store;
   private final OperatorWatch operators;
   private final Election election;
@@ -54,6 +58,7 @@
   private final LinkServer linkServer;
   private final HttpServerContext callers;
   private final HttpServerContext readiness;
+  private final HttpServerContext metrics;
   private Optional<Owner> owner = Optional.empty();
   private Optional<LinkClient> link = Optional.empty();
   private final String holder;
@@ -67,9 +72,10 @@
   /**
    * Starts a daemon.
    *
+   * @param lostLogLines says how many log lines were dropped so far
    * @throws Exception if an address cannot be bound
    */
-  public Node(NodeSettings settings) throws Exception {
+  public Node(NodeSettings settings, LongSupplier lostLogLines) throws Exception {
     this.settings = settings;
     this.loop = new HttpLoop();
     this.store = new StoreClient(settings.store(), loop);
@@ -97,9 +103,20 @@
             loop,
             new CallerService(
                 new CallerService.Environment(
-                    operators::config, operators::isServing, () -> isStopping, clock::epochMs),
+                    operators::config,
+                    operators::isServing,
+                    () -> isStopping,
+                    clock::epochMs,
+                    meters),
                 router));
     this.readiness = HttpListeners.listenForReadiness(settings.readiness(), loop, this::isReady);
+    this.metrics =
+        HttpListeners.listenForMetrics(
+            new InetSocketAddress(settings.ip(), settings.metricsPort()), loop, meters);
+    meters.show("log_lost_lines", lostLogLines::getAsLong);
+    meters.show("owned_term", () -> election.tenure().map(OwnerTenure::term).orElse(0L));
+    meters.show("config_version", () -> operators.config().version());
+    meters.show("config_age_ms", operators::freshAgoMs);
     loop.execute(this::start);
   }
 
@@ -211,6 +228,7 @@
     isClosed = true;
     callers.closeAsync().subscribe();
     readiness.closeAsync().subscribe();
+    metrics.closeAsync().subscribe();
     linkServer.close();
     election.close();
     operators.close();
@@ -221,6 +239,7 @@
   private final class ElectionListener implements Election.Listener {
     @Override
     public void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier) {
+      meters.count("ownerships_total", "gained");
       dropLink();
       owner.ifPresent(Owner::close);
       Owner created =
@@ -232,6 +251,7 @@
               operators,
               tenure,
               earlier,
+              meters,
               where -> election.abdicate("fenced at " + where));
       owner = Optional.of(created);
       router.useOwner(owner);
@@ -255,6 +275,7 @@
 
     @Override
     public void onOwnershipLost() {
+      meters.count("ownerships_total", "lost");
       announcer.ifPresent(Announcer::close);
       // Other daemons can claim at once when they hear that this one has stepped down.
       linkServer.broadcast(ownPulse());
--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -47,10 +47,10 @@
   }
 
   private static int runUntilSignal(NodeSettings settings, Path file) {
-    BoundedOutput.install();
+    BoundedOutput output = BoundedOutput.install();
     CompletableFuture<Void> signal = TerminationSignals.firstSignal();
     TerminationSignals.onHangup(() -> checkSettings(settings, file));
-    try (Node node = new Node(settings)) {
+    try (Node node = new Node(settings, output::lostLines)) {
       signal.get();
       node.stop().toCompletableFuture().get(settings.shutdownBoundMs(), TimeUnit.MILLISECONDS);
       return ResultCode.OK.outcome().exitStatus();
--- a/src/main/java/org/laburnumarch/internal/node/OperatorWatch.java
+++ b/src/main/java/org/laburnumarch/internal/node/OperatorWatch.java
@@ -15,6 +15,7 @@
 import org.laburnumarch.internal.platform.OperatorRecords;
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.pool.MaintenanceWave;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /**
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletionStage;
 import org.laburnumarch.internal.http.HttpLoop;
 import org.laburnumarch.internal.job.JobCodec;
+import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.lead.OwnerRecord;
@@ -17,6 +18,7 @@
 import org.laburnumarch.internal.link.JobReply.Code;
 import org.laburnumarch.internal.link.JobService;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
+import org.laburnumarch.internal.metrics.Meters;
 import org.laburnumarch.internal.node.JobStore.Submission;
 import org.laburnumarch.internal.platform.MachineClient;
 import org.laburnumarch.internal.platform.NodeSettings;
@@ -26,6 +28,7 @@
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.SchedulerSettings;
 import org.laburnumarch.internal.schedule.WorkerListing;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /** One ownership: decides on all jobs and workers until it is lost. Used on one thread only. */
@@ -56,6 +59,7 @@
   private final LocalClock clock;
   private final OwnerTenure tenure;
   private final OperatorWatch operators;
+  private final Meters meters;
   private final Listener listener;
   private final Scheduler scheduler;
   private final JobStore jobs;
@@ -77,11 +81,13 @@
       OperatorWatch operators,
       OwnerTenure tenure,
       Optional<OwnerRecord> earlier,
+      Meters meters,
       Listener listener) {
     this.loop = loop;
     this.clock = clock;
     this.tenure = tenure;
     this.operators = operators;
+    this.meters = meters;
     this.listener = listener;
     this.scheduler =
         new Scheduler(
@@ -96,10 +102,10 @@
             tenure.term(),
             clock.nowMs(),
             earlier.isPresent());
-    this.jobs = new JobStore(store, loop, clock, tenure.term(), new StoreCallbacks());
+    this.jobs = new JobStore(store, loop, clock, tenure.term(), meters, new StoreCallbacks());
     this.driver =
         new WorkerDriver(
-            settings, loop, clock, store, tenure, scheduler, this::planRound, listener);
+            settings, loop, clock, store, tenure, scheduler, this::planRound, listener, meters);
     this.machines =
         settings.machines().map(address -> machineKeeper(settings, address, loop, store));
   }
@@ -114,7 +120,8 @@
         operators,
         scheduler,
         tenure,
-        jobs);
+        jobs,
+        meters);
   }
 
   /** Notes that the earlier owner has surely stopped giving orders. */
@@ -127,6 +134,8 @@
 
   void start() {
     operators.onChange(onOperatorChange);
+    meters.show("live_jobs", scheduler::liveJobCount);
+    meters.show("known_workers", () -> scheduler.workerIds().size());
     takeUpOperators();
     jobs.open().thenAccept(this::onLoaded);
   }
@@ -208,6 +217,7 @@
       machines.ifPresent(keeper -> keeper.round(nowMs));
       Decisions decisions = scheduler.decide(nowMs, clock.epochMs());
       driver.carryOut(decisions);
+      meters.time("decision_seconds", clock.nowMs() - nowMs);
     }
     driver.renewLeases();
     if (nowMs - forgotAtMs > FORGET_EVERY_MS) {
@@ -328,12 +338,7 @@
       scheduler.confirmStored(changes, clock.nowMs());
       changes.progress().stream()
           .filter(progress -> progress.status().isFinal())
-          .forEach(
-              progress ->
-                  Logger.info(
-                      "jobs: event=final job={} status={}",
-                      progress.id(),
-                      progress.status().label()));
+          .forEach(progress -> onFinalStored(progress));
       waitingCancels.removeIf(
           waiting -> {
             boolean isStored = waiting.change() <= changes.number();
@@ -345,6 +350,11 @@
       planRound();
     }
 
+    private void onFinalStored(JobProgress progress) {
+      meters.count("finished_jobs_total", progress.status().label());
+      Logger.info("jobs: event=final job={} status={}", progress.id(), progress.status().label());
+    }
+
     @Override
     public void onEnrolled(List<WorkerListing> workers) {
       isEnrolling = false;
--- a/src/main/java/org/laburnumarch/internal/node/StoreTail.java
+++ b/src/main/java/org/laburnumarch/internal/node/StoreTail.java
@@ -11,6 +11,7 @@
 import org.laburnumarch.internal.platform.StoreClient.LogChunk;
 import org.laburnumarch.internal.platform.StoreClient.NewestPage;
 import org.laburnumarch.internal.platform.StoreClient.StoreRecord;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /** Keeps a copy of the newest record of each key of a log. Used on one thread only. */
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.laburnumarch.internal.http.HttpLoop;
 import org.laburnumarch.internal.lead.OwnerTenure;
+import org.laburnumarch.internal.metrics.Meters;
 import org.laburnumarch.internal.platform.AdvisorClient;
 import org.laburnumarch.internal.platform.MalformedMessageException;
 import org.laburnumarch.internal.platform.NodeSettings;
@@ -25,6 +26,7 @@
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.WorkerListing;
 import org.laburnumarch.internal.schedule.WorkerReport;
+import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
 
 /** Follows the registry of workers and carries orders to them. Used on one thread only. */
@@ -44,6 +46,7 @@
   private final Scheduler scheduler;
   private final Runnable onEvent;
   private final Owner.Listener listener;
+  private final Meters meters;
   private final StoreTail registry;
   private final Optional<AdvisorClient> advisor;
   private final Map<String, WorkerListing> listings = new HashMap<>();
@@ -63,7 +66,9 @@
       OwnerTenure tenure,
       Scheduler scheduler,
       Runnable onEvent,
-      Owner.Listener listener) {
+      Owner.Listener listener,
+      Meters meters) {
+    this.meters = meters;
     this.loop = loop;
     this.clock = clock;
     this.tenure = tenure;
@@ -148,8 +153,9 @@
 
   private void send(Order order) {
     Optional<WorkerClient> client = client(order.workerId());
+    long sentAtMs = clock.nowMs();
     if (client.isEmpty()) {
-      onReply(order, new OrderReply(Outcome.UNREACHABLE, -1));
+      onReply(order, sentAtMs, new OrderReply(Outcome.UNREACHABLE, -1));
       return;
     }
     if (order instanceof Order.Start start) {
@@ -163,32 +169,35 @@
               tenure.term(),
               start.checkpoint(),
               start.ticket())
-          .thenAccept(reply -> onReply(start, reply));
+          .thenAccept(reply -> onReply(start, sentAtMs, reply));
     } else if (order instanceof Order.Stop stop) {
       client
           .get()
           .stop(stop.taskName(), stop.run(), tenure.term())
-          .thenAccept(reply -> onReply(stop, reply));
+          .thenAccept(reply -> onReply(stop, sentAtMs, reply));
     } else if (order instanceof Order.Pace pace) {
       client
           .get()
           .pace(pace.taskName(), pace.run(), pace.percent(), tenure.term())
-          .thenAccept(reply -> onReply(pace, reply));
+          .thenAccept(reply -> onReply(pace, sentAtMs, reply));
     }
   }
 
-  private void onReply(Order order, OrderReply reply) {
+  private void onReply(Order order, long sentAtMs, OrderReply reply) {
     if (isClosed) {
       return;
     }
+    long nowMs = clock.nowMs();
+    String kind = order.getClass().getSimpleName();
     Logger.info(
         "orders: event={} task={} run={} worker={} outcome={}",
-        order.getClass().getSimpleName(),
+        kind,
         order.taskName(),
         order.run(),
         order.workerId(),
         reply.outcome());
-    long nowMs = clock.nowMs();
+    meters.count("orders_total", kind + ' ' + reply.outcome());
+    meters.time("order_answer_seconds", nowMs - sentAtMs);
     if (order instanceof Order.Start start) {
       scheduler.onStartReply(start, reply, nowMs);
     } else if (order instanceof Order.Stop stop) {
@@ -283,6 +292,7 @@
     Throwable cause = PlatformFailures.unwrap(failure);
     Logger.info(
         "workers: event=no-report worker={} cause={}", renewal.workerId(), cause.getMessage());
+    meters.count("reports_missed_total", "renewal");
     scheduler.onReportMissed(renewal.workerId(), clock.nowMs());
     if (cause instanceof WorkerRefusalException refusal && refusal.outcome() == Outcome.FENCED) {
       listener.onFenced("worker " + renewal.workerId());
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/CallerClient.java
@@ -0,0 +1,123 @@
+package org.laburnumarch.internal.platform;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.servicetalk.http.api.HttpRequestMethod;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.http.PlatformHttpClient;
+import org.laburnumarch.internal.http.PlatformHttpClient.Answer;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.job.StepSpec;
+import org.laburnumarch.spi.PlatformException;
+
+/**
+ * Submits jobs to one daemon as callers do. Stages fail with {@link PlatformException} when no
+ * answer comes.
+ */
+public final class CallerClient implements AutoCloseable {
+
+  private static final byte[] NO_BODY = new byte[0];
+  private static final int OK = 200;
+
+  private final PlatformHttpClient client;
+  private final String host;
+  private final long patienceMs;
+
+  /**
+   * Creates a client; no connection is opened before the first call.
+   *
+   * @param daemon where the daemon listens for callers
+   * @param host host name of the queues
+   * @param patienceMs how long to wait for an answer
+   */
+  public CallerClient(InetSocketAddress daemon, String host, long patienceMs, HttpLoop loop) {
+    this.client = new PlatformHttpClient(daemon, loop);
+    this.host = host;
+    this.patienceMs = patienceMs;
+  }
+
+  /**
+   * An answer to a caller.
+   *
+   * @param code the HTTP status code
+   * @param retryAfterSeconds when the caller may come back; empty if the daemon did not say
+   * @param status the job's status; empty if none was asked for or the job is not known
+   */
+  public record Reply(int code, Optional<Long> retryAfterSeconds, Optional<JobStatus> status) {}
+
+  /** Submits a job under its id; submitting it again has no effect. */
+  public CompletionStage<Reply> submit(JobSpec job, String key) {
+    return call(HttpRequestMethod.POST, job.queue(), job.id(), key, Json.bytes(body(job)));
+  }
+
+  /** Asks for a job's status. */
+  public CompletionStage<Reply> status(String queue, String jobId, String key) {
+    return call(HttpRequestMethod.GET, queue, jobId, key, NO_BODY);
+  }
+
+  /** Cancels a job. */
+  public CompletionStage<Reply> cancel(String queue, String jobId, String key) {
+    return call(HttpRequestMethod.DELETE, queue, jobId, key, NO_BODY);
+  }
+
+  private CompletionStage<Reply> call(
+      HttpRequestMethod method, String queue, String jobId, String key, byte[] body) {
+    Map<String, String> headers =
+        Map.of(
+            "Host",
+            host,
+            "Content-Type",
+            "application/json",
+            "Authorization",
+            "Token " + key,
+            "X-Deadline-Ms",
+            Long.toString(patienceMs));
+    return client.call(
+        method, '/' + queue + '/' + jobId, headers, body, patienceMs, CallerClient::reply);
+  }
+
+  private static Reply reply(Answer answer) {
+    Optional<JobStatus> status = Optional.empty();
+    if (answer.status() == OK && answer.bytes().length > 0) {
+      try {
+        status = JobStatus.named(Json.textOr(Json.parse(answer.bytes()), "state", ""));
+      } catch (MalformedMessageException e) {
+        throw PlatformException.withUnknownEffect("the daemon's answer cannot be read", e);
+      }
+    }
+    return new Reply(answer.status(), answer.retryAfterSeconds(), status);
+  }
+
+  private static ObjectNode body(JobSpec job) {
+    ObjectNode root = Json.object().put("spec", job.program());
+    ArrayNode steps = root.putArray("steps");
+    for (StepSpec step : job.steps()) {
+      ObjectNode node =
+          steps
+              .addObject()
+              .put("count", step.count())
+              .put("cpu", step.need().cpuMillis())
+              .put("memMb", step.need().memoryMb())
+              .put("estRuntimeMs", step.estimatedRunMs());
+      if (step.isLongRunning()) {
+        node.put("longRunning", true).put("mayMiss", step.maxUnavailable());
+      }
+      if (!step.after().isEmpty()) {
+        ArrayNode after = node.putArray("after");
+        step.after().forEach(after::add);
+      }
+    }
+    return root;
+  }
+
+  /** Closes all connections; calls in flight fail. */
+  @Override
+  public void close() {
+    client.close();
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/platform/CallerService.java
+++ b/src/main/java/org/laburnumarch/internal/platform/CallerService.java
@@ -23,6 +23,7 @@
 import org.laburnumarch.internal.link.JobReply.Code;
 import org.laburnumarch.internal.link.JobService;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
+import org.laburnumarch.internal.metrics.Meters;
 import org.tinylog.Logger;
 
 /** Callers' HTTP interface: submits, shows and cancels jobs. */
@@ -33,7 +34,8 @@
       Supplier<FleetConfig> config,
       BooleanSupplier isServing,
       BooleanSupplier isStopping,
-      LongSupplier epochMs) {}
+      LongSupplier epochMs,
+      Meters meters) {}
 
   private static final byte[] NO_PAYLOAD = new byte[0];
   private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
@@ -57,12 +59,23 @@
   @Override
   public Single<HttpResponse> handle(
       HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
+    long arrivedEpochMs = environment.epochMs().getAsLong();
     return answer(request, responses)
         .map(
-            response ->
-                environment.isStopping().getAsBoolean()
-                    ? response.setHeader("Connection", "close")
-                    : response);
+            response -> {
+              meter(request, response, arrivedEpochMs);
+              return environment.isStopping().getAsBoolean()
+                  ? response.setHeader("Connection", "close")
+                  : response;
+            });
+  }
+
+  private void meter(HttpRequest request, HttpResponse response, long arrivedEpochMs) {
+    String method = request.method().name();
+    environment.meters().count("caller_answers_total", method + ' ' + response.status().code());
+    // The time of day may be set back in between.
+    long tookMs = Math.max(0, environment.epochMs().getAsLong() - arrivedEpochMs);
+    environment.meters().time("caller_answer_seconds", tookMs);
   }
 
   private Single<HttpResponse> answer(HttpRequest request, HttpResponseFactory responses) {
--- a/src/main/java/org/laburnumarch/internal/platform/HttpListeners.java
+++ b/src/main/java/org/laburnumarch/internal/platform/HttpListeners.java
@@ -1,5 +1,7 @@
 package org.laburnumarch.internal.platform;
 
+import static io.servicetalk.buffer.api.ReadOnlyBufferAllocators.DEFAULT_RO_ALLOCATOR;
+
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpServerContext;
 import io.servicetalk.http.api.HttpService;
@@ -7,11 +9,14 @@
 import java.util.function.BooleanSupplier;
 import org.laburnumarch.internal.http.HttpLoop;
 import org.laburnumarch.internal.http.LoopServers;
+import org.laburnumarch.internal.metrics.ExpositionText;
+import org.laburnumarch.internal.metrics.Meters;
 
 /** The addresses on which the platform and callers reach a daemon. */
 public final class HttpListeners {
 
   private static final String READY_PATH = "/v1/ready";
+  private static final String METRICS_PATH = "/metrics";
 
   private HttpListeners() {}
 
@@ -40,4 +45,23 @@
                     : isReady.getAsBoolean() ? responses.ok() : responses.serviceUnavailable());
     return LoopServers.listen(address, loop, service);
   }
+
+  /**
+   * Serves counters and latency histograms.
+   *
+   * @throws Exception if the address cannot be bound
+   */
+  public static HttpServerContext listenForMetrics(
+      InetSocketAddress address, HttpLoop loop, Meters meters) throws Exception {
+    HttpService service =
+        (context, request, responses) ->
+            Single.succeeded(
+                request.path().equals(METRICS_PATH)
+                    ? responses
+                        .ok()
+                        .setHeader("Content-Type", ExpositionText.CONTENT_TYPE)
+                        .payloadBody(DEFAULT_RO_ALLOCATOR.fromUtf8(meters.render()))
+                    : responses.notFound());
+    return LoopServers.listen(address, loop, service);
+  }
 }
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/StoreStandIn.java
@@ -0,0 +1,267 @@
+package org.laburnumarch.internal.platform.standin;
+
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.api.HttpResponseFactory;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServerContext;
+import io.servicetalk.http.api.HttpServiceContext;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.http.LoopServers;
+import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.platform.StoreClient.KeyedValue;
+import org.laburnumarch.internal.platform.StoreClient.StoreRecord;
+import org.laburnumarch.internal.platform.StoreClient.WriterPosition;
+import org.laburnumarch.internal.platform.standin.StoreModel.Appended;
+
+/** The platform's store on a loopback address, with faults. All calls on the loop's thread. */
+public final class StoreStandIn implements AutoCloseable {
+
+  /** How the store behaves. */
+  public enum Fault {
+    /** Answers at once. */
+    NONE,
+    /** Answers late. */
+    SLOW,
+    /** Refuses every call; nothing is done. */
+    REFUSING,
+    /** Does a third of the writes and answers none of these. */
+    LOSING_ANSWERS,
+    /** Does a third of the writes seconds later and answers none of these. */
+    APPLYING_LATE
+  }
+
+  private static final double FAULTY_SHARE = 0.33;
+  private static final long SLOW_MS = 200;
+  private static final long LATEST_MS = 4_000;
+  private static final int PAGE_RECORDS = 500;
+  private static final int READ_BYTES = 1 << 20;
+  private static final Set<String> READ_ONLY = Set.of(StoreClient.OPERATORS, StoreClient.WORKERS);
+
+  private record WaitingRead(String log, long fromOffset, CompletableFuture<Boolean> result) {}
+
+  private final HttpLoop loop;
+  private final StoreModel model = new StoreModel();
+  private final Random random;
+  private final List<WaitingRead> waiting = new ArrayList<>();
+  private final HttpServerContext server;
+  private Fault fault = Fault.NONE;
+
+  /**
+   * Starts the stand-in.
+   *
+   * @throws Exception if the address cannot be bound
+   */
+  public StoreStandIn(InetSocketAddress address, HttpLoop loop, long seed) throws Exception {
+    this.loop = loop;
+    this.random = new Random(seed);
+    this.server = LoopServers.listen(address, loop, this::handle);
+  }
+
+  /** Returns the logs, for what operators and workers write. */
+  public StoreModel model() {
+    return model;
+  }
+
+  /** Changes how the store behaves. */
+  public void behave(Fault newFault) {
+    this.fault = newFault;
+  }
+
+  /** Writes as operators and workers do, unless the store refuses. */
+  public boolean write(String log, String key, Optional<byte[]> value) {
+    if (fault == Fault.REFUSING) {
+      return false;
+    }
+    model.append(log, List.of(new KeyedValue(key, value)), OptionalLong.empty(), Optional.empty());
+    wakeReaders(log);
+    return true;
+  }
+
+  /** Drops the history of all logs that daemons follow; waiting reads go on waiting. */
+  public void forgetHistory() {
+    for (String log : List.of(StoreClient.OPERATORS, StoreClient.WORKERS, StoreClient.OWNER)) {
+      model.forgetHistory(log);
+    }
+  }
+
+  private Single<HttpResponse> handle(
+      HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
+    if (fault == Fault.REFUSING) {
+      return Single.succeeded(responses.serviceUnavailable());
+    }
+    CompletionStage<HttpResponse> answer =
+        switch (request.path()) {
+          case "/v1/log-append" -> append(request, responses);
+          case "/v1/log-read" -> read(request, responses);
+          case "/v1/log-newest" -> CompletableFuture.completedStage(newest(request, responses));
+          default -> CompletableFuture.completedStage(responses.notFound());
+        };
+    return Single.fromStage(answer);
+  }
+
+  private CompletionStage<HttpResponse> append(HttpRequest request, HttpResponseFactory responses) {
+    String log = request.queryParameter("topic");
+    if (READ_ONLY.contains(log)) {
+      return CompletableFuture.completedStage(responses.forbidden());
+    }
+    byte[] body = new byte[request.payloadBody().readableBytes()];
+    request.payloadBody().readBytes(body);
+    OptionalLong expectedEnd = number(request, "at");
+    Optional<WriterPosition> writer =
+        request.queryParameter("producer") == null
+            ? Optional.empty()
+            : Optional.of(
+                new WriterPosition(
+                    number(request, "epoch").orElse(0), number(request, "seq").orElse(0)));
+    Supplier<HttpResponse> apply =
+        () -> {
+          Appended appended = model.append(log, values(body), expectedEnd, writer);
+          wakeReaders(log);
+          return answer(appended, responses);
+        };
+    boolean isFaulty = random.nextDouble() < FAULTY_SHARE;
+    CompletableFuture<HttpResponse> result = new CompletableFuture<>();
+    if (fault == Fault.LOSING_ANSWERS && isFaulty) {
+      HttpResponse unused = apply.get();
+    } else if (fault == Fault.APPLYING_LATE && isFaulty) {
+      loop.after(
+          1 + random.nextLong(LATEST_MS),
+          () -> {
+            HttpResponse unused = apply.get();
+          });
+    } else if (fault == Fault.SLOW) {
+      loop.after(SLOW_MS, () -> result.complete(apply.get()));
+    } else {
+      result.complete(apply.get());
+    }
+    return result;
+  }
+
+  private static HttpResponse answer(Appended appended, HttpResponseFactory responses) {
+    return switch (appended.outcome()) {
+      case STORED -> Replies.json(responses.ok(), Map.of("endOffset", appended.endOffset()));
+      case CONDITION_FAILED ->
+          Replies.json(
+              responses.newResponse(HttpResponseStatus.PRECONDITION_FAILED),
+              Map.of("endOffset", appended.endOffset()));
+      case FENCED -> Replies.json(responses.conflict(), Map.of("reason", "fenced"));
+      case OUT_OF_SEQUENCE -> Replies.json(responses.conflict(), Map.of("reason", "seq"));
+    };
+  }
+
+  private static OptionalLong number(HttpRequest request, String parameter) {
+    String value = request.queryParameter(parameter);
+    return value == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(value));
+  }
+
+  private static List<KeyedValue> values(byte[] body) {
+    List<KeyedValue> values = new ArrayList<>();
+    ByteBuffer in = ByteBuffer.wrap(body);
+    while (in.hasRemaining()) {
+      byte[] content = new byte[in.getInt()];
+      in.get(content);
+      int keyLength = content[0] & 0xff;
+      String key = new String(content, 1, keyLength, StandardCharsets.UTF_8);
+      byte[] value = new byte[content.length - 1 - keyLength];
+      System.arraycopy(content, 1 + keyLength, value, 0, value.length);
+      values.add(new KeyedValue(key, value.length == 0 ? Optional.empty() : Optional.of(value)));
+    }
+    return values;
+  }
+
+  private CompletionStage<HttpResponse> read(HttpRequest request, HttpResponseFactory responses) {
+    String log = request.queryParameter("topic");
+    long from = number(request, "from").orElse(0);
+    if (from < model.firstOffset(log)) {
+      return CompletableFuture.completedStage(
+          Replies.json(
+              responses.newResponse(HttpResponseStatus.GONE),
+              Map.of("firstOffset", model.firstOffset(log))));
+    }
+    CompletableFuture<Boolean> ready = new CompletableFuture<>();
+    if (model.endOffset(log) > from) {
+      ready.complete(true);
+    } else {
+      waiting.add(new WaitingRead(log, from, ready));
+      loop.after(number(request, "waitMs").orElse(0), () -> ready.complete(false));
+    }
+    return ready.thenApply(ignored -> responses.ok().payloadBody(Replies.buffer(chunk(log, from))));
+  }
+
+  private byte[] chunk(String log, long from) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.writeBytes(
+        ByteBuffer.allocate(2 * Long.BYTES)
+            .putLong(model.endOffset(log))
+            .putLong(model.firstOffset(log))
+            .array());
+    for (StoreRecord stored : model.read(log, from)) {
+      byte[] key = stored.key().getBytes(StandardCharsets.UTF_8);
+      byte[] value = stored.value().orElse(new byte[0]);
+      out.writeBytes(
+          ByteBuffer.allocate(Integer.BYTES).putInt(1 + key.length + value.length).array());
+      out.write(key.length);
+      out.writeBytes(key);
+      out.writeBytes(value);
+      if (out.size() > READ_BYTES) {
+        break;
+      }
+    }
+    return out.toByteArray();
+  }
+
+  private void wakeReaders(String log) {
+    List<WaitingRead> due =
+        waiting.stream().filter(read -> read.result().isDone() || isDue(read, log)).toList();
+    waiting.removeAll(due);
+    due.forEach(read -> read.result().complete(true));
+  }
+
+  private boolean isDue(WaitingRead read, String log) {
+    return read.log().equals(log) && model.endOffset(log) > read.fromOffset();
+  }
+
+  private HttpResponse newest(HttpRequest request, HttpResponseFactory responses) {
+    String log = request.queryParameter("topic");
+    if (!model.exists(log)) {
+      return responses.notFound();
+    }
+    String after = Optional.ofNullable(request.queryParameter("after")).orElse("");
+    List<StoreRecord> page = model.newest(log, after, PAGE_RECORDS + 1);
+    boolean hasMore = page.size() > PAGE_RECORDS;
+    List<Map<String, Object>> items = new ArrayList<>();
+    for (StoreRecord stored : page.subList(0, Math.min(PAGE_RECORDS, page.size()))) {
+      items.add(
+          Map.of(
+              "key", stored.key(),
+              "value", Base64.getEncoder().encodeToString(stored.value().orElse(new byte[0])),
+              "offset", stored.offset()));
+    }
+    return Replies.json(
+        responses.ok(),
+        Map.of("items", items, "hasMore", hasMore, "endOffset", model.endOffset(log)));
+  }
+
+  /** Stops answering. */
+  @Override
+  public void close() {
+    server.closeAsync().subscribe();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -0,0 +1,113 @@
+package org.laburnumarch.internal.soak;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.laburnumarch.ResultCode;
+import org.laburnumarch.internal.cli.Subcommand;
+import org.tinylog.Logger;
+
+/** The subcommand {@code soak}: runs seeds one after the other and says what broke. */
+public final class SoakCommand implements Subcommand {
+
+  private static final int PORTS_PER_RUN = 300;
+
+  /** Below the range that the kernel gives out by itself. */
+  private static final int LOWEST_PORT = 20_000;
+
+  private static final int PORT_BLOCKS = 30;
+
+  /** Options of the command. */
+  private static final class Options {
+    @Parameter(names = "--seed", description = "first seed")
+    private long seed = 1;
+
+    @Parameter(names = "--runs", description = "number of seeds, one after the other")
+    private int runs = 1;
+
+    @Parameter(names = "--daemons", description = "number of daemons")
+    private int daemons = 3;
+
+    @Parameter(names = "--seconds", description = "how long faults strike in each run")
+    private int seconds = 25;
+
+    @Parameter(names = "--directory", description = "where settings and logs are kept")
+    private String directory = "";
+
+    @Parameter(names = "--help", help = true, description = "show the options")
+    private boolean isHelp;
+  }
+
+  @Override
+  public int run(String[] args, PrintStream out, PrintStream err) {
+    Options options = new Options();
+    JCommander parser = JCommander.newBuilder().programName("soak").addObject(options).build();
+    try {
+      parser.parse(args);
+    } catch (ParameterException e) {
+      err.println(ResultCode.USAGE.number() + " USAGE: " + e.getMessage());
+      return ResultCode.USAGE.outcome().exitStatus();
+    }
+    if (options.isHelp) {
+      StringBuilder usage = new StringBuilder();
+      parser.getUsageFormatter().usage(usage);
+      out.print(usage);
+      return ResultCode.OK.outcome().exitStatus();
+    }
+    boolean isWhole = true;
+    for (long seed = options.seed; seed < options.seed + options.runs; seed++) {
+      isWhole &= runSeed(seed, options, out, err);
+    }
+    return isWhole
+        ? ResultCode.OK.outcome().exitStatus()
+        : ResultCode.INTERNAL_ERROR.outcome().exitStatus();
+  }
+
+  private static boolean runSeed(long seed, Options options, PrintStream out, PrintStream err) {
+    try {
+      Path directory = directory(seed, options);
+      try (SoakRun run =
+          new SoakRun(seed, options.daemons, options.seconds * 1_000L, directory, firstPort())) {
+        SoakRun.Result result = run.run();
+        out.printf(
+            "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
+                + " slowestAnswerMs=%d settledAfterMs=%d faults=%d logs=%s%n",
+            seed,
+            result.breaches().size(),
+            result.acceptedJobs(),
+            result.starts(),
+            result.answers(),
+            result.unanswered(),
+            result.slowestAnswerMs(),
+            result.settledAfterMs(),
+            result.faults().size(),
+            directory);
+        if (!result.breaches().isEmpty()) {
+          result.faults().forEach(fault -> out.println("  fault " + fault));
+          result.breaches().forEach(breach -> out.println("  breach " + breach));
+        }
+        return result.breaches().isEmpty();
+      }
+    } catch (Exception e) {
+      Logger.error(e, "soak: seed={} could not be run", seed);
+      err.println("soak: seed " + seed + " could not be run: " + e);
+      return false;
+    }
+  }
+
+  private static Path directory(long seed, Options options) throws IOException {
+    return options.directory.isEmpty()
+        ? Files.createTempDirectory("soak-" + seed + '-')
+        : Files.createDirectories(Path.of(options.directory, "seed-" + seed));
+  }
+
+  /** Returns a block of ports that other runs on this machine rarely use at the same time. */
+  private static int firstPort() {
+    long block = ProcessHandle.current().pid() % PORT_BLOCKS;
+    return (int) (LOWEST_PORT + block * PORTS_PER_RUN);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/time/LocalClock.java
+++ b/src/main/java/org/laburnumarch/internal/time/LocalClock.java
@@ -1,4 +1,4 @@
-package org.laburnumarch.internal.node;
+package org.laburnumarch.internal.time;
 
 import java.util.concurrent.TimeUnit;
 
