Tell the lives of a worker apart when answers overtake each other

Cause, from the workers' events: a report of the earlier life came after the registry's word of the next one; its ends were entered with their high numbers, and the next acknowledgement made the new life drop ends that nobody had seen. Ruled out: a lost write (the progress was stored), a second owner (one term in all logs). Such reports are ignored now.

Found by reading beside it: a start that was on its way when the worker started again was taken as ended with the earlier life, though the next one may obey it. Both tests failed first.

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -32,6 +32,9 @@
   /** The worker's clock when it last confirmed an order for this run; -1 before. */
   long confirmedClockMs = -1;
 
+  /** Whether a life of the worker that is not known yet has confirmed the start. */
+  boolean isOfNextLife;
+
   /** Whether the run is to end. */
   boolean isStopWanted;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/RunBook.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunBook.java
@@ -22,6 +22,9 @@
   /** Local time between two orders to stop the same run. */
   private static final long STOP_RETRY_MS = 300;
 
+  /** Difference of a worker's clock to what is expected that answers on their way may cause. */
+  private static final long CLOCK_TOLERANCE_MS = 1_500;
+
   private static final long REFUSAL_PAUSE_MS = 60;
   private static final long UNHEALTHY_PAUSE_MS = 800;
 
@@ -86,16 +89,21 @@
   /** Deals with the answer to a start. */
   void onStartReply(Attempt attempt, OrderReply reply, long nowMs) {
     Worker worker = attempt.worker;
-    if (reply.workerClockMs() >= 0) {
-      worker.readClock(reply.workerClockMs(), nowMs);
-    }
     if (worker.attempts.get(Worker.attemptKey(attempt.task.key.wireName(), attempt.run))
         != attempt) {
       return;
     }
+    boolean isClockSetBack =
+        reply.workerClockMs() >= 0
+            && worker.hasClock()
+            && reply.workerClockMs() + CLOCK_TOLERANCE_MS < worker.clockMs(nowMs);
+    if (reply.workerClockMs() >= 0) {
+      worker.readClock(reply.workerClockMs(), nowMs);
+    }
     switch (reply.outcome()) {
       case OBEYED -> {
         attempt.phase = Attempt.Phase.RUNNING;
+        attempt.isOfNextLife = isClockSetBack;
         attempt.confirmedClockMs = Math.max(attempt.confirmedClockMs, reply.workerClockMs());
       }
       case UNKNOWN -> {
@@ -135,11 +143,15 @@
   }
 
   /**
-   * Deals with a worker's report.
+   * Deals with a worker's report. A report of an earlier life may be overtaken by the registry's
+   * word of the next one; its ends must not be acknowledged there.
    *
    * @return runs that should not go on and are not known here, as stops to order
    */
   List<Order> onReport(Worker worker, WorkerReport report, long nowMs) {
+    if (report.startedEpochMs() != 0 && report.startedEpochMs() < worker.startedEpochMs) {
+      return List.of();
+    }
     noteIncarnation(worker, report.startedEpochMs());
     worker.readClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
@@ -168,7 +180,11 @@
       return;
     }
     if (worker.startedEpochMs != 0 || worker.hasClock()) {
-      closeAll(worker);
+      // What has not been confirmed by the earlier life may be obeyed by the next one.
+      List.copyOf(worker.attempts.values()).stream()
+          .filter(attempt -> attempt.phase == Attempt.Phase.RUNNING && !attempt.isOfNextLife)
+          .forEach(this::close);
+      worker.attempts.values().forEach(attempt -> attempt.isOfNextLife = false);
     }
     worker.resetLife(startedEpochMs);
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -351,6 +351,53 @@
     }
   }
 
+  @Nested
+  class WhenAWorkerStartsAgain {
+
+    private void restart(SimulatedWorker worker) {
+      nowMs += 100;
+      worker.crash(nowMs);
+      scheduler.listWorkers(List.of(one.listing(), two.listing()), nowMs);
+    }
+
+    /**
+     * Guards against acknowledging ends of the new life by numbers of the earlier one, after which
+     * they are never listed and their tasks run twice.
+     */
+    @Test
+    void shouldIgnoreAReportOfTheEarlierLife() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(2, 1_000)), nowMs);
+      List<Order.Start> orders = starts();
+      orders.forEach(start -> obey(start, 50, false));
+      SimulatedWorker worker = worker(orders.get(0));
+      nowMs += 100;
+      WorkerReport overtaken = worker.renew(new Renewal(worker.id(), -1, 0, 0), 1, nowMs);
+      restart(worker);
+      scheduler.onReport(worker.id(), overtaken, nowMs);
+      store();
+      nowMs += 1_000;
+      assertThat(scheduler.renewal(worker.id(), nowMs).map(Renewal::acknowledgedEnd))
+          .hasValueSatisfying(number -> assertThat(number).isZero());
+    }
+
+    /** Guards against a start on its way that the new life obeys beside a repeated one. */
+    @Test
+    void shouldNotRepeatAStartThatTheNewLifeMayObey() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      Order.Start start = starts().get(0);
+      restart(worker(start));
+      report(one, 1);
+      report(two, 1);
+      assertThat(starts()).isEmpty();
+      obey(start, 500, false);
+      nowMs += 600;
+      report(one, 1);
+      report(two, 1);
+      store();
+      assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
+    }
+  }
+
   @Nested
   class WhenAnInstanceIsToGo {
 
