--- a/src/main/java/org/laburnumarch/Laburnumarch.java
+++ b/src/main/java/org/laburnumarch/Laburnumarch.java
@@ -6,6 +6,7 @@
 import org.laburnumarch.internal.emulator.EmulatorCommand;
 import org.laburnumarch.internal.experiment.ExperimentCommand;
 import org.laburnumarch.internal.node.NodeCommand;
+import org.laburnumarch.internal.rehearsal.RehearsalCommand;
 import org.laburnumarch.internal.soak.SoakCommand;
 
 /** Entry point of the runnable file. */
@@ -23,6 +24,7 @@
     return Subcommands.ofOperators()
         .plug("daemon", "Run one daemon until it is told to stop", new DaemonCommand())
         .plug("node", "Run one daemon on the users' platform", new NodeCommand())
+        .plug("rehearsal", "Take a job through two daemons on stand-ins", new RehearsalCommand())
         .plug("soak", "Run daemons under random faults and check promises", new SoakCommand())
         .plug("experiment", "Measure policies against baselines", new ExperimentCommand()::run)
         .plug(
--- a/src/main/java/org/laburnumarch/internal/platform/standin/PromiseJudge.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PromiseJudge.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.StepSpec;
@@ -44,9 +45,18 @@
   private static final class History {
     private final Map<String, Long> runningOn = new HashMap<>();
     private final Set<Long> failedRuns = new HashSet<>();
-    private boolean isDone;
+
+    /** Runs that ended as done; a worker that restarts may lose such an end. */
+    private final Set<Long> doneRuns = new HashSet<>();
+
+    /** Done runs after whose end another run began. */
+    private final Set<Long> overtakenRuns = new HashSet<>();
+
     private boolean isDoneAcknowledged;
-    private boolean hasStartedAfterDone;
+
+    boolean isDone() {
+      return !doneRuns.isEmpty();
+    }
   }
 
   private static final class Submitted {
@@ -65,15 +75,26 @@
   }
 
   private final LocalClock clock;
+  private final Consumer<String> trace;
   private final Map<String, Submitted> jobs = new LinkedHashMap<>();
   private final Map<String, History> tasks = new HashMap<>();
   private final Map<String, Long> teamCpuMillis = new HashMap<>();
   private final List<String> breaches = new ArrayList<>();
   private long starts;
 
-  /** Creates a judge that has seen nothing. */
-  public PromiseJudge(LocalClock clock) {
+  /**
+   * Creates a judge that has seen nothing.
+   *
+   * @param trace takes a line for each event on a worker
+   */
+  public PromiseJudge(LocalClock clock, Consumer<String> trace) {
     this.clock = clock;
+    this.trace = trace;
+  }
+
+  private void trace(String event, SimulatedWorker worker, String task, long run, String more) {
+    trace.accept(
+        clock.epochMs() + " " + event + ' ' + worker.id() + ' ' + task + ' ' + run + ' ' + more);
   }
 
   /** Returns what was broken, in order; empty if nothing was. */
@@ -135,7 +156,7 @@
     submitted.shown = status;
     switch (status) {
       case COMPLETED -> {
-        if (taskNames(submitted.job).stream().anyMatch(name -> !history(name).isDone)) {
+        if (taskNames(submitted.job).stream().anyMatch(name -> !history(name).isDone())) {
           breach("MIXED", jobId + " is shown as completed while a task has not ended");
         }
       }
@@ -241,6 +262,7 @@
   @Override
   public void onStart(SimulatedWorker worker, String task, long run) {
     starts++;
+    trace("start", worker, task, run, "");
     Optional<Submitted> found = submitted(task);
     if (found.isEmpty()) {
       breach("UNASKED", task + " run " + run + " belongs to no job");
@@ -267,11 +289,11 @@
     }
     StepSpec step = step(submitted, task);
     for (int earlier : step.after()) {
-      if (taskNames(submitted.job, earlier).stream().anyMatch(name -> !history(name).isDone)) {
+      if (taskNames(submitted.job, earlier).stream().anyMatch(name -> !history(name).isDone())) {
         breach("ORDER", what + " starts before step " + earlier + " has ended");
       }
     }
-    history.hasStartedAfterDone |= history.isDone;
+    history.overtakenRuns.addAll(history.doneRuns);
     history.runningOn.put(worker.id(), run);
     long cpuMillis = teamCpuMillis.merge(submitted.job.team(), step.need().cpuMillis(), Long::sum);
     if (cpuMillis > TEAM_CPU_MILLIS * TEAM_OVERAGE + step.need().cpuMillis()) {
@@ -281,10 +303,11 @@
 
   @Override
   public void onEnd(SimulatedWorker worker, EndedTask end) {
+    trace("end", worker, end.taskName(), end.run(), end.how() + " number=" + end.number());
     History history = history(end.taskName());
     leave(worker, end.taskName());
     if (end.how() == EndKind.DONE) {
-      history.isDone = true;
+      history.doneRuns.add(end.run());
     } else if (end.how() == EndKind.FAILED) {
       history.failedRuns.add(end.run());
     }
@@ -292,17 +315,20 @@
 
   @Override
   public void onAcknowledged(SimulatedWorker worker, EndedTask end) {
+    trace("acknowledged", worker, end.taskName(), end.run(), "number=" + end.number());
     History history = history(end.taskName());
     if (end.how() == EndKind.DONE) {
       history.isDoneAcknowledged = true;
-      if (history.hasStartedAfterDone) {
-        breach("TWICE", end.taskName() + " started again after an end that was acknowledged");
+      if (history.overtakenRuns.contains(end.run())) {
+        breach(
+            "TWICE", end.taskName() + " began again after run " + end.run() + ", whose end counts");
       }
     }
   }
 
   @Override
   public void onLost(SimulatedWorker worker, String task, long run) {
+    trace("lost", worker, task, run, "");
     leave(worker, task);
   }
 
--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -60,7 +60,7 @@
     /** A run has ended, and the worker lists its end from now on. */
     void onEnd(SimulatedWorker worker, EndedTask end);
 
-    /** An end has been acknowledged and is not listed any more. */
+    /** An end has been acknowledged while the lease lasted, and is not listed any more. */
     void onAcknowledged(SimulatedWorker worker, EndedTask end);
 
     /** A run is gone together with the worker's life. */
@@ -96,6 +96,9 @@
   private long nextEnd = 1;
   private long acknowledged;
 
+  /** Last end that was listed when the lease lapsed; an acknowledgement of it comes too late. */
+  private long lapsedEnd;
+
   /** Creates a worker with an exact clock that nobody observes. */
   public SimulatedWorker(String id, String service, String rack, long nowMs) {
     this(id, service, rack, nowMs, 1, Observer.NONE);
@@ -175,6 +178,7 @@
     leaseEndMs = -1;
     nextEnd = 1;
     acknowledged = 0;
+    lapsedEnd = 0;
     bornAtMs = nowMs;
   }
 
@@ -191,6 +195,9 @@
         end(run, run.behaviour.isFailing() ? EndKind.FAILED : EndKind.DONE, over);
       }
     }
+    if (isLapsed) {
+      lapsedEnd = nextEnd - 1;
+    }
     over.forEach(run -> running.remove(run.task));
   }
 
@@ -270,7 +277,7 @@
     ended.removeIf(
         listed -> {
           boolean isOver = listed.number() <= acknowledged;
-          if (isOver) {
+          if (isOver && listed.number() > lapsedEnd) {
             observer.onAcknowledged(this, listed);
           }
           return isOver;
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/soak/PortBlock.java
@@ -0,0 +1,59 @@
+package org.laburnumarch.internal.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
+import org.tinylog.Logger;
+
+/**
+ * A range of ports for one run, which no other run on this machine uses at the same time. Its last
+ * port stays bound as a sign of that.
+ */
+public final class PortBlock implements AutoCloseable {
+
+  /** The kernel gives out ports from 32,768 on by itself. */
+  private static final int LOWEST_PORT = 15_000;
+
+  private static final int HIGHEST_PORT = 32_000;
+  private static final int MAX_TRIES = 50;
+
+  private final int first;
+  private final ServerSocket reservation;
+
+  private PortBlock(int first, ServerSocket reservation) {
+    this.first = first;
+    this.reservation = reservation;
+  }
+
+  /**
+   * Reserves a range.
+   *
+   * @param size number of ports, with the one that stays bound
+   * @throws IOException if no range is free
+   */
+  public static PortBlock reserve(int size) throws IOException {
+    int blocks = (HIGHEST_PORT - LOWEST_PORT) / size;
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      int first = LOWEST_PORT + ThreadLocalRandom.current().nextInt(blocks) * size;
+      try {
+        return new PortBlock(
+            first, new ServerSocket(first + size - 1, 1, InetAddress.getLoopbackAddress()));
+      } catch (IOException e) {
+        Logger.debug("ports: {} to {} are in use", first, first + size - 1);
+      }
+    }
+    throw new IOException("no " + size + " free ports were found");
+  }
+
+  /** Returns the first port of the range. */
+  public int first() {
+    return first;
+  }
+
+  /** Gives the range back. */
+  @Override
+  public void close() throws IOException {
+    reservation.close();
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -16,11 +16,6 @@
 
   private static final int PORTS_PER_RUN = 300;
 
-  /** Below the range that the kernel gives out by itself. */
-  private static final int LOWEST_PORT = 20_000;
-
-  private static final int PORT_BLOCKS = 30;
-
   /** Options of the command. */
   private static final class Options {
     @Parameter(names = "--seed", description = "first seed")
@@ -70,8 +65,10 @@
   private static boolean runSeed(long seed, Options options, PrintStream out, PrintStream err) {
     try {
       Path directory = directory(seed, options);
-      try (SoakRun run =
-          new SoakRun(seed, options.daemons, options.seconds * 1_000L, directory, firstPort())) {
+      try (PortBlock ports = PortBlock.reserve(PORTS_PER_RUN);
+          SoakRun run =
+              new SoakRun(
+                  seed, options.daemons, options.seconds * 1_000L, directory, ports.first())) {
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
@@ -104,10 +101,4 @@
         ? Files.createTempDirectory("soak-" + seed + '-')
         : Files.createDirectories(Path.of(options.directory, "seed-" + seed));
   }
-
-  /** Returns a block of ports that other runs on this machine rarely use at the same time. */
-  private static int firstPort() {
-    long block = ProcessHandle.current().pid() % PORT_BLOCKS;
-    return (int) (LOWEST_PORT + block * PORTS_PER_RUN);
-  }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -1,5 +1,8 @@
 package org.laburnumarch.internal.soak;
 
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +18,9 @@
 /** One run of the soak: a calm start, faults in series and at the same time, and a calm end. */
 final class SoakRun implements AutoCloseable {
 
+  /** Takes what happens on the workers, to trace a breach by. */
+  private static final String EVENTS_FILE = "workers.log";
+
   private static final long CALM_START_MS = 5_000;
 
   /** Longest pause between two faults; they last longer, so that they overlap. */
@@ -47,11 +53,16 @@
   private final long faultsMs;
   private final HttpLoop loop = new HttpLoop();
   private final LocalClock clock = new LocalClock();
-  private final PromiseJudge judge = new PromiseJudge(clock);
+  private final PrintStream events;
+  private final PromiseJudge judge;
   private final Random random;
   private final SoakFleet fleet;
   private final SoakCallers callers;
   private final List<String> struck = new ArrayList<>();
+
+  /** Ends the daemons if this process is told to end in the middle of a run. */
+  private final Thread onShutdown = new Thread(this::killDaemons, "kill-daemons");
+
   private int openFaults;
 
   /**
@@ -64,9 +75,18 @@
     this.seed = seed;
     this.faultsMs = faultsMs;
     this.random = new Random(seed);
+    this.events =
+        new PrintStream(
+            Files.newOutputStream(directory.resolve(EVENTS_FILE)), false, StandardCharsets.UTF_8);
+    this.judge = new PromiseJudge(clock, events::println);
     this.fleet =
         new SoakFleet(directory, firstPort, daemons, loop, clock, judge, random.nextLong());
     this.callers = new SoakCallers(fleet.daemons(), loop, clock, judge, random.nextLong());
+    Runtime.getRuntime().addShutdownHook(onShutdown);
+  }
+
+  private void killDaemons() {
+    fleet.daemons().forEach(DaemonProcess::kill);
   }
 
   /** Runs to the end. */
@@ -173,5 +193,7 @@
         });
     closed.join();
     loop.close();
+    events.close();
+    Runtime.getRuntime().removeShutdownHook(onShutdown);
   }
 }
--- a/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
@@ -30,7 +30,7 @@
 /** Guards the whole path of a daemon as its callers see it, with a platform of stand-ins. */
 class DaemonProcessTest {
 
-  private static final int FIRST_PORT = 29_600;
+  private static final int PORTS = 300;
   private static final int METRICS_OFFSET = 61;
 
   /** A take-over, the longest lease and the job itself; the target of the platform is less. */
@@ -42,12 +42,14 @@
 
   private final HttpLoop loop = new HttpLoop();
   private final LocalClock clock = new LocalClock();
-  private final PromiseJudge judge = new PromiseJudge(clock);
+  private final PromiseJudge judge = new PromiseJudge(clock, line -> {});
+  private PortBlock ports;
   private SoakFleet fleet;
 
   @BeforeEach
   void startTwoDaemons() throws Exception {
-    fleet = new SoakFleet(directory, FIRST_PORT, 2, loop, clock, judge, 1);
+    ports = PortBlock.reserve(PORTS);
+    fleet = new SoakFleet(directory, ports.first(), 2, loop, clock, judge, 1);
     onLoop(
         () -> {
           fleet.platform().start();
@@ -57,7 +59,7 @@
   }
 
   @AfterEach
-  void endAllProcesses() {
+  void endAllProcesses() throws Exception {
     CompletableFuture<Void> closed = new CompletableFuture<>();
     loop.execute(
         () -> {
@@ -66,6 +68,7 @@
         });
     closed.join();
     loop.close();
+    ports.close();
   }
 
   private <T> T onLoop(Callable<T> action) throws Exception {
@@ -211,7 +214,8 @@
       try (CallerClient caller = caller(daemon);
           PlatformHttpClient metrics =
               new PlatformHttpClient(
-                  new InetSocketAddress(daemon.callers().getAddress(), FIRST_PORT + METRICS_OFFSET),
+                  new InetSocketAddress(
+                      daemon.callers().getAddress(), ports.first() + METRICS_OFFSET),
                   loop)) {
         retryUntil(200, () -> code(caller.submit(job, TEAM).toCompletableFuture()));
         String text =
--- a/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
@@ -13,14 +13,15 @@
  */
 class SoakRunTest {
 
-  private static final int FIRST_PORT = 29_300;
+  private static final int PORTS = 300;
   private static final int DAEMONS = 3;
   private static final long SHORT_MS = 8_000;
 
   @TempDir private Path directory;
 
   private SoakRun.Result run(long seed) throws Exception {
-    try (SoakRun run = new SoakRun(seed, DAEMONS, SHORT_MS, directory, FIRST_PORT)) {
+    try (PortBlock ports = PortBlock.reserve(PORTS);
+        SoakRun run = new SoakRun(seed, DAEMONS, SHORT_MS, directory, ports.first())) {
       return run.run();
     }
   }
