Acknowledge ends only right after a report of the same life

One that was sent just after a worker had started again told the new life to forget its first ends, which were then never listed. Now an acknowledgement goes out only within 100 ms of a report of that life, and a missed report makes it due again. The stand-in of a worker takes 300 ms to start again; before it took none, which no process does.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/FleetStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/FleetStandIn.java
@@ -44,6 +44,9 @@
   private static final long BEAT_MS = 1_500;
   private static final long TICK_MS = 20;
 
+  /** Time in which a worker's process starts again. */
+  private static final long RESTART_MS = 300;
+
   /** Beats that a worker may miss before its entry is removed. */
   private static final int MISSED_BEATS = 3;
 
@@ -179,9 +182,21 @@
 
   /** Lets a worker lose all it knows and start again under its id. */
   public void restartWorker(String machine) {
-    Place place = places.get(machine);
-    place.port.worker().ifPresent(worker -> worker.crash(clock.nowMs()));
-    writeEntry(place);
+    WorkerStandIn port = places.get(machine).port;
+    Optional<SimulatedWorker> worker = port.worker();
+    port.end(clock.nowMs());
+    worker.ifPresent(
+        ended ->
+            loop.after(
+                RESTART_MS,
+                () -> {
+                  // The instance may have been moved meanwhile.
+                  if (port.worker().isEmpty() && instances.workerOf(machine).equals(ended.id())) {
+                    ended.crash(clock.nowMs());
+                    port.begin(ended);
+                    writeEntry(places.get(machine));
+                  }
+                }));
   }
 
   /** Keeps a worker's entry in the registry from being renewed, or lets it be renewed again. */
--- a/src/main/java/org/laburnumarch/internal/schedule/Renewals.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Renewals.java
@@ -17,9 +17,16 @@
    */
   private static final long UNSTORED_PAUSE_MS = 250;
 
-  /** Time after which ends on an idle worker are acknowledged. */
+  /** Time after which an idle worker is asked again, to acknowledge ends that are stored by now. */
   private static final long IDLE_ACK_MS = 600;
 
+  /**
+   * Age of a worker's report up to which ends are acknowledged. A worker that starts again under
+   * its id counts its ends anew and must not take an acknowledgement that is meant for its earlier
+   * life; to start again takes a process longer than this.
+   */
+  private static final long ACKNOWLEDGE_WITHIN_MS = 100;
+
   /** Pause after a report that did not come. */
   private static final long MISS_PAUSE_MS = 200;
 
@@ -27,23 +34,37 @@
 
   static Optional<Renewal> decide(Worker worker, SchedulerSettings settings, long nowMs) {
     Optional<Renewal> renewal = choose(worker, settings, nowMs);
-    renewal.ifPresent(chosen -> worker.sentAcknowledgement = chosen.acknowledgedEnd());
+    renewal.ifPresent(
+        chosen ->
+            worker.sentAcknowledgement =
+                Math.max(worker.sentAcknowledgement, chosen.acknowledgedEnd()));
     return renewal;
   }
 
+  /** Returns the end to acknowledge now; 0 for none. */
+  private static long acknowledgement(Worker worker, long nowMs) {
+    boolean isLifeCertain =
+        worker.missedReports == 0 && nowMs - worker.lastReportTryMs <= ACKNOWLEDGE_WITHIN_MS;
+    return isLifeCertain ? worker.acknowledgedEnd : 0;
+  }
+
   private static Optional<Renewal> choose(Worker worker, SchedulerSettings settings, long nowMs) {
     long sinceReportMs = nowMs - worker.lastReportTryMs;
     if (!worker.isFenced) {
       return worker.missedReports > 0 && sinceReportMs < MISS_PAUSE_MS
           ? Optional.empty()
-          : Optional.of(new Renewal(worker.id, -1, worker.acknowledgedEnd, 0));
+          : Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
+    long acknowledgement = acknowledgement(worker, nowMs);
     if (worker.attempts.isEmpty()) {
+      boolean isAckMissing = worker.acknowledgedEnd > worker.sentAcknowledgement;
       boolean isAckDue =
-          worker.acknowledgedEnd > worker.sentAcknowledgement && sinceReportMs > IDLE_ACK_MS;
+          isAckMissing
+              && (sinceReportMs > IDLE_ACK_MS
+                  || (acknowledgement > 0 && sinceReportMs >= REPORT_PAUSE_MS));
       boolean isProbeDue = worker.missedReports > 0 && sinceReportMs > MISS_PAUSE_MS;
       return isAckDue || isProbeDue
-          ? Optional.of(new Renewal(worker.id, -1, worker.acknowledgedEnd, 0))
+          ? Optional.of(new Renewal(worker.id, -1, acknowledgement, 0))
           : Optional.empty();
     }
     long pauseMs =
@@ -55,11 +76,11 @@
     }
     if (worker.missedReports > 0) {
       // A worker that does not answer must not have its lease extended by what reaches it late.
-      return Optional.of(new Renewal(worker.id, -1, worker.acknowledgedEnd, 0));
+      return Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
     long leaseEndClockMs = worker.clockMs(nowMs) + settings.leaseMs();
     worker.leaseEndClockMs = Math.max(worker.leaseEndClockMs, leaseEndClockMs);
     long waitMs = worker.hasUnacknowledgedEnds() ? 0 : LONGEST_WAIT_MS;
-    return Optional.of(new Renewal(worker.id, leaseEndClockMs, worker.acknowledgedEnd, waitMs));
+    return Optional.of(new Renewal(worker.id, leaseEndClockMs, acknowledgement, waitMs));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -305,6 +305,8 @@
     if (worker != null) {
       worker.missedReports++;
       worker.lastReportTryMs = nowMs;
+      // What it acknowledged may not have arrived.
+      worker.sentAcknowledgement = 0;
     }
   }
 
@@ -336,9 +338,7 @@
                 .anyMatch(
                     attempt ->
                         attempt.phase == Attempt.Phase.UNANSWERED && attempt.isStopConfirmed);
-    return isWanted
-        ? Optional.of(new Renewal(worker.id, -1, worker.sentAcknowledgement, 0))
-        : Optional.empty();
+    return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
   /** Returns the ids of all workers that are known. */
