Tell from the logs what became of a job

'laburnumarch explain JOB-ID LOG...' puts the lines of all daemons together and says what follows from them. Its tests play a late job, a refused one and one that nobody knows.

--- a/src/main/java/org/laburnumarch/Laburnumarch.java
+++ b/src/main/java/org/laburnumarch/Laburnumarch.java
@@ -5,6 +5,7 @@
 import org.laburnumarch.internal.daemon.DaemonCommand;
 import org.laburnumarch.internal.emulator.EmulatorCommand;
 import org.laburnumarch.internal.experiment.ExperimentCommand;
+import org.laburnumarch.internal.explain.ExplainCommand;
 import org.laburnumarch.internal.node.NodeCommand;
 import org.laburnumarch.internal.rehearsal.RehearsalCommand;
 import org.laburnumarch.internal.soak.SoakCommand;
@@ -24,6 +25,7 @@
     return Subcommands.ofOperators()
         .plug("daemon", "Run one daemon until it is told to stop", new DaemonCommand())
         .plug("node", "Run one daemon on the users' platform", new NodeCommand())
+        .plug("explain", "Tell from logs what became of a job", new ExplainCommand())
         .plug("rehearsal", "Take a job through two daemons on stand-ins", new RehearsalCommand())
         .plug("soak", "Run daemons under random faults and check promises", new SoakCommand())
         .plug("experiment", "Measure policies against baselines", new ExperimentCommand()::run)
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Tells from the daemons' logs what became of one job. */
+package org.laburnumarch.internal.explain;
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/explain/ExplainCommandTest.java
@@ -0,0 +1,75 @@
+package org.laburnumarch.internal.explain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against an id in a complaint from which the logs lead to no cause. */
+class ExplainCommandTest {
+
+  private static final String LATE =
+      """
+        5.3 front-1 2026-12-04T07:00:05.300Z INFO jobs: event=accepted job=af57 queue=q steps=1
+      front-1 2026-12-04T07:00:05.400Z INFO owner: event=gained term=4 holder=front-2/1
+      front-1 2026-12-04T07:00:05.700Z INFO orders: event=Start task=af57.0.0.0 run=1 worker=w1 outcome=UNKNOWN
+      front-1 2026-12-04T07:00:06.100Z INFO orders: event=Start task=af57.0.0.0 run=2 worker=w1 outcome=OBEYED
+      front-1 2026-12-04T07:00:06.200Z INFO orders: event=Start task=ffff.0.0.0 run=1 worker=w2 outcome=OBEYED
+      front-1 2026-12-04T07:00:08.900Z INFO orders: event=End task=af57.0.0.0 run=2 worker=w1 how=DONE
+      front-1 2026-12-04T07:00:08.975Z INFO jobs: event=final job=af57 status=completed
+      """;
+
+  private static final String REFUSED =
+      """
+      2026-12-04T07:00:01.000Z INFO callers: event=refused status=401 path=/q/be01 cause="no valid key" configVersion=3
+      """;
+
+  private static String explain(String jobId, String logs) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    PrintStream printed = new PrintStream(out, true, StandardCharsets.UTF_8);
+    new ExplainCommand(new ByteArrayInputStream(logs.getBytes(StandardCharsets.UTF_8)))
+        .run(new String[] {jobId}, printed, printed);
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  @Nested
+  class OfAJob {
+
+    @Test
+    void shouldTellWhyItWasLate() {
+      assertThat(explain("af57", LATE))
+          .contains("Its first task started 800 ms after it was accepted.")
+          .contains("starts answered UNKNOWN=1")
+          .contains("The owner changed 1 times in its time")
+          .contains("It became completed 3675 ms later.")
+          .doesNotContain("ffff");
+    }
+
+    @Test
+    void shouldTellWhyItWasRefused() {
+      assertThat(explain("be01", REFUSED)).contains("refused it: no valid key.");
+    }
+
+    @Test
+    void shouldSayThatNoDaemonKnowsIt() {
+      assertThat(explain("0000", LATE)).contains("No daemon has logged 0000");
+    }
+  }
+
+  @Nested
+  class Usage {
+
+    @Test
+    void shouldAskForAnId() {
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      PrintStream printed = new PrintStream(out, true, StandardCharsets.UTF_8);
+      int status = new ExplainCommand().run(new String[0], printed, printed);
+      assertThat(status).isNotZero();
+      assertThat(out.toString(StandardCharsets.UTF_8)).contains("explain JOB-ID");
+    }
+  }
+}
