Wait for what an unknown life of a worker may have begun

The reports missed meanwhile, together with a life without a clock reading, counted as a lease that is over, so the owner gave the run up and started the task elsewhere. Ruled out: a second owner, a late order (none at that time).

--- a/src/main/java/org/laburnumarch/internal/schedule/RunBook.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunBook.java
@@ -152,7 +152,7 @@
     if (report.startedEpochMs() != 0 && report.startedEpochMs() < worker.startedEpochMs) {
       return List.of();
     }
-    noteIncarnation(worker, report.startedEpochMs());
+    noteIncarnation(worker, report.startedEpochMs(), nowMs);
     worker.readClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
     worker.missedReports = 0;
@@ -174,7 +174,7 @@
   }
 
   /** Notes when a worker's life began; if that has changed, nothing of before runs any more. */
-  void noteIncarnation(Worker worker, long startedEpochMs) {
+  void noteIncarnation(Worker worker, long startedEpochMs, long nowMs) {
     // A registry entry may be older than the worker's own report.
     if (startedEpochMs <= worker.startedEpochMs) {
       return;
@@ -186,7 +186,7 @@
           .forEach(this::close);
       worker.attempts.values().forEach(attempt -> attempt.isOfNextLife = false);
     }
-    worker.resetLife(startedEpochMs);
+    worker.resetLife(startedEpochMs, nowMs);
   }
 
   /** Closes all runs on a worker on which nothing can run any more. */
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -78,7 +78,7 @@
   public void listWorkers(Collection<WorkerListing> listings, long nowMs) {
     workers.list(listings);
     for (WorkerListing listing : listings) {
-      runs.noteIncarnation(workers.find(listing.id()), listing.startedEpochMs());
+      runs.noteIncarnation(workers.find(listing.id()), listing.startedEpochMs(), nowMs);
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -12,6 +12,12 @@
   /** An end that may be acknowledged once its record is stored. */
   private record UnacknowledgedEnd(long number, long changeNumber) {}
 
+  /**
+   * Time after which a run that a new life of the worker may have begun has lost its lease, if
+   * nothing was heard of that life. The platform grants 6 s; orders may arrive seconds late.
+   */
+  private static final long UNKNOWN_LIFE_MS = 18_000;
+
   /** Steady clocks may run this much slower than real time. */
   private static final double SLOWEST_CLOCK = 0.98;
 
@@ -36,6 +42,9 @@
   private long clockReadingMs = -1;
   private long clockReadAtMs;
 
+  /** Local time from which a life without a clock reading has surely ended what it was told. */
+  private long unknownLifeOverAtMs;
+
   /** Latest lease end that any order has named, on the worker's clock. */
   long leaseEndClockMs = -1;
 
@@ -101,9 +110,13 @@
     return listing.capacity().minus(reserved);
   }
 
-  /** Forgets all that belongs to an earlier life of the worker. */
-  void resetLife(long newStartedEpochMs) {
+  /**
+   * Forgets all that belongs to an earlier life of the worker. Runs that are left may be going on
+   * in the new one.
+   */
+  void resetLife(long newStartedEpochMs, long nowMs) {
     startedEpochMs = newStartedEpochMs;
+    unknownLifeOverAtMs = nowMs + UNKNOWN_LIFE_MS;
     clockReadingMs = -1;
     leaseEndClockMs = -1;
     lastEndNumber = 0;
@@ -132,8 +145,11 @@
 
   /** Returns whether every lease that was granted here has surely run out. */
   boolean isLeaseOver(long nowMs) {
+    if (!hasClock()) {
+      return attempts.isEmpty() || nowMs > unknownLifeOverAtMs;
+    }
     double earliest = clockReadingMs + (nowMs - clockReadAtMs) * SLOWEST_CLOCK;
-    return !hasClock() || earliest > leaseEndClockMs;
+    return earliest > leaseEndClockMs;
   }
 
   /** Notes an end that has been dealt with; it may be acknowledged after the change is stored. */
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -398,6 +398,26 @@
           .hasValueSatisfying(number -> assertThat(number).isZero());
     }
 
+    /**
+     * Guards against giving up, with the missed reports of the time in between, a start that the
+     * new life has obeyed before it was known.
+     */
+    @Test
+    void shouldNotRepeatAStartThatTheNewLifeHasObeyed() {
+      nowMs += 9_000;
+      report(one, 1);
+      report(two, 1);
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      Order.Start start = starts().get(0);
+      SimulatedWorker worker = worker(start);
+      worker.crash(nowMs);
+      scheduler.onReportMissed(worker.id(), nowMs);
+      nowMs += 100;
+      obey(start, 5_000, false);
+      scheduler.listWorkers(List.of(one.listing(), two.listing()), nowMs);
+      assertThat(starts()).isEmpty();
+    }
+
     /** Guards against a start on its way that the new life obeys beside a repeated one. */
     @Test
     void shouldNotRepeatAStartThatTheNewLifeMayObey() {
--- a/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
@@ -45,7 +45,7 @@
     /**
      * 100: tasks ran twice, because a report of a worker's earlier life was taken for one of its
      * present life. 103: the same, because the present life was sent an acknowledgement that was
-     * meant for the earlier one.
+     * meant for the earlier one, and because a start that it had obeyed was given up.
      */
     @ParameterizedTest
     @CsvSource({"100, 3, 15", "103, 3, 15"})
