Make one piece of code serve where the change had copies

Cause, found by reading the whole change: the 16 arguments of a step were spelled out in six places, the stand-ins had a JSON mapper of their own beside the adapter's, the soak and its test each waited for the loop by hand, faults on the owner repeated how it is found, and a take-over stood three times in one test.

--- a/src/main/java/org/laburnumarch/internal/http/HttpLoop.java
+++ b/src/main/java/org/laburnumarch/internal/http/HttpLoop.java
@@ -8,6 +8,8 @@
 import io.servicetalk.concurrent.api.Executors;
 import io.servicetalk.transport.api.IoExecutor;
 import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
@@ -42,6 +44,16 @@
     group.next().execute(guarded(task));
   }
 
+  /**
+   * Runs an action on the thread and waits for its result. Not to be called on that thread.
+   *
+   * @throws ExecutionException if the action fails, with its failure as the cause
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public <T> T call(Callable<T> action) throws ExecutionException, InterruptedException {
+    return group.next().submit(action).get();
+  }
+
   /** Runs a task on the thread after a time; a failure of the task is logged. */
   public void after(long delayMs, Runnable task) {
     Future<?> unused = group.next().schedule(guarded(task), delayMs, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/laburnumarch/internal/job/StepSpec.java
+++ b/src/main/java/org/laburnumarch/internal/job/StepSpec.java
@@ -46,6 +46,50 @@
     after = List.copyOf(after);
   }
 
+  /** Returns a step of tasks that end and ask for nothing but room. */
+  public static StepSpec ofTasks(
+      int count, Resources need, long estimatedRunMs, List<Integer> after) {
+    return new StepSpec(
+        count,
+        need,
+        estimatedRunMs,
+        after,
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** Returns a step of tasks that run until their job is cancelled. */
+  public static StepSpec ofLastingTasks(
+      int count, Resources need, String image, int maxPerWorker, int maxUnavailable) {
+    return new StepSpec(
+        count,
+        need,
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        maxPerWorker,
+        false,
+        true,
+        image,
+        0,
+        false,
+        maxUnavailable);
+  }
+
   /** Returns what a task takes of its worker's capacity. */
   public Resources reserved() {
     return isFiller ? new Resources(0, need.memoryMb(), need.gpus()) : need;
--- a/src/main/java/org/laburnumarch/internal/platform/Json.java
+++ b/src/main/java/org/laburnumarch/internal/platform/Json.java
@@ -9,7 +9,7 @@
 import java.net.InetSocketAddress;
 
 /** Reads and writes the platform's bodies; a field of the wrong type is an error, not a default. */
-final class Json {
+public final class Json {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -19,15 +19,17 @@
     return MAPPER.createObjectNode();
   }
 
-  static byte[] bytes(JsonNode node) {
+  /** Encodes a tree, or maps and lists of plain values. */
+  public static byte[] bytes(Object value) {
     try {
-      return MAPPER.writeValueAsBytes(node);
+      return MAPPER.writeValueAsBytes(value);
     } catch (JsonProcessingException e) {
       throw new UncheckedIOException(e);
     }
   }
 
-  static JsonNode parse(byte[] bytes) throws MalformedMessageException {
+  /** Decodes a body that must be a table. */
+  public static JsonNode parse(byte[] bytes) throws MalformedMessageException {
     try {
       JsonNode node = MAPPER.readTree(bytes);
       if (node == null || !node.isObject()) {
--- a/src/main/java/org/laburnumarch/internal/platform/standin/DaemonSettingsFile.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/DaemonSettingsFile.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.laburnumarch.internal.platform.Json;
 
 /** The settings file that the platform hands to a daemon. */
 public final class DaemonSettingsFile {
@@ -64,12 +65,8 @@
             "restoreMs", 600,
             "migrateS", 1.5,
             "maintenanceS", 2));
-    root.put("platform", Map.of("address", text(place.store())));
-    root.put("cloud", Map.of("address", text(place.instances())));
-    Files.write(file, Replies.bytes(root));
-  }
-
-  private static String text(InetSocketAddress address) {
-    return address.getAddress().getHostAddress() + ':' + address.getPort();
+    root.put("platform", Map.of("address", Replies.text(place.store())));
+    root.put("cloud", Map.of("address", Replies.text(place.instances())));
+    Files.write(file, Json.bytes(root));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/FleetStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/FleetStandIn.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.function.UnaryOperator;
 import org.laburnumarch.internal.http.HttpLoop;
+import org.laburnumarch.internal.platform.Json;
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.time.LocalClock;
 import org.tinylog.Logger;
@@ -235,7 +236,7 @@
             TEAMS.stream().map(FleetStandIn::team).toList(),
             "limits",
             Map.of());
-    store.write(StoreClient.OPERATORS, "config", Optional.of(Replies.bytes(config)));
+    store.write(StoreClient.OPERATORS, "config", Optional.of(Json.bytes(config)));
   }
 
   private static Map<String, Object> route(String name, String service) {
--- a/src/main/java/org/laburnumarch/internal/platform/standin/InstancesStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InstancesStandIn.java
@@ -106,9 +106,8 @@
     if (instance.pool.equals(pool)) {
       return Replies.json(responses.ok(), Map.of());
     }
-    return take(request, body.path("machine").asText(), instance, "moving", MOVE_MS, pool)
-        .map(reason -> Replies.json(responses.conflict(), Map.of("reason", reason)))
-        .orElseGet(() -> Replies.json(responses.ok(), Map.of()));
+    return answer(
+        take(request, body.path("machine").asText(), instance, "moving", MOVE_MS, pool), responses);
   }
 
   private HttpResponse maintain(HttpRequest request, HttpResponseFactory responses) {
@@ -117,7 +116,12 @@
     if (instance == null) {
       return Replies.json(responses.badRequest(), Map.of());
     }
-    return take(request, machine, instance, "upkeep", MAINTENANCE_MS, instance.pool)
+    return answer(
+        take(request, machine, instance, "upkeep", MAINTENANCE_MS, instance.pool), responses);
+  }
+
+  private static HttpResponse answer(Optional<String> refusal, HttpResponseFactory responses) {
+    return refusal
         .map(reason -> Replies.json(responses.conflict(), Map.of("reason", reason)))
         .orElseGet(() -> Replies.json(responses.ok(), Map.of()));
   }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/Replies.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/Replies.java
@@ -2,29 +2,23 @@
 
 import static io.servicetalk.buffer.api.ReadOnlyBufferAllocators.DEFAULT_RO_ALLOCATOR;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpResponse;
-import java.io.IOException;
-import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.util.Map;
+import org.laburnumarch.internal.platform.Json;
+import org.laburnumarch.internal.platform.MalformedMessageException;
 
 /** Bodies of the stand-ins' calls. */
 final class Replies {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-
   private Replies() {}
 
-  static byte[] bytes(Object value) {
-    try {
-      return MAPPER.writeValueAsBytes(value);
-    } catch (JsonProcessingException e) {
-      throw new UncheckedIOException(e);
-    }
+  /** Writes an address as {@code ip:port}. */
+  static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ':' + address.getPort();
   }
 
   static Buffer buffer(byte[] bytes) {
@@ -32,20 +26,18 @@
   }
 
   static HttpResponse json(HttpResponse response, Map<String, ?> body) {
-    return response.setHeader("Content-Type", "application/json").payloadBody(buffer(bytes(body)));
+    return response
+        .setHeader("Content-Type", "application/json")
+        .payloadBody(buffer(Json.bytes(body)));
   }
 
   static JsonNode body(HttpRequest request) {
     byte[] content = new byte[request.payloadBody().readableBytes()];
     request.payloadBody().readBytes(content);
-    return parse(content);
-  }
-
-  static JsonNode parse(byte[] content) {
     try {
-      return MAPPER.readTree(content);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+      return Json.parse(content);
+    } catch (MalformedMessageException e) {
+      throw new IllegalArgumentException(e);
     }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
@@ -21,6 +21,7 @@
 import java.util.function.UnaryOperator;
 import org.laburnumarch.internal.http.HttpLoop;
 import org.laburnumarch.internal.http.LoopServers;
+import org.laburnumarch.internal.platform.Json;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
 import org.laburnumarch.internal.schedule.EndedTask;
 import org.laburnumarch.internal.schedule.Order;
@@ -46,15 +47,13 @@
     Behaviour behaviour(String task, long run, long nowMs);
   }
 
-  private record WaitingReport(CompletableFuture<Boolean> result) {}
-
   private final InetSocketAddress address;
   private final HttpLoop loop;
   private final LocalClock clock;
   private final Tasks tasks;
   private final Random random;
   private final HttpServerContext server;
-  private final List<WaitingReport> waiting = new ArrayList<>();
+  private final List<CompletableFuture<Boolean>> waiting = new ArrayList<>();
   private Optional<SimulatedWorker> life = Optional.empty();
   private double lateShare;
 
@@ -94,9 +93,9 @@
   void advance(long nowMs) {
     life.ifPresent(worker -> worker.advance(nowMs));
     if (life.map(SimulatedWorker::hasEnds).orElse(true) && !waiting.isEmpty()) {
-      List<WaitingReport> due = List.copyOf(waiting);
+      List<CompletableFuture<Boolean>> due = List.copyOf(waiting);
       waiting.clear();
-      due.forEach(report -> report.result().complete(true));
+      due.forEach(report -> report.complete(true));
     }
   }
 
@@ -188,7 +187,7 @@
       return Single.succeeded(Replies.json(responses.ok(), lists(now)));
     }
     CompletableFuture<Boolean> ready = new CompletableFuture<>();
-    waiting.add(new WaitingReport(ready));
+    waiting.add(ready);
     loop.after(renewal.waitMs(), () -> ready.complete(false));
     return Single.fromStage(
         ready.thenApply(
@@ -227,12 +226,12 @@
     InetSocketAddress reachableAt = exposure.apply(address);
     return life.map(
         worker ->
-            Replies.bytes(
+            Json.bytes(
                 Map.of(
                     "service",
                     worker.service(),
                     "address",
-                    reachableAt.getAddress().getHostAddress() + ':' + reachableAt.getPort(),
+                    Replies.text(reachableAt),
                     "zone",
                     "north",
                     "state",
--- a/src/main/java/org/laburnumarch/internal/rehearsal/RehearsalCommand.java
+++ b/src/main/java/org/laburnumarch/internal/rehearsal/RehearsalCommand.java
@@ -167,22 +167,6 @@
   }
 
   private static StepSpec step(List<Integer> after) {
-    return new StepSpec(
-        4,
-        new Resources(500, 1_000, 0),
-        300,
-        after,
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return StepSpec.ofTasks(4, new Resources(500, 1_000, 0), 300, after);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
@@ -39,6 +39,9 @@
 
   private static final int LASTING_JOBS = 4;
 
+  /** Memory of every task. */
+  private static final long MEMORY_MB = 1_000;
+
   // What daemons answer.
   private static final int OK = 200;
   private static final int GONE = 410;
@@ -119,36 +122,19 @@
     List<StepSpec> steps = new ArrayList<>();
     if (isLasting) {
       lastingSubmitted++;
-      steps.add(step(4, 500, 0, true));
+      steps.add(StepSpec.ofLastingTasks(4, new Resources(500, MEMORY_MB, 0), "", 0, 1));
     } else {
-      steps.add(step(1 + random.nextInt(6), 500, 100 + random.nextInt(600), false));
+      steps.add(shortStep(1 + random.nextInt(6), 500, 100 + random.nextInt(600)));
       if (random.nextInt(3) == 0) {
-        steps.add(step(1 + random.nextInt(3), 1_000, 100 + random.nextInt(300), false, 0));
+        steps.add(shortStep(1 + random.nextInt(3), 1_000, 100 + random.nextInt(300), 0));
       }
     }
     String queue = isLasting ? FleetStandIn.LASTING_QUEUE : FleetStandIn.SHORT_QUEUE;
     return new JobSpec(id, queue, team, "soak", steps, 0, 0, 0, clock.epochMs());
   }
 
-  private static StepSpec step(
-      int count, long cpuMillis, long runMs, boolean isLasting, Integer... after) {
-    return new StepSpec(
-        count,
-        new Resources(cpuMillis, 1_000, 0),
-        runMs,
-        List.of(after),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        isLasting,
-        "",
-        0,
-        false,
-        isLasting ? 1 : 0);
+  private static StepSpec shortStep(int count, long cpuMillis, long runMs, Integer... after) {
+    return StepSpec.ofTasks(count, new Resources(cpuMillis, MEMORY_MB, 0), runMs, List.of(after));
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
@@ -11,18 +11,14 @@
   KILL {
     @Override
     Runnable strike(SoakFleet fleet, Random random) {
-      DaemonProcess daemon = fleet.any(random);
-      daemon.kill();
-      return () -> fleet.start(daemon);
+      return kill(fleet, fleet.any(random));
     }
   },
   /** The owner is killed and starts again. */
   KILL_OWNER {
     @Override
     Runnable strike(SoakFleet fleet, Random random) {
-      DaemonProcess daemon = fleet.owner().orElseGet(() -> fleet.any(random));
-      daemon.kill();
-      return () -> fleet.start(daemon);
+      return kill(fleet, fleet.ownerOrAny(random));
     }
   },
   /** All daemons are killed at once and start again. */
@@ -46,18 +42,14 @@
   PAUSE {
     @Override
     Runnable strike(SoakFleet fleet, Random random) {
-      DaemonProcess daemon = fleet.any(random);
-      daemon.pause();
-      return daemon::resume;
+      return pause(fleet.any(random));
     }
   },
   /** The owner stands still, longer than others wait for it, and goes on. */
   PAUSE_OWNER {
     @Override
     Runnable strike(SoakFleet fleet, Random random) {
-      DaemonProcess daemon = fleet.owner().orElseGet(() -> fleet.any(random));
-      daemon.pause();
-      return daemon::resume;
+      return pause(fleet.ownerOrAny(random));
     }
   },
   /** All daemons are told that their settings file has changed. */
@@ -79,8 +71,7 @@
   OWNERS_STORE_PATH {
     @Override
     Runnable strike(SoakFleet fleet, Random random) {
-      DaemonProcess daemon = fleet.owner().orElseGet(() -> fleet.any(random));
-      return harm(List.of(fleet.storePath(daemon)), random);
+      return harm(List.of(fleet.storePath(fleet.ownerOrAny(random))), random);
     }
   },
   /** The connections of all daemons to a third of the workers are harmed. */
@@ -167,6 +158,16 @@
   /** Strikes now; the returned action ends the fault. */
   abstract Runnable strike(SoakFleet fleet, Random random);
 
+  private static Runnable kill(SoakFleet fleet, DaemonProcess daemon) {
+    daemon.kill();
+    return () -> fleet.start(daemon);
+  }
+
+  private static Runnable pause(DaemonProcess daemon) {
+    daemon.pause();
+    return daemon::resume;
+  }
+
   private static Runnable harm(List<LoopbackProxy> paths, Random random) {
     Mode[] modes = Mode.values();
     Mode mode = modes[1 + random.nextInt(modes.length - 1)];
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -152,6 +152,11 @@
                     .findFirst());
   }
 
+  /** Returns the owner, or any daemon if the store names none. */
+  DaemonProcess ownerOrAny(Random random) {
+    return owner().orElseGet(() -> any(random));
+  }
+
   private static Optional<String> holder(byte[] record) {
     try {
       return Optional.of(OwnerRecord.decode(record).holder());
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.laburnumarch.internal.http.HttpLoop;
@@ -91,7 +90,7 @@
 
   /** Runs to the end. */
   Result run() throws Exception {
-    onLoop(
+    loop.call(
         () -> {
           fleet.platform().start();
           fleet.daemons().forEach(fleet::start);
@@ -101,23 +100,23 @@
     TimeUnit.MILLISECONDS.sleep(CALM_START_MS);
     long faultsUntilMs = System.currentTimeMillis() + faultsMs;
     while (System.currentTimeMillis() < faultsUntilMs) {
-      onLoop(
+      loop.call(
           () -> {
             strike();
             return null;
           });
       TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MS));
     }
-    while (onLoop(() -> openFaults) > 0) {
+    while (loop.call(() -> openFaults) > 0) {
       TimeUnit.MILLISECONDS.sleep(CHECK_EVERY_MS);
     }
-    onLoop(
+    loop.call(
         () -> {
           callers.stopSubmitting();
           return null;
         });
     long settledAfterMs = settle();
-    return onLoop(() -> result(settledAfterMs));
+    return loop.call(() -> result(settledAfterMs));
   }
 
   private void strike() {
@@ -142,12 +141,12 @@
   private long settle() throws Exception {
     long startedAtMs = System.currentTimeMillis();
     while (System.currentTimeMillis() - startedAtMs < SETTLE_MS) {
-      if (onLoop(judge::unfinished).isEmpty()) {
+      if (loop.call(judge::unfinished).isEmpty()) {
         return System.currentTimeMillis() - startedAtMs;
       }
       TimeUnit.MILLISECONDS.sleep(CHECK_EVERY_MS);
     }
-    onLoop(
+    loop.call(
         () -> {
           judge.unfinished().forEach(open -> judge.breach("LOST", open));
           return null;
@@ -168,19 +167,6 @@
         settledAfterMs);
   }
 
-  private <T> T onLoop(Callable<T> action) throws Exception {
-    CompletableFuture<T> result = new CompletableFuture<>();
-    loop.execute(
-        () -> {
-          try {
-            result.complete(action.call());
-          } catch (Exception e) {
-            result.completeExceptionally(e);
-          }
-        });
-    return result.get();
-  }
-
   /** Ends all processes and closes all addresses. */
   @Override
   public void close() {
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -73,6 +73,16 @@
     scheduler.onStartReply(start, reply, nowMs);
   }
 
+  /** Starts a job of one lasting task and hands it, still running, to a second owner. */
+  private void takeOverWhileALastingTaskRuns() {
+    scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
+    obey(starts().get(0), Long.MAX_VALUE / 4, false);
+    nowMs += 500;
+    scheduler = newScheduler(2, true);
+    scheduler.restore(
+        TestJobs.job("a", START_MS, TestJobs.lastingStep(1, 0, 0)), Optional.empty(), nowMs, nowMs);
+  }
+
   private void store() {
     scheduler.takeChanges().ifPresent(changes -> scheduler.confirmStored(changes, nowMs));
   }
@@ -275,15 +285,7 @@
 
     @Test
     void shouldAdoptWhatWorkersShowAndNotStartItAgain() {
-      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
-      obey(starts().get(0), Long.MAX_VALUE / 4, false);
-      nowMs += 500;
-      scheduler = newScheduler(2, true);
-      scheduler.restore(
-          TestJobs.job("a", START_MS, TestJobs.lastingStep(1, 0, 0)),
-          Optional.empty(),
-          nowMs,
-          nowMs);
+      takeOverWhileALastingTaskRuns();
       assertThat(starts()).isEmpty();
       report(one, 2);
       report(two, 2);
@@ -294,15 +296,7 @@
     /** Guards against stopping what earlier owners started, when reports come before decisions. */
     @Test
     void shouldAdoptWhatIsShownBeforeTheFirstDecision() {
-      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
-      obey(starts().get(0), Long.MAX_VALUE / 4, false);
-      nowMs += 500;
-      scheduler = newScheduler(2, true);
-      scheduler.restore(
-          TestJobs.job("a", START_MS, TestJobs.lastingStep(1, 0, 0)),
-          Optional.empty(),
-          nowMs,
-          nowMs);
+      takeOverWhileALastingTaskRuns();
       report(one, 2);
       report(two, 2);
       assertThat(decide()).isEmpty();
@@ -486,15 +480,7 @@
     /** Guards against tasks of a cancelled job that an earlier owner's worker shows later. */
     @Test
     void shouldStopWhatAWorkerShowsAfterATakeOver() {
-      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.lastingStep(1, 0, 0)), nowMs);
-      obey(starts().get(0), Long.MAX_VALUE / 4, false);
-      nowMs += 500;
-      scheduler = newScheduler(2, true);
-      scheduler.restore(
-          TestJobs.job("a", START_MS, TestJobs.lastingStep(1, 0, 0)),
-          Optional.empty(),
-          nowMs,
-          nowMs);
+      takeOverWhileALastingTaskRuns();
       assertThat(starts()).isEmpty();
       scheduler.cancel("a");
       report(one, 2);
--- a/src/test/java/org/laburnumarch/internal/schedule/TestJobs.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TestJobs.java
@@ -46,43 +46,12 @@
   }
 
   static StepSpec step(int count, long cpuMillis, Integer... after) {
-    return new StepSpec(
-        count,
-        new Resources(cpuMillis, 1_000, 0),
-        500,
-        List.of(after),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return StepSpec.ofTasks(count, new Resources(cpuMillis, 1_000, 0), 500, List.of(after));
   }
 
   static StepSpec lastingStep(int count, int maxPerWorker, int maxUnavailable) {
-    return new StepSpec(
-        count,
-        new Resources(500, 1_000, 0),
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        maxPerWorker,
-        false,
-        true,
-        "image",
-        0,
-        false,
-        maxUnavailable);
+    return StepSpec.ofLastingTasks(
+        count, new Resources(500, 1_000, 0), "image", maxPerWorker, maxUnavailable);
   }
 
   static StepSpec gangStep(int count, long cpuMillis) {
--- a/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
@@ -50,7 +50,7 @@
   void startTwoDaemons() throws Exception {
     ports = PortBlock.reserve(PORTS);
     fleet = new SoakFleet(directory, ports.first(), 2, loop, clock, judge, 1);
-    onLoop(
+    loop.call(
         () -> {
           fleet.platform().start();
           fleet.daemons().forEach(fleet::start);
@@ -60,30 +60,15 @@
 
   @AfterEach
   void endAllProcesses() throws Exception {
-    CompletableFuture<Void> closed = new CompletableFuture<>();
-    loop.execute(
+    loop.call(
         () -> {
           fleet.close();
-          closed.complete(null);
+          return null;
         });
-    closed.join();
     loop.close();
     ports.close();
   }
 
-  private <T> T onLoop(Callable<T> action) throws Exception {
-    CompletableFuture<T> result = new CompletableFuture<>();
-    loop.execute(
-        () -> {
-          try {
-            result.complete(action.call());
-          } catch (Exception e) {
-            result.completeExceptionally(e);
-          }
-        });
-    return result.get();
-  }
-
   private static JobSpec twoSteps(String id) {
     return new JobSpec(
         id,
@@ -98,23 +83,7 @@
   }
 
   private static StepSpec step(int count, List<Integer> after) {
-    return new StepSpec(
-        count,
-        new Resources(500, 1_000, 0),
-        900,
-        after,
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return StepSpec.ofTasks(count, new Resources(500, 1_000, 0), 900, after);
   }
 
   private CallerClient caller(DaemonProcess daemon) {
@@ -169,7 +138,7 @@
           CallerClient second = caller(fleet.daemons().get(1))) {
         retryUntil(200, () -> code(first.submit(job, TEAM).toCompletableFuture()));
         DaemonProcess killed =
-            onLoop(
+            loop.call(
                 () -> {
                   judge.onAccepted(job.id());
                   DaemonProcess owner = fleet.owner().orElseThrow();
@@ -179,7 +148,7 @@
         CallerClient survivor = killed == fleet.daemons().get(0) ? second : first;
         awaitCompletion(survivor, job);
       }
-      assertThat(onLoop(judge::breaches)).isEmpty();
+      assertThat(loop.call(judge::breaches)).isEmpty();
     }
   }
 
