Refuse submissions and ignore replies that would take the owner down

Cause: found by reading, each shown by a test that fails without the change (WorkerMessagesTest, SubmittedJobsTest, JobTest): - A submission could ask for any number of steps and occurrences. The owner would hold all their tasks; the job is stored, so each successor would run out of memory too. Its record could also be larger than the store takes, and the write with it would be repeated for ever. - A worker's report with a missing list or an unreadable row was read as a shorter list, so runs that go on counted as ended and were started again. A start that a worker answered with an unknown status counted as refused, although it may have been executed. - Progress of an occurrence that is not due by the next owner's time of day was dropped, and its tasks ran twice. - An address with a host name would be looked up on the event loop.

Ruled out: a limit on steps alone (occurrences multiply it).

--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -52,17 +52,21 @@
   /** Time after which a submission is refused if its job has certainly not been stored. */
   private static final long SUBMISSION_TIMEOUT_MS = 1_500;
 
-  /** Largest number of jobs in one write; the store accepts 2 MB per call. */
+  /** Largest number of jobs in one write. */
   private static final int MAX_JOBS_PER_WRITE = 200;
 
+  /** Part of the largest write that new jobs may fill; the rest is for progress and the like. */
+  private static final double SUBMISSIONS_FRACTION = 0.5;
+
   /** The outcome of a submission. */
   enum SubmissionResult {
     STORED,
     NOT_STORED
   }
 
+  @SuppressWarnings("ArrayRecordComponent")
   private record PendingSubmission(
-      JobSpec job, long sinceMs, CompletableFuture<SubmissionResult> result) {}
+      JobSpec job, byte[] encoded, long sinceMs, CompletableFuture<SubmissionResult> result) {}
 
   /** The records of one write. */
   private record Batch(
@@ -95,6 +99,7 @@
   private final EventLoopThread loop;
   private final SuspendAwareClock clock;
   private final long term;
+  private final int maxWriteBytes;
   private final Meters meters;
   private final Callbacks callbacks;
   private final Deque<PendingSubmission> pendingSubmissions = new ArrayDeque<>();
@@ -112,8 +117,10 @@
       EventLoopThread loop,
       SuspendAwareClock clock,
       long term,
+      int maxWriteBytes,
       Meters meters,
       Callbacks callbacks) {
+    this.maxWriteBytes = maxWriteBytes;
     this.store = store;
     this.loop = loop;
     this.clock = clock;
@@ -219,7 +226,7 @@
     }
     CompletableFuture<SubmissionResult> result = new CompletableFuture<>();
     pendingResults.put(job.id(), result);
-    pendingSubmissions.add(new PendingSubmission(job, clock.nowMs(), result));
+    pendingSubmissions.add(new PendingSubmission(job, JobCodec.encode(job), clock.nowMs(), result));
     flush();
     return result;
   }
@@ -256,8 +263,14 @@
 
   private Batch takeBatch() {
     List<PendingSubmission> submissions = new ArrayList<>();
-    while (!pendingSubmissions.isEmpty() && submissions.size() < MAX_JOBS_PER_WRITE) {
-      submissions.add(pendingSubmissions.removeFirst());
+    long remainingBytes = (long) (SUBMISSIONS_FRACTION * maxWriteBytes);
+    while (!pendingSubmissions.isEmpty()
+        && submissions.size() < MAX_JOBS_PER_WRITE
+        && (submissions.isEmpty()
+            || pendingSubmissions.peekFirst().encoded().length <= remainingBytes)) {
+      PendingSubmission next = pendingSubmissions.removeFirst();
+      remainingBytes -= next.encoded().length;
+      submissions.add(next);
     }
     Batch batch =
         new Batch(
@@ -275,9 +288,7 @@
   private static List<KeyedValue> values(Batch batch) {
     List<KeyedValue> values = new ArrayList<>();
     for (PendingSubmission submission : batch.submissions()) {
-      values.add(
-          new KeyedValue(
-              JOB + submission.job().id(), Optional.of(JobCodec.encode(submission.job()))));
+      values.add(new KeyedValue(JOB + submission.job().id(), Optional.of(submission.encoded())));
     }
     batch
         .changes()
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -109,6 +109,7 @@
                     operators::canServeCallers,
                     () -> isStopping,
                     clock::epochMs,
+                    settings.maxRecordBytes(),
                     meters),
                 router));
     this.readiness =
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -109,7 +109,15 @@
             tenure.term(),
             clock.nowMs(),
             earlier.isPresent());
-    this.jobs = new JobStore(store, loop, clock, tenure.term(), meters, new StoreCallbacks());
+    this.jobs =
+        new JobStore(
+            store,
+            loop,
+            clock,
+            tenure.term(),
+            settings.maxWriteBytes(),
+            meters,
+            new StoreCallbacks());
     this.driver =
         new WorkerDriver(
             settings, loop, clock, store, tenure, scheduler, this::scheduleRound, listener, meters);
--- a/src/main/java/org/laburnumarch/internal/platform/CallerService.java
+++ b/src/main/java/org/laburnumarch/internal/platform/CallerService.java
@@ -35,9 +35,14 @@
       BooleanSupplier isServing,
       BooleanSupplier isStopping,
       LongSupplier epochMs,
+      int maxRecordBytes,
       Meters meters) {}
 
   private static final byte[] NO_PAYLOAD = new byte[0];
+
+  /** Part of the largest record of the store that is reserved for the job's key. */
+  private static final int KEY_RESERVE_BYTES = 64;
+
   private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
   private static final String KEY_SCHEME = "Token ";
 
@@ -158,7 +163,13 @@
     try {
       JobSpec job =
           SubmittedJobs.decode(jobId, queue.name(), team, body, environment.epochMs().getAsLong());
-      return call(CallKind.SUBMIT, queue, jobId, JobCodec.encode(job), timeoutMs, responses);
+      byte[] encoded = JobCodec.encode(job);
+      int maxBytes = environment.maxRecordBytes() - KEY_RESERVE_BYTES;
+      if (encoded.length > maxBytes) {
+        throw new MalformedMessageException(
+            "the job takes " + encoded.length + " bytes of at most " + maxBytes);
+      }
+      return call(CallKind.SUBMIT, queue, jobId, encoded, timeoutMs, responses);
     } catch (MalformedMessageException e) {
       Logger.info("callers: event=refused status=400 job={} cause=\"{}\"", jobId, e.getMessage());
       return Single.succeeded(
--- a/src/main/java/org/laburnumarch/internal/platform/Json.java
+++ b/src/main/java/org/laburnumarch/internal/platform/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -101,6 +102,10 @@
   /** Parses an address of the form {@code ip:port}. */
   static InetSocketAddress address(String text) throws MalformedMessageException {
     int colon = text.lastIndexOf(':');
+    // A host name would be looked up on the event loop.
+    if (!NetUtil.isValidIpV4Address(text.substring(0, Math.max(0, colon)))) {
+      throw new MalformedMessageException(text + " is not an address of the form ip:port");
+    }
     try {
       return new InetSocketAddress(
           text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
--- a/src/main/java/org/laburnumarch/internal/platform/NodeSettings.java
+++ b/src/main/java/org/laburnumarch/internal/platform/NodeSettings.java
@@ -37,6 +37,8 @@
  * @param restoreMs time that a task takes to resume from a checkpoint
  * @param moveMs time that the move of an instance takes
  * @param maintenanceMs time that the maintenance of an instance takes
+ * @param maxRecordBytes size of the largest record that the store accepts
+ * @param maxWriteBytes size of all records in one write that the store accepts
  */
 public record NodeSettings(
     String name,
@@ -61,12 +63,16 @@
     double remoteSlowdownFactor,
     long restoreMs,
     long moveMs,
-    long maintenanceMs) {
+    long maintenanceMs,
+    int maxRecordBytes,
+    int maxWriteBytes) {
 
   /** Environment variable that holds the path of the settings file. */
   public static final String PATH_VARIABLE = "LABURNUMARCH_SETTINGS";
 
   private static final long MS_PER_S = 1_000;
+  private static final int DEFAULT_RECORD_BYTES = 262_144;
+  private static final int DEFAULT_WRITE_BYTES = 2_097_152;
 
   /**
    * Reads the settings file.
@@ -115,7 +121,9 @@
         Json.decimalOr(bounds, "remotePenalty", 1),
         Json.numberOr(bounds, "restoreMs", 0),
         (long) (Json.decimalOr(bounds, "migrateS", 2) * MS_PER_S),
-        (long) (Json.decimalOr(bounds, "maintenanceS", 2) * MS_PER_S));
+        (long) (Json.decimalOr(bounds, "maintenanceS", 2) * MS_PER_S),
+        (int) Json.numberOr(section(root, "platform"), "recordBytes", DEFAULT_RECORD_BYTES),
+        (int) Json.numberOr(section(root, "platform"), "callBytes", DEFAULT_WRITE_BYTES));
   }
 
   private static JsonNode section(JsonNode root, String field) throws MalformedMessageException {
--- a/src/main/java/org/laburnumarch/internal/platform/WorkerClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/WorkerClient.java
@@ -1,22 +1,15 @@
 package org.laburnumarch.internal.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.servicetalk.http.api.HttpRequestMethod;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.http.PlatformHttpClient;
 import org.laburnumarch.internal.http.PlatformHttpClient.Response;
-import org.laburnumarch.internal.schedule.EndKind;
-import org.laburnumarch.internal.schedule.EndedTask;
 import org.laburnumarch.internal.schedule.OrderReply;
 import org.laburnumarch.internal.schedule.OrderReply.Outcome;
-import org.laburnumarch.internal.schedule.RunningTask;
 import org.laburnumarch.internal.schedule.WorkerReport;
 import org.laburnumarch.spi.PlatformException;
 
@@ -32,25 +25,6 @@
   /** Time that a report may take in addition to the time that it waits at the worker. */
   public static final long REPORT_TIMEOUT_MS = 700;
 
-  private static final int OK = 200;
-  private static final int BAD_REQUEST = 400;
-  private static final int CONFLICT = 409;
-  private static final int MISDIRECTED = 421;
-
-  // Columns of a row in the list of running tasks.
-  private static final int TASK = 0;
-  private static final int RUN = 1;
-  private static final int CHECKPOINT = 2;
-  private static final int PERCENT = 3;
-  private static final int LOAD = 4;
-
-  // Columns of a row in the list of ended runs.
-  private static final int END_NUMBER = 0;
-  private static final int END_TASK = 1;
-  private static final int END_RUN = 2;
-  private static final int END_KIND = 3;
-  private static final int END_CHECKPOINT = 4;
-
   private final PlatformHttpClient orders;
   private final PlatformHttpClient reports;
   private final Map<String, String> headers;
@@ -135,39 +109,6 @@
         .exceptionally(WorkerClient::replyAfterFailure);
   }
 
-  private static OrderReply toOrderReply(Response response) {
-    return switch (response.status()) {
-      case OK -> new OrderReply(Outcome.OBEYED, workerClockMs(response));
-      case CONFLICT -> new OrderReply(conflictOutcome(response), workerClockMs(response));
-      case BAD_REQUEST -> new OrderReply(Outcome.REJECTED, workerClockMs(response));
-      case MISDIRECTED -> new OrderReply(Outcome.OTHER_INCARNATION, -1);
-      default -> new OrderReply(Outcome.UNHEALTHY, -1);
-    };
-  }
-
-  private static Outcome conflictOutcome(Response response) {
-    try {
-      return switch (Json.textOr(Json.parse(response.bytes()), "reason", "")) {
-        case "fence" -> Outcome.FENCED;
-        case "old" -> Outcome.OUTDATED;
-        case "late" -> Outcome.LATE;
-        case "room" -> Outcome.NO_ROOM;
-        case "ticket" -> Outcome.TICKET;
-        default -> Outcome.REJECTED;
-      };
-    } catch (MalformedMessageException e) {
-      return Outcome.UNKNOWN;
-    }
-  }
-
-  private static long workerClockMs(Response response) {
-    try {
-      return Json.numberOr(Json.parse(response.bytes()), "clockMs", -1);
-    } catch (MalformedMessageException e) {
-      return -1;
-    }
-  }
-
   private static OrderReply replyAfterFailure(Throwable failure) {
     return new OrderReply(
         PlatformFailures.mayHaveTakenEffect(failure) ? Outcome.UNKNOWN : Outcome.UNREACHABLE, -1);
@@ -202,53 +143,21 @@
         WorkerClient::toWorkerReport);
   }
 
+  private static OrderReply toOrderReply(Response response) {
+    return WorkerMessages.decodeOrderReply(response.status(), response.bytes());
+  }
+
   private static WorkerReport toWorkerReport(Response response) {
-    if (response.status() != OK) {
+    if (response.status() != WorkerMessages.OK) {
       throw new WorkerRefusalException(toOrderReply(response).outcome());
     }
     try {
-      JsonNode root = Json.parse(response.bytes());
-      List<RunningTask> running = new ArrayList<>();
-      for (JsonNode row : root.path("running")) {
-        running.add(
-            new RunningTask(
-                row.path(TASK).asText(),
-                row.path(RUN).asLong(),
-                row.path(CHECKPOINT).asText(),
-                row.path(PERCENT).asInt(),
-                row.path(LOAD).asLong(-1)));
-      }
-      List<EndedTask> ended = new ArrayList<>();
-      for (JsonNode row : root.path("finished")) {
-        ended.add(toEndedTask(row));
-      }
-      return new WorkerReport(
-          Json.number(root, "clockMs"), Json.numberOr(root, "born", 0), running, ended);
+      return WorkerMessages.decodeReport(response.bytes());
     } catch (MalformedMessageException e) {
       throw PlatformException.withUnknownEffect("a worker's report cannot be parsed", e);
     }
   }
 
-  private static EndedTask toEndedTask(JsonNode row) throws MalformedMessageException {
-    EndKind endKind =
-        switch (row.path(END_KIND).asText().toLowerCase(Locale.ROOT)) {
-          case "done" -> EndKind.DONE;
-          case "failed" -> EndKind.FAILED;
-          case "stopped" -> EndKind.STOPPED;
-          case "lapsed" -> EndKind.LAPSED;
-          case "broken" -> EndKind.BROKEN;
-          case "alone" -> EndKind.ALONE;
-          default ->
-              throw new MalformedMessageException("unknown kind of end: " + row.path(END_KIND));
-        };
-    return new EndedTask(
-        row.path(END_NUMBER).asLong(),
-        row.path(END_TASK).asText(),
-        row.path(END_RUN).asLong(),
-        endKind,
-        row.path(END_CHECKPOINT).asText());
-  }
-
   /** Closes all connections; calls in flight fail. */
   @Override
   public void close() {
--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -1,17 +1,26 @@
 package org.laburnumarch.internal.schedule;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeMap;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobProgress.FailedRuns;
 import org.laburnumarch.internal.job.JobProgress.StepProgress;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.job.StepSpec;
 
 /** An accepted job with its due occurrences. */
 final class Job {
 
+  /**
+   * Maximum number of tasks in unfinished occurrences; further occurrences that are due wait until
+   * some of these are done. A schedule that begins long ago makes all its occurrences due at once.
+   */
+  private static final int MAX_OPEN_TASKS = 20_000;
+
   final JobSpec spec;
 
   /** Local time at which the job was submitted. */
@@ -27,6 +36,10 @@
   int nextOccurrence;
 
   int doneOccurrences;
+
+  /** Occurrences that an earlier owner stored as done and that have not been reached yet. */
+  private final Set<Integer> storedAsDone = new HashSet<>();
+
   boolean hasStarted;
 
   /** The current status; a final one is reported to callers only after it has been stored. */
@@ -56,13 +69,39 @@
   /** Adds the occurrences that have become due. */
   void addDueOccurrences(long epochMs) {
     while (nextOccurrence < spec.occurrences()
+        && hasRoomForAnOccurrence()
         && (!spec.isTimed() || spec.dueEpochMs(nextOccurrence) <= epochMs)) {
+      addNextOccurrence();
+    }
+  }
+
+  private boolean hasRoomForAnOccurrence() {
+    int tasks = spec.steps().stream().mapToInt(StepSpec::count).sum();
+    return occurrences.isEmpty() || (occurrences.size() + 1L) * tasks <= MAX_OPEN_TASKS;
+  }
+
+  private void addNextOccurrence() {
+    if (storedAsDone.remove(nextOccurrence)) {
+      doneOccurrences++;
+    } else {
       List<Step> steps = new ArrayList<>(spec.steps().size());
       for (int i = 0; i < spec.steps().size(); i++) {
         steps.add(new Step(this, nextOccurrence, i, spec.steps().get(i)));
       }
       occurrences.put(nextOccurrence, List.copyOf(steps));
-      nextOccurrence++;
+    }
+    nextOccurrence++;
+  }
+
+  /**
+   * Adds all occurrences up to one that an earlier owner is known to have begun, even if it is not
+   * due by this owner's time of day.
+   */
+  private void addBegunOccurrence(int occurrence) {
+    while (nextOccurrence <= occurrence
+        && nextOccurrence < spec.occurrences()
+        && hasRoomForAnOccurrence()) {
+      addNextOccurrence();
     }
   }
 
@@ -93,8 +132,9 @@
     }
   }
 
-  /** Finds a task of a due and unfinished occurrence; null if there is none. */
+  /** Finds a task of a begun and unfinished occurrence; null if there is none. */
   Task find(int occurrence, int step, int index) {
+    addBegunOccurrence(occurrence);
     List<Step> steps = occurrences.get(occurrence);
     if (steps == null || step < 0 || step >= steps.size()) {
       return null;
@@ -108,6 +148,7 @@
     List<StepProgress> steps = new ArrayList<>();
     if (!status.isFinal()) {
       // A done occurrence is stored as one entry with step -1 and no tasks.
+      storedAsDone.forEach(k -> steps.add(new StepProgress(k, -1, new byte[0], List.of())));
       for (int k = 0; k < nextOccurrence; k++) {
         List<Step> open = occurrences.get(k);
         if (open == null) {
@@ -146,17 +187,14 @@
     if (status.isFinal()) {
       return;
     }
-    addDueOccurrences(epochMs);
     for (StepProgress stored : progress.steps()) {
       hasStarted = true;
       if (stored.step() < 0) {
-        if (occurrences.remove(stored.occurrence()) != null) {
-          doneOccurrences++;
-        }
-        continue;
+        storedAsDone.add(stored.occurrence());
       }
-      restoreStep(stored);
     }
+    addDueOccurrences(epochMs);
+    progress.steps().stream().filter(stored -> stored.step() >= 0).forEach(this::restoreStep);
     removeDoneOccurrences();
   }
 
