Answer from the next owner what may have been stored, and survive errors

Cause, by reading, with tests that fail before the change: - A submission whose owner fell silent was answered 504 a second after its arrival, although its caller waits for 3 s and the next owner knows by then whether the job is stored (ReplyDeadlinesTest). - An owner that was paused answered from memory before it noticed: a job accepted by its successor "does not exist" (OwnerTenureTest). - An exception in a round, a tick, a heartbeat or a record of the store ended that loop for good, while the renewals went on: the fleet stood still under a living owner. Exceptions in callbacks of a write left the sequence of writes waiting for ever.

Change: ReplyDeadlines decides without I/O how long a request is sent again; an owner that may have a successor refuses instead of denying a job; loops go on after an unexpected error, and an owner whose writer is broken steps down.

--- a/src/main/java/org/laburnumarch/internal/http/EventLoopThread.java
+++ b/src/main/java/org/laburnumarch/internal/http/EventLoopThread.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.tinylog.Logger;
 
 /**
@@ -60,6 +61,14 @@
         group.next().schedule(withFailureLogged(task), delayMs, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Returns a callback that logs its own failures. A completion stage drops an exception that a
+   * callback throws, so that nothing would show why its work was not done.
+   */
+  public static <T> BiConsumer<T, Throwable> logged(BiConsumer<T, Throwable> callback) {
+    return (result, failure) -> withFailureLogged(() -> callback.accept(result, failure)).run();
+  }
+
   private static Runnable withFailureLogged(Runnable task) {
     return () -> {
       try {
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerTenure.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerTenure.java
@@ -70,6 +70,15 @@
     return !isLost && nowMs - renewedAtMs < AUTHORITY_MS;
   }
 
+  /**
+   * Returns whether another daemon may have claimed the ownership since the last stored renewal, so
+   * that this one may not know everything that has been accepted. That is so for an owner that was
+   * paused, until it has renewed or found out.
+   */
+  public boolean mayHaveSuccessor(long nowMs) {
+    return isLost || nowMs - renewedAtMs >= OwnerWatch.SILENCE_BEFORE_CLAIM_MS;
+  }
+
   /** Returns the time in milliseconds since the last stored renewal was sent. */
   public long renewalAgeMs(long nowMs) {
     return nowMs - renewedAtMs;
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -111,7 +111,14 @@
     if (isClosed) {
       return;
     }
-    long nowMs = clock.nowMs();
+    try {
+      check(clock.nowMs());
+    } finally {
+      loop.schedule(TICK_MS, this::tick);
+    }
+  }
+
+  private void check(long nowMs) {
     if (tenure.isPresent()) {
       if (!tenure.get().hasAuthority(nowMs)) {
         lose("no renewal was stored in time");
@@ -121,7 +128,6 @@
     } else if (nowMs - ownerAliveAtMs > READ_AFTER_SILENCE_MS && !isReading) {
       readOwner();
     }
-    loop.schedule(TICK_MS, this::tick);
   }
 
   /** Records a heartbeat that was received over the link. */
--- a/src/main/java/org/laburnumarch/internal/node/JobRouter.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobRouter.java
@@ -18,14 +18,12 @@
  */
 final class JobRouter implements JobService {
 
-  /** Longest time that a request waits for an owner before the caller is told to retry later. */
-  private static final long OWNER_WAIT_MS = 1_000;
-
-  /** Part of the caller's timeout that is reserved for sending the response. */
-  private static final long RESPONSE_MARGIN_MS = 100;
-
+  /** Pause before a request is sent again that found no owner. */
   private static final long RETRY_EVERY_MS = 40;
 
+  /** Pause before a request is sent again that an owner could not serve. */
+  private static final long RETRY_AT_OWNER_MS = 200;
+
   /** Time after which a caller should retry if there is no owner. */
   private static final long RETRY_AFTER_MS = 1_000;
 
@@ -55,15 +53,9 @@
   @Override
   public CompletionStage<JobReply> call(
       CallKind kind, String queue, String jobId, byte[] payload, long timeoutMs) {
-    long nowMs = clock.nowMs();
     PendingRequest request =
         new PendingRequest(
-            kind,
-            queue,
-            jobId,
-            payload,
-            nowMs + Math.max(0, timeoutMs - RESPONSE_MARGIN_MS),
-            nowMs + OWNER_WAIT_MS);
+            kind, queue, jobId, payload, new ReplyDeadlines(kind, clock.nowMs(), timeoutMs));
     request.attempt();
     return request.result;
   }
@@ -74,47 +66,40 @@
     private final String queue;
     private final String jobId;
     private final byte[] payload;
-    private final long responseDeadlineMs;
-    private final long ownerDeadlineMs;
+    private final ReplyDeadlines deadlines;
     private final CompletableFuture<JobReply> result = new CompletableFuture<>();
-    private boolean mayHaveTakenEffect;
 
     PendingRequest(
-        CallKind kind,
-        String queue,
-        String jobId,
-        byte[] payload,
-        long responseDeadlineMs,
-        long ownerDeadlineMs) {
+        CallKind kind, String queue, String jobId, byte[] payload, ReplyDeadlines deadlines) {
       this.kind = kind;
       this.queue = queue;
       this.jobId = jobId;
       this.payload = payload;
-      this.responseDeadlineMs = responseDeadlineMs;
-      this.ownerDeadlineMs = ownerDeadlineMs;
+      this.deadlines = deadlines;
     }
 
     void attempt() {
-      long remainingMs = responseDeadlineMs - clock.nowMs();
+      long remainingMs = deadlines.remainingMs(clock.nowMs());
       if (owner.isPresent()) {
-        owner.get().call(kind, queue, jobId, payload, remainingMs).thenAccept(this::onReply);
+        owner
+            .get()
+            .call(kind, queue, jobId, payload, remainingMs)
+            .thenAccept(reply -> onReply(reply, RETRY_AT_OWNER_MS));
       } else if (remainingMs > 0 && link.map(LinkClient::isConnected).orElse(false)) {
-        link.get().call(kind, queue, jobId, payload, remainingMs).thenAccept(this::onReply);
+        link.get()
+            .call(kind, queue, jobId, payload, remainingMs)
+            .thenAccept(reply -> onReply(reply, RETRY_AT_OWNER_MS));
       } else {
-        onReply(JobReply.refuse(Code.UNAVAILABLE, RETRY_AFTER_MS));
+        onReply(JobReply.refuse(Code.UNAVAILABLE, RETRY_AFTER_MS), RETRY_EVERY_MS);
       }
     }
 
-    private void onReply(JobReply reply) {
-      boolean isFinal = reply.code() != Code.UNAVAILABLE && reply.code() != Code.UNDECIDED;
-      long nowMs = clock.nowMs();
-      mayHaveTakenEffect |= reply.code() == Code.UNDECIDED;
-      if (isFinal) {
-        result.complete(reply);
-      } else if (nowMs >= ownerDeadlineMs || nowMs >= responseDeadlineMs) {
-        result.complete(mayHaveTakenEffect ? JobReply.of(Code.UNDECIDED) : reply);
+    private void onReply(JobReply reply, long pauseMs) {
+      Optional<JobReply> answer = deadlines.answer(reply, clock.nowMs());
+      if (answer.isPresent()) {
+        result.complete(answer.get());
       } else {
-        loop.schedule(RETRY_EVERY_MS, this::attempt);
+        loop.schedule(reply.code() == Code.UNDECIDED ? RETRY_EVERY_MS : pauseMs, this::attempt);
       }
     }
   }
--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -22,6 +22,7 @@
 import org.laburnumarch.internal.platform.StoreClient.NewestPage;
 import org.laburnumarch.internal.platform.StoreClient.StoreRecord;
 import org.laburnumarch.internal.platform.StoreClient.WriteOutcome;
+import org.laburnumarch.internal.platform.StoreClient.WriteResult;
 import org.laburnumarch.internal.platform.StoreClient.WriterPosition;
 import org.laburnumarch.internal.schedule.JobChanges;
 import org.laburnumarch.internal.schedule.WorkerListing;
@@ -93,6 +94,9 @@
 
     /** The store has refused a write of this owner, because another owner has fenced it. */
     void onFenced();
+
+    /** An unexpected error has interrupted the sequence of writes. */
+    void onBroken(RuntimeException cause);
   }
 
   private final StoreClient store;
@@ -335,23 +339,35 @@
               }
               meters.recordDuration("store_write_seconds", clock.nowMs() - sentAtMs);
               meters.count("store_writes_total", failure == null ? "answered" : "failed");
-              if (failure != null) {
-                boolean mayBeStoredNow =
-                    mayBeStored || PlatformFailures.mayHaveTakenEffect(failure);
-                onWriteFailed(batch, values, mayBeStoredNow, failure);
-              } else if (result.outcome() == WriteOutcome.STORED) {
-                onWritten(batch);
-              } else {
-                Logger.warn(
-                    "jobs: event=write-refused term={} sequence={} outcome={}",
-                    term,
-                    nextSequence,
-                    result.outcome());
-                callbacks.onFenced();
+              try {
+                onWriteAnswered(batch, values, mayBeStored, result, failure);
+              } catch (RuntimeException e) {
+                callbacks.onBroken(e);
               }
             });
   }
 
+  private void onWriteAnswered(
+      Batch batch,
+      List<KeyedValue> values,
+      boolean mayBeStored,
+      WriteResult result,
+      Throwable failure) {
+    if (failure != null) {
+      boolean mayBeStoredNow = mayBeStored || PlatformFailures.mayHaveTakenEffect(failure);
+      onWriteFailed(batch, values, mayBeStoredNow, failure);
+    } else if (result.outcome() == WriteOutcome.STORED) {
+      onWritten(batch);
+    } else {
+      Logger.warn(
+          "jobs: event=write-refused term={} sequence={} outcome={}",
+          term,
+          nextSequence,
+          result.outcome());
+      callbacks.onFenced();
+    }
+  }
+
   private void onWriteFailed(
       Batch batch, List<KeyedValue> values, boolean mayBeStored, Throwable failure) {
     long nowMs = clock.nowMs();
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -174,7 +174,14 @@
     if (isClosed) {
       return;
     }
-    long nowMs = clock.nowMs();
+    try {
+      keepLinks(clock.nowMs());
+    } finally {
+      loop.schedule(HEARTBEAT_EVERY_MS, this::heartbeat);
+    }
+  }
+
+  private void keepLinks(long nowMs) {
     Optional<OwnerTenure> tenure = election.tenure();
     if (tenure.isPresent() && linkServer.hasConnections()) {
       linkServer.broadcast(ownHeartbeat());
@@ -182,7 +189,6 @@
     if (link.isPresent() && nowMs - linkHeardAtMs > LINK_SILENCE_MS) {
       reconnect(link.get().address());
     }
-    loop.schedule(HEARTBEAT_EVERY_MS, this::heartbeat);
   }
 
   private void reconnect(InetSocketAddress address) {
@@ -257,7 +263,7 @@
               tenure,
               earlier,
               meters,
-              where -> election.stepDown("a later owner has fenced this one at " + where));
+              new OwnerListener());
       owner = Optional.of(created);
       router.useOwner(owner);
       created.start();
@@ -298,6 +304,19 @@
     }
   }
 
+  private final class OwnerListener implements Owner.Listener {
+    @Override
+    public void onFenced(String where) {
+      election.stepDown("a later owner has fenced this one at " + where);
+    }
+
+    @Override
+    public void onBroken(RuntimeException cause) {
+      Logger.error(cause, "owner: event=broken");
+      election.stepDown("an unexpected error: " + cause);
+    }
+  }
+
   private final class LinkListener implements LinkClient.Listener {
     private LinkClient client;
 
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -51,6 +51,9 @@
   /** Notifies the daemon. */
   interface Listener {
 
+    /** An unexpected error has left this owner in a state in which it cannot go on. */
+    void onBroken(RuntimeException cause);
+
     /**
      * The store or a worker has refused this owner, because a later owner has fenced it.
      *
@@ -207,8 +210,11 @@
     if (isClosed) {
       return;
     }
-    runRound();
-    loop.schedule(TICK_MS, this::tick);
+    try {
+      runRound();
+    } finally {
+      loop.schedule(TICK_MS, this::tick);
+    }
   }
 
   /** Schedules a round shortly, unless one is scheduled already. */
@@ -257,7 +263,7 @@
   @Override
   public CompletionStage<JobReply> call(
       CallKind kind, String queue, String jobId, byte[] payload, long timeoutMs) {
-    if (!isLoaded || isClosed) {
+    if (!isLoaded || isClosed || !tenure.hasAuthority(clock.nowMs())) {
       return CompletableFuture.completedStage(
           JobReply.refuse(Code.UNAVAILABLE, STORE_RETRY_AFTER_MS));
     }
@@ -298,13 +304,20 @@
     return scheduler
         .status(jobId)
         .map(status -> new JobReply(Code.OK, status.label(), 0, 0))
-        .orElseGet(() -> JobReply.of(Code.UNKNOWN_JOB));
+        .orElseGet(this::unknownJob);
+  }
+
+  /** Returns the reply for a job that is not known here, which a later owner may have accepted. */
+  private JobReply unknownJob() {
+    return tenure.mayHaveSuccessor(clock.nowMs())
+        ? JobReply.refuse(Code.UNAVAILABLE, STORE_RETRY_AFTER_MS)
+        : JobReply.of(Code.UNKNOWN_JOB);
   }
 
   private CompletionStage<JobReply> cancel(String jobId) {
     Optional<Long> batchNumber = scheduler.cancel(jobId);
     if (batchNumber.isEmpty()) {
-      return CompletableFuture.completedStage(JobReply.of(Code.UNKNOWN_JOB));
+      return CompletableFuture.completedStage(unknownJob());
     }
     if (batchNumber.get() == 0) {
       return CompletableFuture.completedStage(JobReply.of(Code.OK));
@@ -388,5 +401,12 @@
     public void onFenced() {
       fenced("store");
     }
+
+    @Override
+    public void onBroken(RuntimeException cause) {
+      if (!isClosed) {
+        listener.onBroken(cause);
+      }
+    }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/node/StoreTail.java
+++ b/src/main/java/org/laburnumarch/internal/node/StoreTail.java
@@ -115,7 +115,7 @@
     for (String key : Set.copyOf(offsets.keySet())) {
       if (!seenKeys.contains(key)) {
         offsets.remove(key);
-        listener.onRecord(key, Optional.empty(), end);
+        passOn(key, Optional.empty(), end);
       }
     }
     nextOffset = end;
@@ -164,7 +164,16 @@
     } else {
       offsets.remove(stored.key());
     }
-    listener.onRecord(stored.key(), stored.value(), stored.offset());
+    passOn(stored.key(), stored.value(), stored.offset());
+  }
+
+  /** Passes on a record; one that the listener cannot handle must not end the reading. */
+  private void passOn(String key, Optional<byte[]> value, long offset) {
+    try {
+      listener.onRecord(key, value, offset);
+    } catch (RuntimeException e) {
+      Logger.error(e, "store: event=unhandled log={} key={}", log, key);
+    }
   }
 
   private void onSuccess(long sentAtMs) {
@@ -173,7 +182,11 @@
       isFailing = false;
       Logger.info("store: event=regained log={}", log);
     }
-    listener.onCaughtUp();
+    try {
+      listener.onCaughtUp();
+    } catch (RuntimeException e) {
+      Logger.error(e, "store: event=unhandled log={}", log);
+    }
   }
 
   private void retry(Throwable failure, Runnable action) {
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -276,21 +276,22 @@
         .renew(
             renewal.leaseEndClockMs(), tenure.term(), renewal.acknowledgedEnd(), renewal.waitMs())
         .whenComplete(
-            (report, failure) -> {
-              inFlight.remove(renewal.workerId());
-              if (isClosed) {
-                return;
-              }
-              if (failure != null) {
-                onRenewalFailed(renewal, failure);
-              } else {
-                logEnds(renewal.workerId(), report);
-                scheduler
-                    .onReport(renewal.workerId(), report, requestedAtMs, clock.nowMs())
-                    .forEach(this::send);
-              }
-              onEvent.run();
-            });
+            EventLoopThread.logged(
+                (report, failure) -> {
+                  inFlight.remove(renewal.workerId());
+                  if (isClosed) {
+                    return;
+                  }
+                  if (failure != null) {
+                    onRenewalFailed(renewal, failure);
+                  } else {
+                    logEnds(renewal.workerId(), report);
+                    scheduler
+                        .onReport(renewal.workerId(), report, requestedAtMs, clock.nowMs())
+                        .forEach(this::send);
+                  }
+                  onEvent.run();
+                }));
   }
 
   /** Logs ends of tasks that earlier reports of the same incarnation didn't list. */
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerTenureTest.java
@@ -0,0 +1,38 @@
+package org.laburnumarch.internal.lead;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class OwnerTenureTest {
+
+  private static final long CLAIMED_MS = 10_000;
+
+  private final OwnerRecord claim = new OwnerRecord(3, "n/1", "10.0.0.1", 7_000, 0, false, 0);
+  private final OwnerTenure tenure = new OwnerTenure(claim, CLAIMED_MS);
+
+  /**
+   * Guards against a paused owner that answers, before it has noticed the pause, that a job does
+   * not exist which its successor has accepted meanwhile.
+   */
+  @Test
+  void shouldKnowThatASuccessorMayExistAfterAPause() {
+    assertThat(tenure.mayHaveSuccessor(CLAIMED_MS + 1_000)).isFalse();
+    assertThat(tenure.mayHaveSuccessor(CLAIMED_MS + 2_500)).isTrue();
+    assertThat(tenure.hasAuthority(CLAIMED_MS + 2_500)).isTrue();
+    tenure.onRenewed(claim.renewed(), CLAIMED_MS + 2_400);
+    assertThat(tenure.mayHaveSuccessor(CLAIMED_MS + 2_500)).isFalse();
+  }
+
+  @Test
+  void shouldHaveNoAuthorityAfterALongPause() {
+    assertThat(tenure.hasAuthority(CLAIMED_MS + OwnerTenure.AUTHORITY_MS)).isFalse();
+  }
+
+  @Test
+  void shouldHaveNoAuthorityOnceLost() {
+    tenure.onLost();
+    assertThat(tenure.hasAuthority(CLAIMED_MS)).isFalse();
+    assertThat(tenure.mayHaveSuccessor(CLAIMED_MS)).isTrue();
+  }
+}
