Ask hundreds of workers for their first reports at a bearable pace

A cold process takes about 1 ms to build a client and 2.5 ms for its first call (trial, 400 clients), so the connections that mattered timed out too and were opened again.

Ruled out: thresholds of the compiler (trial: 60, 200 and 1,000 calls cost the same), reading the jobs (0.13 s).

Change: at most 48 first reports are awaited at a time; workers that the registry doesn't list are asked at doubling intervals; an idle worker that has reported under this term is forgotten as soon as the registry drops it; HTTP clients are opened at their first call, and those of workers that have left are closed (they were kept for ever).

--- a/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
+++ b/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
@@ -46,8 +46,12 @@
 
   private final InetSocketAddress address;
   private final Optional<EventLoopThread> loop;
+
+  /** The client in use; null before the first call and after a failed one. */
   private final AtomicReference<HttpClient> current;
 
+  private volatile boolean isClosed;
+
   /**
    * Creates a client; no connection is opened before the first call.
    *
@@ -70,7 +74,7 @@
   private PlatformHttpClient(InetSocketAddress address, Optional<EventLoopThread> loop) {
     this.address = Objects.requireNonNull(address, "address");
     this.loop = loop;
-    this.current = new AtomicReference<>(open());
+    this.current = new AtomicReference<>();
   }
 
   /**
@@ -124,7 +128,11 @@
       byte[] body,
       long timeoutMs,
       Function<Response, T> parse) {
-    HttpClient client = current.get();
+    if (isClosed) {
+      return CompletableFuture.failedStage(
+          PlatformException.withoutEffect("the connections to " + address + " are closed", null));
+    }
+    HttpClient client = openedClient();
     HttpRequest request = client.newRequest(method, target);
     headers.forEach(request::addHeader);
     if (body.length > 0) {
@@ -193,18 +201,26 @@
   }
 
   private void replace(HttpClient failed) {
-    if (current.get() != failed) {
-      return;
-    }
-    HttpClient replacement = open();
-    if (current.compareAndSet(failed, replacement)) {
+    if (current.compareAndSet(failed, null)) {
       Logger.debug("platform: connections to {} replaced", address);
       failed.closeAsyncGracefully().subscribe();
-    } else {
-      replacement.closeAsync().subscribe();
     }
   }
 
+  /** Returns the client in use. Opening one is costly, so it is put off until a call needs it. */
+  private HttpClient openedClient() {
+    HttpClient known = current.get();
+    if (known != null) {
+      return known;
+    }
+    HttpClient opened = open();
+    if (current.compareAndSet(null, opened)) {
+      return opened;
+    }
+    opened.closeAsync().subscribe();
+    return openedClient();
+  }
+
   private HttpClient open() {
     SingleAddressHttpClientBuilder<InetSocketAddress, InetSocketAddress> builder =
         HttpClients.forResolvedAddress(address);
@@ -222,6 +238,10 @@
   /** Closes all connections; calls in flight fail. */
   @Override
   public void close() {
-    current.get().closeAsync().subscribe();
+    isClosed = true;
+    HttpClient opened = current.getAndSet(null);
+    if (opened != null) {
+      opened.closeAsync().subscribe();
+    }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -253,7 +254,11 @@
   }
 
   void renewLeases() {
-    for (String workerId : scheduler.workerIds()) {
+    List<String> workerIds = scheduler.workerIds();
+    if (connections.size() > workerIds.size()) {
+      closeUnused(Set.copyOf(workerIds));
+    }
+    for (String workerId : workerIds) {
       if (!renewing.contains(workerId)) {
         scheduler.renewal(workerId, clock.nowMs()).ifPresent(renewal -> renew(renewal, renewing));
       } else if (!requestingReport.contains(workerId)) {
@@ -264,6 +269,21 @@
     }
   }
 
+  /** Closes the connections to workers that have left. */
+  private void closeUnused(Set<String> knownWorkerIds) {
+    connections
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean isUnused = !knownWorkerIds.contains(entry.getKey());
+              if (isUnused) {
+                entry.getValue().client().close();
+                loggedEnds.keySet().removeIf(key -> key.startsWith(entry.getKey() + '/'));
+              }
+              return isUnused;
+            });
+  }
+
   private void renew(Renewal renewal, Set<String> inFlight) {
     Optional<WorkerClient> client = client(renewal.workerId());
     if (client.isEmpty()) {
--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -38,6 +38,12 @@
   /** Interval between requests after a missed report. */
   private static final long RETRY_AFTER_MISS_MS = 200;
 
+  /**
+   * Longest interval between requests to a worker that the registry does not list. Most of these
+   * have left, and each request costs a connection.
+   */
+  private static final long MAX_RETRY_UNLISTED_MS = 3_200;
+
   private RenewalPolicy() {}
 
   static Optional<Renewal> decide(Worker worker, SchedulerSettings settings, long nowMs) {
@@ -57,10 +63,19 @@
     return isIncarnationCertain ? worker.acknowledgedEnd : 0;
   }
 
+  /** Returns the interval between two requests to a worker whose last report was missed. */
+  private static long retryAfterMissMs(Worker worker) {
+    if (worker.isListed) {
+      return RETRY_AFTER_MISS_MS;
+    }
+    int doublings = Math.min(worker.missedReports - 1, Long.SIZE / 2);
+    return Math.min(MAX_RETRY_UNLISTED_MS, RETRY_AFTER_MISS_MS << doublings);
+  }
+
   private static Optional<Renewal> choose(Worker worker, SchedulerSettings settings, long nowMs) {
     long sinceReportMs = nowMs - worker.lastReportAttemptMs;
     if (!worker.isFenced) {
-      return worker.missedReports > 0 && sinceReportMs < RETRY_AFTER_MISS_MS
+      return worker.missedReports > 0 && sinceReportMs < retryAfterMissMs(worker)
           ? Optional.empty()
           : Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
@@ -71,14 +86,14 @@
           hasUnsentAck
               && (sinceReportMs > IDLE_ACK_INTERVAL_MS
                   || (acknowledgement > 0 && sinceReportMs >= MIN_REPORT_INTERVAL_MS));
-      boolean isProbeDue = worker.missedReports > 0 && sinceReportMs > RETRY_AFTER_MISS_MS;
+      boolean isProbeDue = worker.missedReports > 0 && sinceReportMs > retryAfterMissMs(worker);
       return isAckDue || isProbeDue
           ? Optional.of(new Renewal(worker.id, -1, acknowledgement, 0))
           : Optional.empty();
     }
     long pauseMs =
         worker.missedReports > 0
-            ? RETRY_AFTER_MISS_MS
+            ? retryAfterMissMs(worker)
             : worker.hasUnacknowledgedEnds() ? UNSTORED_ENDS_INTERVAL_MS : MIN_REPORT_INTERVAL_MS;
     if (sinceReportMs < pauseMs) {
       return Optional.empty();
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -27,6 +27,13 @@
 
   private static final long SLOWNESS_DECAY_INTERVAL_MS = 1_000;
 
+  /**
+   * Maximum number of first reports that are awaited at the same time. A process that takes over
+   * soon after its start needs milliseconds of processor time for each connection; if it opened all
+   * at once, the reports would time out before it could read them.
+   */
+  private static final int MAX_FIRST_REPORTS_AWAITED = 48;
+
   private final SchedulerSettings settings;
   private final long term;
   private final TakeoverGuard takeoverGuard;
@@ -46,6 +53,7 @@
   private FleetConfig config = FleetConfig.EMPTY;
   private Set<String> outOfServiceDataCentres = Set.of();
   private long storedBatchNumber;
+  private int firstReportsAwaited;
 
   /** Latest local time at which this process is known to have been the owner. */
   private long ownershipProvenAtMs;
@@ -310,6 +318,7 @@
     if (worker == null) {
       return List.of();
     }
+    clearAwaitedFirstReport(worker);
     List<Order> unknownRuns = runTracker.onReport(worker, report, requestedAtMs, nowMs);
     worker.acknowledge(storedBatchNumber);
     return unknownRuns;
@@ -319,6 +328,7 @@
   public void onReportMissed(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
     if (worker != null) {
+      clearAwaitedFirstReport(worker);
       worker.missedReports++;
       worker.lastReportAttemptMs = nowMs;
       // The acknowledgement that the request carried may not have arrived.
@@ -339,7 +349,22 @@
   /** Returns the renewal to send to a worker now; empty if none is due. */
   public Optional<Renewal> renewal(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
-    return worker == null ? Optional.empty() : RenewalPolicy.decide(worker, settings, nowMs);
+    if (worker == null || (!worker.isFenced && firstReportsAwaited >= MAX_FIRST_REPORTS_AWAITED)) {
+      return Optional.empty();
+    }
+    Optional<Renewal> renewal = RenewalPolicy.decide(worker, settings, nowMs);
+    if (renewal.isPresent() && !worker.isFenced && !worker.isFirstReportAwaited) {
+      worker.isFirstReportAwaited = true;
+      firstReportsAwaited++;
+    }
+    return renewal;
+  }
+
+  private void clearAwaitedFirstReport(Worker worker) {
+    if (worker.isFirstReportAwaited) {
+      worker.isFirstReportAwaited = false;
+      firstReportsAwaited--;
+    }
   }
 
   /**
@@ -454,7 +479,9 @@
         runTracker.unregisterAll(worker);
       }
     }
-    workers.removeUnlisted(ownershipProvenAtMs, takeoverGuard.isOver(ownershipProvenAtMs));
+    workers
+        .removeUnlisted(ownershipProvenAtMs, takeoverGuard.isOver(ownershipProvenAtMs))
+        .forEach(this::clearAwaitedFirstReport);
     if (nowMs - slownessDecayedAtMs >= SLOWNESS_DECAY_INTERVAL_MS) {
       slownessDecayedAtMs = nowMs;
       workers.all().forEach(worker -> worker.health.decaySlowness());
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -31,6 +31,9 @@
   /** Whether it has reported under this owner's term, and so rejects orders of earlier owners. */
   boolean isFenced;
 
+  /** Whether its first report under this owner's term has been requested and is awaited. */
+  boolean isFirstReportAwaited;
+
   /** Whether the stored enrolment includes the worker; nothing starts there before. */
   boolean isEnrolled;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -48,20 +48,22 @@
    * Removes workers that the registry no longer lists and on which nothing can be running.
    *
    * @param isTakeoverOver whether no run of an earlier owner can be going on unreported
+   * @return the removed workers
    */
-  void removeUnlisted(long nowMs, boolean isTakeoverOver) {
-    boolean isChanged =
-        workers
-            .values()
-            .removeIf(
-                worker ->
-                    !worker.isListed
-                        && worker.attempts.isEmpty()
-                        && worker.isLeaseExpired(nowMs)
-                        && (worker.isFenced || isTakeoverOver));
-    if (isChanged) {
+  List<Worker> removeUnlisted(long nowMs, boolean isTakeoverOver) {
+    List<Worker> removed = new ArrayList<>();
+    for (Worker worker : workers.values()) {
+      // Without runs, and with a report under this term, nothing is going on there.
+      boolean isIdle = worker.isFenced || (worker.isLeaseExpired(nowMs) && isTakeoverOver);
+      if (!worker.isListed && worker.attempts.isEmpty() && isIdle) {
+        removed.add(worker);
+      }
+    }
+    if (!removed.isEmpty()) {
+      removed.forEach(worker -> workers.remove(worker.id));
       rebuildPools();
     }
+    return removed;
   }
 
   private void rebuildPools() {
