Count tasks on silent workers as unavailable; see rises of demand sooner

Cause, from the owner's log: a zone's workers were dark from 12.5 s; at 18.3 s, their leases not run out, the tasks on them still counted as available, so tasks of the same steps were stopped for a wave. Ruled out: a takeover (none near). Change: a task is available only while its worker reports; it is started again no sooner than before. shouldCountTasksOnASilentWorkerAsUnavailable failed first.

The average of arrivals reacts by its own window, which is long after a quiet time. Change: ArrivalRate, the largest of the rates over 0.4, 0.8 and 2 s, each less its own uncertainty. A new owner feeds it the jobs that it reads.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -170,9 +171,8 @@
     long nowMs = clock.nowMs();
     long epochMs = clock.epochMs();
     contents.enrolled().forEach(scheduler::restoreEnrolled);
-    contents
-        .jobs()
-        .values()
+    contents.jobs().values().stream()
+        .sorted(Comparator.comparingLong(JobSpec::submittedEpochMs))
         .forEach(
             job ->
                 scheduler.restore(
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -108,11 +108,13 @@
   }
 
   /**
-   * Returns whether the task counts as available. A long-running task does once it reports 100%.
+   * Returns whether the task counts as available. A long-running task does once it reports 100%, as
+   * long as its worker goes on reporting: of a silent worker's task nobody knows.
    */
   boolean isAvailable() {
     return phase == Phase.RUNNING
         && !isStopWanted
+        && worker.missedReports == 0
         && (!task.step.spec.isLongRunning() || percent >= 100);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -19,45 +19,15 @@
  */
 final class DemandEstimator {
 
-  /** Number of jobs that the averaging window covers at the current rate of arrivals. */
-  private static final double WINDOW_JOBS = 4;
-
-  private static final double MIN_WINDOW_MS = 400;
-  private static final double MAX_WINDOW_MS = 2_000;
-
-  /** Weight of the newest gap between arrivals in their moving average. */
-  private static final double GAP_WEIGHT = 0.3;
-
   /** Fraction of the time until its deadline within which a job is planned to finish. */
   private static final double PLANNED_TIME_FRACTION = 0.6;
 
   /** Weight of work that can no longer meet its objective. */
   private static final double LATE_WORK_WEIGHT = 0.3;
 
-  /**
-   * Exponential moving average of the workers that arriving jobs need. The window shortens when
-   * jobs arrive in quick succession.
-   */
-  private record ArrivalAverage(double workers, double gapMs, long atMs) {
-
-    private double windowMs() {
-      return Math.min(MAX_WINDOW_MS, Math.max(MIN_WINDOW_MS, WINDOW_JOBS * gapMs));
-    }
-
-    double workersAt(long nowMs) {
-      return workers * Math.exp(-(nowMs - atMs) / windowMs());
-    }
-
-    ArrivalAverage plus(double workerTimeMs, long nowMs) {
-      double newGapMs = gapMs + GAP_WEIGHT * (nowMs - atMs - gapMs);
-      ArrivalAverage next = new ArrivalAverage(workersAt(nowMs), newGapMs, nowMs);
-      return new ArrivalAverage(next.workers + workerTimeMs / next.windowMs(), newGapMs, nowMs);
-    }
-  }
-
   private final CandidateRanking ranking;
   private final RunTimeEstimator runTimeEstimator;
-  private final Map<String, ArrivalAverage> arrivalsByService = new HashMap<>();
+  private final Map<String, ArrivalRate> arrivalsByService = new HashMap<>();
 
   DemandEstimator(CandidateRanking ranking, RunTimeEstimator runTimeEstimator) {
     this.ranking = ranking;
@@ -76,16 +46,15 @@
               * runTimeEstimator.expectedMs(queue.name(), step)
               * fractionOfWorker(step.need(), workerSize);
     }
-    ArrivalAverage before =
-        arrivalsByService.getOrDefault(
-            queue.service(), new ArrivalAverage(0, MAX_WINDOW_MS, nowMs));
-    arrivalsByService.put(queue.service(), before.plus(workerTimeMs, nowMs));
+    arrivalsByService
+        .computeIfAbsent(queue.service(), service -> new ArrivalRate())
+        .add(workerTimeMs, nowMs);
   }
 
   /** Returns the number of workers that the current rate of arrivals keeps busy. */
   private double arrivalWorkers(String service, long nowMs) {
-    ArrivalAverage average = arrivalsByService.get(service);
-    return average == null ? 0 : average.workersAt(nowMs);
+    ArrivalRate rate = arrivalsByService.get(service);
+    return rate == null ? 0 : rate.perMs(nowMs);
   }
 
   /**
@@ -135,7 +104,7 @@
       long epochMs) {
     Map<String, PoolDemand> demands = new HashMap<>();
     for (String service : config.services().keySet()) {
-      demands.put(service, new PoolDemand(0.8 * arrivalWorkers(service, nowMs), 0, 0));
+      demands.put(service, new PoolDemand(arrivalWorkers(service, nowMs), 0, 0));
     }
     Map<String, Double> waiting = new HashMap<>();
     for (Job job : jobs) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -131,7 +131,10 @@
     }
   }
 
-  /** Restores a job that an earlier owner stored. */
+  /**
+   * Restores a job that an earlier owner stored. Jobs must be restored in the order of their
+   * submission, which also restores the current rate of arrivals.
+   */
   public void restore(JobSpec spec, Optional<JobProgress> progress, long nowMs, long epochMs) {
     long ageMs = Math.max(0, epochMs - spec.submittedEpochMs());
     Job job = new Job(spec, nowMs - ageMs, true);
@@ -141,6 +144,7 @@
       job.addDueOccurrences(epochMs);
     }
     add(job);
+    recordArrival(job, nowMs - ageMs);
   }
 
   /** Restores a finished job of which only the final status is still stored. */
@@ -178,10 +182,16 @@
     Job job = new Job(spec, nowMs, false);
     job.isOverShare = !teamBuckets.tryTakeToken(config.team(spec.team()), nowMs);
     add(job);
+    recordArrival(job, nowMs);
+  }
+
+  private void recordArrival(Job job, long arrivedAtMs) {
     config
-        .queue(spec.queue())
+        .queue(job.spec.queue())
         .ifPresent(
-            queue -> demandEstimator.recordArrival(job, queue, workerSize(queue.service()), nowMs));
+            queue ->
+                demandEstimator.recordArrival(
+                    job, queue, workerSize(queue.service()), arrivedAtMs));
   }
 
   /** Returns a job's status as reported to callers; empty if the job is unknown. */
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -465,6 +465,31 @@
       assertThat(decide()).filteredOn(Order.Stop.class::isInstance).hasSize(1);
     }
 
+    /**
+     * Guards against spending the budget of a step twice. The tasks of a worker that has fallen
+     * silent may be gone, although its lease has not run out and they are not started elsewhere.
+     */
+    @Test
+    void shouldCountTasksOnASilentWorkerAsUnavailable() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.longRunningStep(4, 2, 1)), nowMs);
+      starts().forEach(start -> deliver(start, Long.MAX_VALUE / 4, false));
+      nowMs += 300;
+      report(one, 1);
+      report(two, 1);
+      SimulatedWorker three = new SimulatedWorker("w3", TestJobs.SERVICE, "r3", nowMs);
+      scheduler.updateWorkerListings(List.of(one.listing(), two.listing(), three.listing()), nowMs);
+      scheduler.confirmEnrolment(scheduler.workersToEnrol());
+      report(three, 1);
+      scheduler.onReportMissed(two.id(), nowMs);
+      scheduler.drainLongRunningTasks(one.id(), nowMs);
+      assertThat(decide()).isEmpty();
+      report(two, 1);
+      nowMs += 300;
+      report(two, 1);
+      scheduler.drainLongRunningTasks(one.id(), nowMs);
+      assertThat(decide()).filteredOn(Order.Stop.class::isInstance).hasSize(1);
+    }
+
     /**
      * Guards against a long-running task that is stopped for maintenance and finds no worker,
      * because every other worker already has its limit of tasks of the step.
