Let a new owner move instances once the earlier one has stopped

Cause: a new owner ordered nothing for 1.2 s after its claim, so that two owners never count one wave.

Ruled out: dropping the wait (an order of a living earlier owner could exceed the limit of a wave).

Moves are ordered as soon as the earlier owner has released or has answered that it stopped; maintenance waits as before.

--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.metrics.Meters;
 import org.laburnumarch.internal.platform.MachineClient;
@@ -37,13 +38,6 @@
   /** Least time between two requests for the list of instances. */
   private static final long LIST_EVERY_MS = 300;
 
-  /**
-   * Largest age of the ownership's renewal at which orders are sent, and time after a takeover
-   * before the first order. Together they prevent two owners from sending orders for one wave at
-   * the same time.
-   */
-  private static final long ORDER_GUARD_MS = 1_200;
-
   /** Low bits of a fencing token, which number the orders of one term. */
   private static final int ORDER_NUMBER_BITS = 20;
 
@@ -61,7 +55,7 @@
   private final Set<Long> reportedAsRunning = new HashSet<>();
   private final Set<Long> reportedAsCompleted = new HashSet<>();
   private final Set<Long> reportsInFlight = new HashSet<>();
-  private final long startedAtMs;
+  private final OrderGuard guard;
   private long lastPlanAtMs;
   private long poolsLoggedAtMs;
   private long listRequestedAtMs;
@@ -78,6 +72,7 @@
       Scheduler scheduler,
       OwnerTenure tenure,
       JobStore jobs,
+      Optional<OwnerRecord> earlierOwner,
       Meters meters) {
     this.client = client;
     this.clock = clock;
@@ -88,7 +83,7 @@
     this.jobs = jobs;
     this.meters = meters;
     this.planner = new FleetPlanner(settings.moveMs(), settings.maintenanceMs());
-    this.startedAtMs = tenure.term() == 1 ? Long.MIN_VALUE / 2 : clock.nowMs();
+    this.guard = new OrderGuard(clock.nowMs(), earlierOwner);
     this.nextToken = tenure.term() << ORDER_NUMBER_BITS;
   }
 
@@ -100,11 +95,16 @@
     }
   }
 
+  /** Records that the earlier owner has certainly stopped sending orders. */
+  void onEarlierOwnerStopped() {
+    guard.onEarlierOwnerStopped();
+  }
+
   void runRound(long nowMs) {
+    OrderGuard.Permission permission = guard.permission(nowMs, tenure.renewalAgeMs(nowMs));
     if (isClosed
         || nowMs - lastPlanAtMs < PLAN_EVERY_MS
-        || nowMs - startedAtMs < ORDER_GUARD_MS
-        || tenure.renewalAgeMs(nowMs) > ORDER_GUARD_MS) {
+        || permission == OrderGuard.Permission.NOTHING) {
       return;
     }
     lastPlanAtMs = nowMs;
@@ -121,6 +121,7 @@
             scheduler.demands(nowMs, clock.epochMs()),
             loads,
             operators.outOfServiceDataCentres(),
+            permission == OrderGuard.Permission.ALL,
             nowMs);
     scheduler.setCordonedWorkers(plan.cordoned());
     plan.drained().forEach(worker -> scheduler.drainLongRunningTasks(worker, nowMs));
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -128,14 +128,15 @@
     this.machineController =
         settings
             .machineServiceAddress()
-            .map(address -> createMachineController(settings, address, loop, store));
+            .map(address -> createMachineController(settings, address, loop, store, earlier));
   }
 
   private MachineController createMachineController(
       NodeSettings settings,
       InetSocketAddress address,
       EventLoopThread eventLoop,
-      StoreClient store) {
+      StoreClient store,
+      Optional<OwnerRecord> earlier) {
     return new MachineController(
         settings,
         new MachineClient(address, settings.name(), eventLoop),
@@ -145,6 +146,7 @@
         scheduler,
         tenure,
         jobs,
+        earlier,
         meters);
   }
 
@@ -153,6 +155,7 @@
     long nowMs = clock.nowMs();
     long claimedAgoMs = Math.max(0, clock.epochMs() - earlier.claimedEpochMs());
     scheduler.onEarlierOwnerStopped(nowMs - claimedAgoMs, nowMs);
+    machineController.ifPresent(MachineController::onEarlierOwnerStopped);
     scheduleRound();
   }
 
--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -233,16 +233,23 @@
     return Optional.ofNullable(machines.get(machine)).map(Machine::pool).orElse("");
   }
 
-  /** Plans operations and returns the orders that can be issued now. */
+  /**
+   * Plans operations and returns the orders that can be issued now.
+   *
+   * @param mayMaintain whether maintenance may be planned and ordered; moves always are
+   */
   public FleetPlan plan(
       FleetConfig config,
       Map<String, PoolDemand> demands,
       Collection<WorkerLoad> loads,
       Set<String> outOfServiceDataCentres,
+      boolean mayMaintain,
       long nowMs) {
     Map<String, WorkerLoad> loadsById = new HashMap<>();
     loads.forEach(load -> loadsById.put(load.workerId(), load));
-    planMaintenance(config, demands, loadsById, nowMs);
+    if (mayMaintain) {
+      planMaintenance(config, demands, loadsById, nowMs);
+    }
     planMoves(config, demands, loadsById, outOfServiceDataCentres, nowMs);
     return buildPlan(config, loadsById, nowMs);
   }
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -53,6 +53,7 @@
             "office", new PoolDemand(officeWorkers, 0, 1)),
         new ArrayList<>(loads.values()),
         Set.of(),
+        true,
         nowMs);
   }
 
