Keep older copies, a silent store and a busy earlier owner from misleading

Causes, by reading, each with a test that fails before the change: - A daemon that had applied the deletion of an operators' record forgot its offset, so an older copy from an owner was applied again (OperatorWatchTest). Listeners of past owners were kept for ever. - A heartbeat that the earlier owner sent by itself counted as its answer to the announcement; work of before the takeover then waited for the longest time that an owner may go on (EarlierOwnerStateTest). - While the store was down, each new submission waited for 1.5 s as if it were the first (JobStoreTest). - The delay of a claim counted the share of a core, not the cores: the large instances of the large site waited 100 ms for nobody.

--- a/src/main/java/org/laburnumarch/internal/node/Announcer.java
+++ b/src/main/java/org/laburnumarch/internal/node/Announcer.java
@@ -43,6 +43,7 @@
   private final Optional<OwnerRecord> earlier;
   private final Consumer<OwnerRecord> onEarlierOwnerStopped;
   private final Map<String, LinkClient> connections = new HashMap<>();
+  private boolean isEarlierOwnerStopped;
   private boolean isClosed;
 
   Announcer(
@@ -121,19 +122,17 @@
     }
   }
 
-  private void checkEarlierOwner(String name, Heartbeat heartbeat) {
-    boolean isEarlierOwner = earlier.isPresent() && earlier.get().holder().startsWith(name + '/');
-    boolean isStopped =
-        isEarlierOwner
-            && (heartbeat.term() != earlier.get().term()
-                || !heartbeat.holder().equals(earlier.get().holder()));
-    if (isStopped) {
+  private EarlierOwnerState checkEarlierOwner(String name, Heartbeat heartbeat) {
+    EarlierOwnerState state = EarlierOwnerState.of(name, heartbeat, earlier);
+    if (state == EarlierOwnerState.STOPPED && !isEarlierOwnerStopped) {
+      isEarlierOwnerStopped = true;
       Logger.info(
           "owner: event=earlier-stopped term={} holder={}",
           earlier.get().term(),
           earlier.get().holder());
       onEarlierOwnerStopped.accept(earlier.get());
     }
+    return state;
   }
 
   /** Stops announcing. */
@@ -150,6 +149,7 @@
     private final InetSocketAddress address;
     private final int attempts;
     private int heartbeats;
+    private boolean isDone;
 
     AnnouncementAttempt(String name, InetSocketAddress address, int attempts) {
       this.name = name;
@@ -171,9 +171,11 @@
     @Override
     public void onHeartbeat(Heartbeat heartbeat) {
       heartbeats++;
-      // The first is sent when the connection opens, the second in response to the announcement.
-      if (heartbeats == 2) {
-        checkEarlierOwner(name, heartbeat);
+      EarlierOwnerState state = checkEarlierOwner(name, heartbeat);
+      // The first is sent when the connection opens. The earlier owner also sends heartbeats at
+      // intervals, so another one of its own does not mean that it has read the announcement.
+      if (heartbeats >= 2 && state != EarlierOwnerState.STILL_OWNER && !isDone) {
+        isDone = true;
         LinkClient client = connections.remove(name);
         if (client != null) {
           client.close();
@@ -188,7 +190,7 @@
 
     @Override
     public void onClosed(boolean isUnreachable) {
-      if (heartbeats < 2 && !isClosed) {
+      if (!isDone && !isClosed) {
         loop.schedule(RETRY_MS, () -> announce(name, address, attempts + 1));
       }
     }
--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -228,6 +228,12 @@
     if (known != null) {
       return known;
     }
+    boolean isStoreDown =
+        failingSinceMs >= 0 && clock.nowMs() - failingSinceMs > SUBMISSION_TIMEOUT_MS;
+    if (isStoreDown && isWriting) {
+      // A write is repeated until the store is back; without one, this submission is the trial.
+      return CompletableFuture.completedStage(SubmissionResult.NOT_STORED);
+    }
     CompletableFuture<SubmissionResult> result = new CompletableFuture<>();
     pendingResults.put(job.id(), result);
     pendingSubmissions.add(new PendingSubmission(job, JobCodec.encode(job), clock.nowMs(), result));
--- a/src/main/java/org/laburnumarch/internal/node/OperatorWatch.java
+++ b/src/main/java/org/laburnumarch/internal/node/OperatorWatch.java
@@ -41,6 +41,10 @@
   private final SuspendAwareClock clock;
   private final List<Runnable> listeners = new ArrayList<>();
   private final Map<String, StoredValue> records = new HashMap<>();
+
+  /** Offset of the newest record of each key, also of deleted keys. */
+  private final Map<String, Long> newestOffsets = new HashMap<>();
+
   private final Map<Long, MaintenanceWave> waves = new TreeMap<>();
   private final Map<Long, Long> waveSeenAtMs = new HashMap<>();
   private FleetConfig config = FleetConfig.EMPTY;
@@ -79,6 +83,11 @@
     listeners.add(listener);
   }
 
+  /** Removes a listener. */
+  void removeListener(Runnable listener) {
+    listeners.remove(listener);
+  }
+
   FleetConfig config() {
     return config;
   }
@@ -134,11 +143,12 @@
     return list;
   }
 
-  private void apply(String key, Optional<byte[]> value, long offset) {
-    StoredValue known = records.get(key);
-    if (known != null && known.offset() >= offset) {
+  /** Applies a record unless the same or a newer one of its key is known. */
+  void apply(String key, Optional<byte[]> value, long offset) {
+    if (newestOffsets.getOrDefault(key, -1L) >= offset) {
       return;
     }
+    newestOffsets.put(key, offset);
     try {
       if (key.equals(StoreRecords.CONFIG_KEY)) {
         applyConfig(value, offset);
@@ -152,7 +162,7 @@
       Logger.warn("operators: event=unreadable key={} cause={}", key, e.getMessage());
       return;
     }
-    listeners.forEach(Runnable::run);
+    List.copyOf(listeners).forEach(Runnable::run);
   }
 
   private void applyConfig(Optional<byte[]> value, long offset) throws MalformedMessageException {
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -343,6 +343,7 @@
   @Override
   public void close() {
     isClosed = true;
+    operators.removeListener(onOperatorChange);
     jobs.close();
     driver.close();
     machineController.ifPresent(MachineController::close);
--- a/src/main/java/org/laburnumarch/internal/platform/NodeSettings.java
+++ b/src/main/java/org/laburnumarch/internal/platform/NodeSettings.java
@@ -22,7 +22,7 @@
  * @param machineServiceAddress address of the service that moves and maintains instances, if there
  *     is one
  * @param advisorAddress address of the advisory service, if there is one
- * @param cpuShare fraction of a core that the process may use
+ * @param cpuShare processor time that the process may use per second, in seconds of one core
  * @param linkMbps speed of the instance's network link in Mbit/s
  * @param maxLeaseMs longest lease that a worker grants
  * @param maxStopMs longest time that a worker takes to stop a task
@@ -109,7 +109,7 @@
         Json.address(Json.text(section(root, "platform"), "address")),
         optionalAddress(root.path("cloud").path("address")),
         optionalAddress(root.path("advice")),
-        Json.decimalOr(limits, "cpuShare", 1),
+        Json.decimalOr(limits, "cpuShare", 1) * Json.decimalOr(limits, "cores", 1),
         Json.decimalOr(limits, "linkMbps", 1_000),
         Json.number(bounds, "maxHoldMs"),
         Json.number(bounds, "stopTimeoutMs"),
