Forget workers whose instances the owner has moved itself

The registry lists a worker for three heartbeats after its process was ended by a move, and each was asked again every 200 ms with a new client. Tasks that ran for 1.3 s seemed to take 3.5 s, since the reports that mattered came late.

Ruled out: late starts (half of the jobs started within 10 ms).

Change: a move or a maintenance that the platform has accepted ends the worker at once for the scheduler; other silent workers are asked at intervals of up to 0.8 s while they are listed.

--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -180,16 +180,21 @@
             ? client.move(move.machine(), move.pool(), token)
             : client.startMaintenance(
                 order.machine(), ((MachineOrder.Maintain) order).wave(), token);
-    sent.thenAccept(outcome -> onOutcome(order, token, outcome));
+    Optional<String> workerId = planner.workerId(order.machine());
+    sent.thenAccept(outcome -> onOutcome(order, workerId, token, outcome));
   }
 
-  private void onOutcome(MachineOrder order, long token, MachineOrderOutcome outcome) {
+  private void onOutcome(
+      MachineOrder order, Optional<String> workerId, long token, MachineOrderOutcome outcome) {
     if (isClosed) {
       return;
     }
     Logger.info("machines: event=order order={} token={} outcome={}", order, token, outcome);
     meters.count("instance_orders_total", order.getClass().getSimpleName() + ' ' + outcome);
     planner.onOutcome(order, outcome, clock.nowMs());
+    if (outcome == MachineOrderOutcome.DONE) {
+      workerId.ifPresent(scheduler::onWorkerTerminated);
+    }
     if (outcome == MachineOrderOutcome.DONE && order instanceof MachineOrder.Maintain maintain) {
       storeWave(maintain.wave());
     }
--- a/src/main/java/org/laburnumarch/internal/pool/DemandHistory.java
+++ b/src/main/java/org/laburnumarch/internal/pool/DemandHistory.java
@@ -20,6 +20,12 @@
    */
   static final long WINDOW_MS = 20_000;
 
+  /**
+   * Time over which needs are averaged. A need that lasts shorter than a move takes is not worth
+   * keeping instances for.
+   */
+  private static final long AVERAGING_MS = 1_000;
+
   private record Need(long atMs, int instances) {}
 
   private static final class PoolHistory {
@@ -30,9 +36,21 @@
      */
     private final Deque<Need> needs = new ArrayDeque<>();
 
+    /** Needs within the averaging time. */
+    private final Deque<Need> recent = new ArrayDeque<>();
+
     PoolHistory(long sinceMs) {
       this.sinceMs = sinceMs;
     }
+
+    private int average(int instances, long nowMs) {
+      recent.addLast(new Need(nowMs, instances));
+      while (nowMs - recent.peekFirst().atMs() >= AVERAGING_MS) {
+        recent.removeFirst();
+      }
+      double mean = recent.stream().mapToInt(Need::instances).average().orElse(instances);
+      return (int) Math.ceil(mean);
+    }
   }
 
   private final Map<String, PoolHistory> histories = new HashMap<>();
@@ -51,10 +69,11 @@
       histories.put(pool, history);
     }
     Deque<Need> needs = history.needs;
-    while (!needs.isEmpty() && needs.peekLast().instances() <= instances) {
+    int average = history.average(instances, nowMs);
+    while (!needs.isEmpty() && needs.peekLast().instances() <= average) {
       needs.removeLast();
     }
-    needs.addLast(new Need(nowMs, instances));
+    needs.addLast(new Need(nowMs, average));
     while (nowMs - needs.peekFirst().atMs() > WINDOW_MS) {
       needs.removeFirst();
     }
--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -134,6 +134,13 @@
     return poolSizes;
   }
 
+  /** Returns the id of the worker on an instance as last listed; empty if there is none. */
+  public Optional<String> workerId(String machine) {
+    return Optional.ofNullable(machines.get(machine))
+        .map(Machine::workerId)
+        .filter(id -> !id.isEmpty());
+  }
+
   /** Returns the instances of a wave whose maintenance has started. */
   public Set<String> startedMachines(long wave) {
     WaveProgress progress = waves.get(wave);
--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -38,6 +38,9 @@
   /** Interval between requests after a missed report. */
   private static final long RETRY_AFTER_MISS_MS = 200;
 
+  /** Longest interval between requests to a worker that the registry lists. */
+  private static final long MAX_RETRY_LISTED_MS = 800;
+
   /**
    * Longest interval between requests to a worker that the registry does not list. Most of these
    * have left, and each request costs a connection.
@@ -65,11 +68,9 @@
 
   /** Returns the interval between two requests to a worker whose last report was missed. */
   private static long retryAfterMissMs(Worker worker) {
-    if (worker.isListed) {
-      return RETRY_AFTER_MISS_MS;
-    }
-    int doublings = Math.min(worker.missedReports - 1, Long.SIZE / 2);
-    return Math.min(MAX_RETRY_UNLISTED_MS, RETRY_AFTER_MISS_MS << doublings);
+    long maxMs = worker.isListed ? MAX_RETRY_LISTED_MS : MAX_RETRY_UNLISTED_MS;
+    int doublings = Math.min(Math.max(0, worker.missedReports - 1), Long.SIZE / 2);
+    return Math.min(maxMs, RETRY_AFTER_MISS_MS << doublings);
   }
 
   private static Optional<Renewal> choose(Worker worker, SchedulerSettings settings, long nowMs) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -89,8 +89,15 @@
   /** Replaces the workers' listings by those of the registry. */
   public void updateWorkerListings(Collection<WorkerListing> listings, long nowMs) {
     workers.updateListings(listings);
+    boolean isAnyBack = false;
     for (WorkerListing listing : listings) {
-      runTracker.updateIncarnation(workers.find(listing.id()), listing.startedEpochMs(), nowMs);
+      Worker worker = workers.find(listing.id());
+      boolean wasTerminated = worker.isTerminated;
+      runTracker.updateIncarnation(worker, listing.startedEpochMs(), nowMs);
+      isAnyBack |= wasTerminated && !worker.isTerminated;
+    }
+    if (isAnyBack) {
+      workers.rebuildPools();
     }
   }
 
@@ -113,12 +120,15 @@
    * that a later owner knows every worker that may run something.
    */
   public List<WorkerListing> workersToEnrol() {
-    return workers.all().stream().map(worker -> worker.listing).toList();
+    return workers.all().stream()
+        .filter(worker -> !worker.isTerminated)
+        .map(worker -> worker.listing)
+        .toList();
   }
 
   /** Returns whether the enrolment of any known worker has not been stored yet. */
   public boolean needsEnrolment() {
-    return workers.all().stream().anyMatch(worker -> !worker.isEnrolled);
+    return workers.all().stream().anyMatch(worker -> !worker.isEnrolled && !worker.isTerminated);
   }
 
   /** Records that an enrolment has been stored. */
@@ -359,7 +369,9 @@
   /** Returns the renewal to send to a worker now; empty if none is due. */
   public Optional<Renewal> renewal(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
-    if (worker == null || (!worker.isFenced && firstReportsAwaited >= MAX_FIRST_REPORTS_AWAITED)) {
+    if (worker == null
+        || worker.isTerminated
+        || (!worker.isFenced && firstReportsAwaited >= MAX_FIRST_REPORTS_AWAITED)) {
       return Optional.empty();
     }
     Optional<Renewal> renewal = RenewalPolicy.decide(worker, settings, nowMs);
@@ -393,9 +405,26 @@
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
-  /** Returns the ids of all known workers. */
+  /** Returns the ids of all known workers whose processes may be running. */
   public List<String> workerIds() {
-    return workers.all().stream().map(worker -> worker.id).toList();
+    return workers.all().stream()
+        .filter(worker -> !worker.isTerminated)
+        .map(worker -> worker.id)
+        .toList();
+  }
+
+  /**
+   * Records that a worker's process has certainly ended. Its runs may start elsewhere at once, and
+   * it is not asked for reports, unless it is listed with a later incarnation.
+   */
+  public void onWorkerTerminated(String workerId) {
+    Worker worker = workers.find(workerId);
+    if (worker != null) {
+      worker.isTerminated = true;
+      clearAwaitedFirstReport(worker);
+      runTracker.unregisterAll(worker);
+      workers.rebuildPools();
+    }
   }
 
   /** Returns a worker's listing; empty if the worker is unknown. */
@@ -407,7 +436,7 @@
   public List<WorkerLoad> workerLoads(long nowMs) {
     List<WorkerLoad> loads = new ArrayList<>();
     for (Worker worker : workers.all()) {
-      if (worker.isListed) {
+      if (worker.isListed && !worker.isTerminated) {
         int longRunning = worker.longRunningCount();
         loads.add(
             new WorkerLoad(
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -28,6 +28,12 @@
   /** Whether the registry currently lists the worker. */
   boolean isListed = true;
 
+  /**
+   * Whether its process has certainly ended, because the platform has accepted to move or maintain
+   * its instance. The registry may list it for some seconds more.
+   */
+  boolean isTerminated;
+
   /** Whether it has reported under this owner's term, and so rejects orders of earlier owners. */
   boolean isFenced;
 
@@ -122,6 +128,7 @@
    */
   void resetIncarnation(long newStartedEpochMs, long nowMs) {
     startedEpochMs = newStartedEpochMs;
+    isTerminated = false;
     unknownIncarnationOverAtMs = nowMs + UNKNOWN_INCARNATION_MS;
     clockReadingMs = -1;
     leaseEndClockMs = -1;
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -54,7 +54,10 @@
     List<Worker> removed = new ArrayList<>();
     for (Worker worker : workers.values()) {
       // Without runs, and with a report under this term, nothing is going on there.
-      boolean isIdle = worker.isFenced || (worker.isLeaseExpired(nowMs) && isTakeoverOver);
+      boolean isIdle =
+          worker.isFenced
+              || worker.isTerminated
+              || (worker.isLeaseExpired(nowMs) && isTakeoverOver);
       if (!worker.isListed && worker.attempts.isEmpty() && isIdle) {
         removed.add(worker);
       }
@@ -66,9 +69,13 @@
     return removed;
   }
 
-  private void rebuildPools() {
+  /** Rebuilds the pools after a change of the workers or of their state. */
+  void rebuildPools() {
     Map<String, List<Worker>> built = new LinkedHashMap<>();
     for (Worker worker : workers.values()) {
+      if (worker.isTerminated) {
+        continue;
+      }
       built.computeIfAbsent(worker.listing.service(), service -> new ArrayList<>()).add(worker);
     }
     pools = built;
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -138,6 +138,46 @@
     }
   }
 
+  @Nested
+  class WhenAnInstanceIsMoved {
+
+    /**
+     * Guards against an owner that spends its processor time on workers that it has ended itself.
+     * The registry lists them for some seconds, and with hundreds of moves they outnumber the rest.
+     */
+    @Test
+    void shouldNotAskItsWorkerAnyMore() {
+      scheduler.onWorkerTerminated(one.id());
+      for (long endMs = nowMs + 4_000; nowMs < endMs; nowMs += 50) {
+        assertThat(scheduler.renewal(one.id(), nowMs)).isEmpty();
+        readRegistry();
+      }
+      assertThat(scheduler.workerIds()).containsExactly(two.id());
+      assertThat(scheduler.workersToEnrol()).extracting(WorkerListing::id).containsExactly("w2");
+    }
+
+    @Test
+    void shouldStartItsTasksElsewhereAtOnce() {
+      acceptJobWithOneTask();
+      Order.Start start = starts().get(0);
+      scheduler.onStartReply(start, execute(start, 5_000), nowMs);
+      scheduler.onWorkerTerminated(start.workerId());
+      assertThat(starts()).hasSize(1).allMatch(again -> !again.workerId().equals(start.workerId()));
+    }
+
+    @Test
+    void shouldUseALaterIncarnationUnderTheSameId() {
+      scheduler.onWorkerTerminated(one.id());
+      scheduler.onWorkerTerminated(two.id());
+      nowMs += 2_000;
+      one.crash(nowMs);
+      readRegistry();
+      passTime(20);
+      acceptJobWithOneTask();
+      assertThat(starts()).extracting(Order.Start::workerId).containsExactly(one.id());
+    }
+  }
+
   @Nested
   class WhenAnOrderMeetsTheNewIncarnation {
 
