Leave the ownership to a living owner when the store comes back

Ruled out: slow tasks (they ran for 1.2 to 1.6 s), missed reports (none any more).

Change: a daemon whose own reads have just failed leaves a living owner 1 s to renew, and an owner whose renewals fail tries every 150 ms. A single owner that is cut off is replaced as soon as before. AfterAnOutageOfTheStore.shouldGiveALivingOwnerTimeToRenew failed first.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -28,11 +28,22 @@
    */
   private static final long MAX_READ_GAP_MS = 600;
 
+  /**
+   * Time after this daemon's last failed read for which it leaves the ownership to a living owner.
+   * An outage of the store has silenced the renewals of an owner that is well, and it renews as
+   * soon as the store is back.
+   */
+  private static final long GRACE_AFTER_OUTAGE_MS = 1_000;
+
+  /** Age of the last heartbeat up to which the owner counts as living. */
+  private static final long MAX_HEARTBEAT_AGE_MS = 700;
+
   private Optional<OwnerRecord> newest = Optional.empty();
   private long endOffset = -1;
   private long silentSinceMs;
   private long lastReadAtMs = Long.MIN_VALUE / 2;
   private long heartbeatAtMs = Long.MIN_VALUE / 2;
+  private long readFailedAtMs = Long.MIN_VALUE / 2;
   private long heartbeatRenewalNumber = -1;
   private boolean isOwnerProcessTerminated;
 
@@ -57,6 +68,11 @@
     lastReadAtMs = nowMs;
   }
 
+  /** Records that this daemon could not read the log. */
+  public void onReadFailed(long nowMs) {
+    readFailedAtMs = nowMs;
+  }
+
   /**
    * Records that the owner's process has ended or has stepped down: its address refuses connections
    * or does not respond to them, or the process there reports that it does not own the fleet.
@@ -116,6 +132,11 @@
     if (newest.isEmpty() || newest.get().isReleased()) {
       return silentMs >= claimDelayMs;
     }
+    boolean isOwnerLiving =
+        !isOwnerProcessTerminated && nowMs - heartbeatAtMs < MAX_HEARTBEAT_AGE_MS;
+    if (isOwnerLiving && nowMs - readFailedAtMs < GRACE_AFTER_OUTAGE_MS) {
+      return false;
+    }
     long requiredSilenceMs =
         isOwnerProcessTerminated ? SILENCE_AFTER_END_MS : SILENCE_BEFORE_CLAIM_MS;
     return silentMs >= requiredSilenceMs + claimDelayMs;
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -122,7 +122,7 @@
     if (tenure.isPresent()) {
       if (!tenure.get().hasAuthority(nowMs)) {
         lose("no renewal was stored in time");
-      } else if (!isWriting && nowMs - lastRenewalAttemptMs >= OwnerTenure.RENEW_EVERY_MS) {
+      } else if (!isWriting && nowMs - lastRenewalAttemptMs >= renewalIntervalMs(nowMs)) {
         renew(nowMs);
       }
     } else if (nowMs - ownerAliveAtMs > READ_AFTER_SILENCE_MS && !isReading) {
@@ -130,6 +130,12 @@
     }
   }
 
+  /** Returns the time between two renewals, which is shorter while they fail. */
+  private long renewalIntervalMs(long nowMs) {
+    boolean isFailing = tenure.orElseThrow().renewalAgeMs(nowMs) > MAX_OWNER_RENEWAL_AGE_MS;
+    return isFailing ? READ_EVERY_MS : OwnerTenure.RENEW_EVERY_MS;
+  }
+
   /** Records a heartbeat that was received over the link. */
   void onHeartbeat(Heartbeat heartbeat) {
     long nowMs = clock.nowMs();
@@ -183,7 +189,9 @@
         .whenComplete(
             (page, failure) -> {
               isReading = false;
-              if (failure == null && !isClosed && tenure.isEmpty()) {
+              if (failure != null) {
+                watch.onReadFailed(clock.nowMs());
+              } else if (!isClosed && tenure.isEmpty()) {
                 onOwnerRead(page);
               }
             });
--- a/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -98,6 +98,45 @@
     }
   }
 
+  @Nested
+  class AfterAnOutageOfTheStore {
+
+    private void outage(long fromMs, long toMs) {
+      watch.onRead(Optional.of(OWNER), 10, fromMs);
+      for (long nowMs = fromMs; nowMs <= toMs; nowMs += 250) {
+        watch.onHeartbeat(9, nowMs - fromMs, nowMs);
+        watch.onReadFailed(nowMs);
+      }
+    }
+
+    /**
+     * Guards against a takeover that helps nobody: nobody could write, and the living owner renews
+     * as soon as it can. Its jobs would wait for the next one to find out what runs.
+     */
+    @Test
+    void shouldGiveALivingOwnerTimeToRenew() {
+      outage(0, 3_000);
+      watch.onRead(Optional.of(OWNER), 10, 3_100);
+      assertThat(watch.shouldClaim(3_100, 0)).isFalse();
+    }
+
+    @Test
+    void shouldClaimIfTheOwnerDoesNotRenewThen() {
+      outage(0, 3_000);
+      watch.onHeartbeat(9, 4_100, 4_100);
+      watch.onRead(Optional.of(OWNER), 10, 4_150);
+      assertThat(watch.shouldClaim(4_150, 0)).isTrue();
+    }
+
+    @Test
+    void shouldClaimAtOnceIfTheOwnerIsGone() {
+      outage(0, 3_000);
+      watch.onOwnerProcessTerminated();
+      watch.onRead(Optional.of(OWNER), 10, 3_100);
+      assertThat(watch.shouldClaim(3_100, 0)).isTrue();
+    }
+  }
+
   @Nested
   class Tenure {
 
