Take back keeping instances by the slack of jobs

Conclusion: the slack of a job is used up by its queue in a peak, so it does not tell how late a pool may be.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -36,9 +36,6 @@
   /** Estimated time to drain an instance and to maintain it. */
   private static final long DRAIN_AND_MAINTENANCE_MS = 4_500;
 
-  /** Time that it usually takes to see that the demand on a pool has risen. */
-  private static final long DETECTION_MS = 600;
-
   /** Pause before an order is repeated. */
   private static final long RETRY_MS = 250;
 
@@ -434,7 +431,7 @@
         addMove(source.get(), pool, projected, nowMs);
       }
     }
-    returnSurplus(spare.get(), wanted, demands, projected, loads, nowMs);
+    returnSurplus(spare.get(), wanted, projected, loads, nowMs);
   }
 
   private Map<String, Integer> wantedSizes(FleetConfig config, Map<String, PoolDemand> demands) {
@@ -542,20 +539,9 @@
     projected.merge(pool, 1, Integer::sum);
   }
 
-  /**
-   * Returns how many instances a pool keeps for its next peak. Jobs that can wait until instances
-   * have been moved for them need none to be kept; of the others, those that arrive first wait for
-   * part of that time.
-   */
-  private int instancesToKeep(int wanted, int peak, double slackMs) {
-    double unbridged = Math.max(0, 1 - slackMs / (moveMs + DETECTION_MS));
-    return wanted + (int) Math.ceil(Math.max(0, peak - wanted) * unbridged);
-  }
-
   private void returnSurplus(
       String spare,
       Map<String, Integer> wanted,
-      Map<String, PoolDemand> demands,
       Map<String, Integer> projected,
       Map<String, WorkerLoad> loads,
       long nowMs) {
@@ -563,11 +549,7 @@
       String pool = entry.getKey();
       int size = projected.getOrDefault(pool, 0);
       int surplus =
-          size
-              - instancesToKeep(
-                  entry.getValue(),
-                  demandHistory.instancesToKeep(pool, size, nowMs),
-                  demands.getOrDefault(pool, PoolDemand.NONE).slackMs());
+          size - Math.max(entry.getValue(), demandHistory.instancesToKeep(pool, size, nowMs));
       if (surplus <= 0) {
         surplusSinceMs.remove(pool);
         continue;
--- a/src/main/java/org/laburnumarch/internal/schedule/CandidateRanking.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CandidateRanking.java
@@ -2,9 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.function.IntToDoubleFunction;
 import org.laburnumarch.internal.job.QueueConfig;
-import org.laburnumarch.internal.job.StepSpec;
 
 /**
  * Ranks the steps that wait for workers of one service. Work that can still meet its objective goes
@@ -73,37 +71,26 @@
     return new Candidate(step, queue, rank, job.hasStarted, deadlineAtMs);
   }
 
-  /** Returns the expected time of a job's longest chain of dependent steps, in milliseconds. */
-  double chainMs(List<StepSpec> steps, QueueConfig queue) {
-    return longestChainMs(steps, i -> runTimeEstimator.expectedMs(queue.name(), steps.get(i)));
-  }
-
   /**
    * Returns the expected time of the longest chain of dependent steps, in milliseconds.
    *
    * @param onlyRemaining whether steps that are done count as zero
    */
   double chainMs(List<Step> steps, QueueConfig queue, boolean onlyRemaining) {
-    return longestChainMs(
-        steps.stream().map(step -> step.spec).toList(),
-        i ->
-            onlyRemaining && steps.get(i).isDone()
-                ? 0
-                : runTimeEstimator.expectedMs(queue.name(), steps.get(i).spec));
-  }
-
-  private static double longestChainMs(List<StepSpec> steps, IntToDoubleFunction stepMs) {
     double[] endsMs = new double[steps.size()];
     double longestMs = 0;
     for (int i = 0; i < steps.size(); i++) {
+      Step step = steps.get(i);
       double startMs = 0;
-      for (int earlier : steps.get(i).after()) {
+      for (int earlier : step.spec.after()) {
         // A step can only follow earlier ones, so their ends are known by now.
         if (earlier < i) {
           startMs = Math.max(startMs, endsMs[earlier]);
         }
       }
-      endsMs[i] = startMs + stepMs.applyAsDouble(i);
+      double ownMs =
+          onlyRemaining && step.isDone() ? 0 : runTimeEstimator.expectedMs(queue.name(), step.spec);
+      endsMs[i] = startMs + ownMs;
       longestMs = Math.max(longestMs, endsMs[i]);
     }
     return longestMs;
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -25,16 +25,10 @@
   /** Weight of work that can no longer meet its objective. */
   private static final double LATE_WORK_WEIGHT = 0.3;
 
-  /** Weight of the newest job in the moving average of slacks. */
-  private static final double SLACK_WEIGHT = 0.1;
-
   private final CandidateRanking ranking;
   private final RunTimeEstimator runTimeEstimator;
   private final Map<String, ArrivalRate> arrivalsByService = new HashMap<>();
 
-  /** Moving average of the time for which jobs can wait, in milliseconds, by service. */
-  private final Map<String, Double> slackMsByService = new HashMap<>();
-
   DemandEstimator(CandidateRanking ranking, RunTimeEstimator runTimeEstimator) {
     this.ranking = ranking;
     this.runTimeEstimator = runTimeEstimator;
@@ -55,16 +49,6 @@
     arrivalsByService
         .computeIfAbsent(queue.service(), service -> new ArrivalRate())
         .add(workerTimeMs, nowMs);
-    slackMsByService.merge(
-        queue.service(),
-        slackMs(job, queue),
-        (average, newest) -> average + SLACK_WEIGHT * (newest - average));
-  }
-
-  /** Returns how long a job can wait and still meet its objective. */
-  private double slackMs(Job job, QueueConfig queue) {
-    double chainMs = ranking.chainMs(job.spec.steps(), queue);
-    return (queue.stretch() - 1) * chainMs + queue.latencyTargetMs();
   }
 
   /** Returns the number of workers that the current rate of arrivals keeps busy. */
@@ -120,10 +104,7 @@
       long epochMs) {
     Map<String, PoolDemand> demands = new HashMap<>();
     for (String service : config.services().keySet()) {
-      demands.put(
-          service,
-          new PoolDemand(
-              arrivalWorkers(service, nowMs), 0, 0, slackMsByService.getOrDefault(service, 0.0)));
+      demands.put(service, new PoolDemand(arrivalWorkers(service, nowMs), 0, 0));
     }
     Map<String, Double> waiting = new HashMap<>();
     for (Job job : jobs) {
@@ -151,8 +132,7 @@
                     new PoolDemand(
                         Math.max(first.batchWorkers(), second.batchWorkers()),
                         first.longRunningWorkers(),
-                        first.minWorkers(),
-                        first.slackMs())));
+                        first.minWorkers())));
     return demands;
   }
 
@@ -167,7 +147,6 @@
     return new PoolDemand(
         first.batchWorkers() + second.batchWorkers(),
         first.longRunningWorkers() + second.longRunningWorkers(),
-        Math.max(first.minWorkers(), second.minWorkers()),
-        Math.max(first.slackMs(), second.slackMs()));
+        Math.max(first.minWorkers(), second.minWorkers()));
   }
 }
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -189,37 +189,6 @@
       assertThat(plan(0.1, 1).orders()).isEmpty();
     }
 
-    /**
-     * Guards against instances that stand unused for a peak whose jobs can wait for them: of the
-     * eight instances that the peak needs beyond the two that stay, jobs that can wait for half of
-     * the time that it takes to see the peak and move instances need half.
-     */
-    @Test
-    void shouldKeepOnlyWhatJobsCannotWaitFor() {
-      for (int i = 0; i < 10; i++) {
-        add("m" + i, "desk", 0, 0, true);
-      }
-      add("n0", "office", 0, 1, true);
-      planWithSlack(8, 1_050);
-      nowMs += DemandHistory.WINDOW_MS;
-      planWithSlack(8, 1_050);
-      nowMs += 3_000;
-      planWithSlack(0, 1_050);
-      nowMs += 2_000;
-      assertThat(planWithSlack(0, 1_050).orders()).hasSize(4);
-    }
-
-    private FleetPlan planWithSlack(double deskWorkers, double slackMs) {
-      planner.onList(machines.values(), nowMs);
-      return planner.plan(
-          CONFIG,
-          Map.of("desk", new PoolDemand(deskWorkers, 0, 1, slackMs)),
-          new ArrayList<>(loads.values()),
-          Set.of(),
-          true,
-          nowMs);
-    }
-
     /** Guards against shrinking a pool that has not received any job yet. */
     @Test
     void shouldKeepAllInstancesOfAPoolWithUnknownDemand() {
