Use a worker again that stays listed after its instance was moved

Cause, found when reading the change: the platform also accepts a move or a maintenance that an earlier order, whose answer was lost, has done already. The worker on the instance is then the next one, and was never asked or used again under this owner. An enrolment without it could also be stored while it counted as enrolled.

Change: only a worker without runs is taken for ended, it must be enrolled again, and it is used again if the registry lists it for longer than it lists an ended worker. A request that an owner cannot serve yet is sent again after 100 ms in place of 200 ms.

--- a/src/main/java/org/laburnumarch/internal/node/JobRouter.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobRouter.java
@@ -22,7 +22,7 @@
   private static final long RETRY_EVERY_MS = 40;
 
   /** Pause before a request is sent again that an owner could not serve. */
-  private static final long RETRY_AT_OWNER_MS = 200;
+  private static final long RETRY_AT_OWNER_MS = 100;
 
   /** Time after which a caller should retry if there is no owner. */
   private static final long RETRY_AFTER_MS = 1_000;
--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -38,6 +38,12 @@
   /** Least time between two requests for the list of instances. */
   private static final long LIST_EVERY_MS = 300;
 
+  /**
+   * Number of intervals between two writes to the registry for which it may list an ended worker;
+   * the platform says three, and the list is read a little later.
+   */
+  private static final int REGISTRY_INTERVALS = 4;
+
   /** Low bits of a fencing token, which number the orders of one term. */
   private static final int ORDER_NUMBER_BITS = 20;
 
@@ -50,6 +56,7 @@
   private final JobStore jobs;
   private final Meters meters;
   private final FleetPlanner planner;
+  private final long registryWriteIntervalMs;
   private final Map<Long, Long> seenEpochMs = new HashMap<>();
   private final Map<Long, Set<String>> startedByEarlierOwners = new HashMap<>();
   private final Set<Long> reportedAsRunning = new HashSet<>();
@@ -83,6 +90,7 @@
     this.jobs = jobs;
     this.meters = meters;
     this.planner = new FleetPlanner(settings.moveMs(), settings.maintenanceMs());
+    this.registryWriteIntervalMs = settings.registryWriteIntervalMs();
     this.guard = new OrderGuard(clock.nowMs(), earlierOwner);
     this.nextToken = tenure.term() << ORDER_NUMBER_BITS;
   }
@@ -193,7 +201,8 @@
     meters.count("instance_orders_total", order.getClass().getSimpleName() + ' ' + outcome);
     planner.onOutcome(order, outcome, clock.nowMs());
     if (outcome == MachineOrderOutcome.DONE) {
-      workerId.ifPresent(scheduler::onWorkerTerminated);
+      long listedUntilMs = clock.nowMs() + REGISTRY_INTERVALS * registryWriteIntervalMs;
+      workerId.ifPresent(id -> scheduler.onWorkerTerminated(id, listedUntilMs));
     }
     if (outcome == MachineOrderOutcome.DONE && order instanceof MachineOrder.Maintain maintain) {
       storeWave(maintain.wave());
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -414,15 +414,35 @@
   }
 
   /**
-   * Records that a worker's process has certainly ended. Its runs may start elsewhere at once, and
-   * it is not asked for reports, unless it is listed with a later incarnation.
+   * Records that the instance of a worker without runs is moved or maintained, which ends the
+   * worker's process. It is not asked for reports any more, unless it is listed with a later
+   * incarnation or for longer than the registry lists an ended worker: the platform also accepts an
+   * operation that an earlier order has done already, and then the worker is one that came after
+   * it.
+   *
+   * @param listedUntilMs local time until which the registry may list an ended worker
    */
-  public void onWorkerTerminated(String workerId) {
+  public void onWorkerTerminated(String workerId, long listedUntilMs) {
     Worker worker = workers.find(workerId);
-    if (worker != null) {
+    if (worker != null && worker.attempts.isEmpty()) {
       worker.isTerminated = true;
+      worker.isEnrolled = false;
+      worker.terminatedUntilMs = listedUntilMs;
       clearAwaitedFirstReport(worker);
-      runTracker.unregisterAll(worker);
+      workers.rebuildPools();
+    }
+  }
+
+  /** Uses workers again that count as terminated although the registry goes on listing them. */
+  private void reviveListed(long nowMs) {
+    boolean isAnyBack = false;
+    for (Worker worker : workers.all()) {
+      if (worker.isTerminated && worker.isListed && nowMs > worker.terminatedUntilMs) {
+        worker.isTerminated = false;
+        isAnyBack = true;
+      }
+    }
+    if (isAnyBack) {
       workers.rebuildPools();
     }
   }
@@ -521,6 +541,7 @@
     workers
         .removeUnlisted(ownershipProvenAtMs, takeoverGuard.isOver(ownershipProvenAtMs))
         .forEach(this::clearAwaitedFirstReport);
+    reviveListed(nowMs);
     if (nowMs - slownessDecayedAtMs >= SLOWNESS_DECAY_INTERVAL_MS) {
       slownessDecayedAtMs = nowMs;
       workers.all().forEach(worker -> worker.health.decaySlowness());
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -29,11 +29,14 @@
   boolean isListed = true;
 
   /**
-   * Whether its process has certainly ended, because the platform has accepted to move or maintain
-   * its instance. The registry may list it for some seconds more.
+   * Whether its process has ended, because the platform has accepted to move or maintain its
+   * instance. The registry may list it for some seconds more.
    */
   boolean isTerminated;
 
+  /** Local time from which a worker that counts as terminated and is still listed is used again. */
+  long terminatedUntilMs;
+
   /** Whether it has reported under this owner's term, and so rejects orders of earlier owners. */
   boolean isFenced;
 
