Let a delayed order end with the worker's process that received it

So the stand-in let a process that was dead execute an order. The users' pages rule out both: a minion that starts again under its id "holds and knows nothing of before".

Change: in the stand-in a delayed order is executed only by the process that received it. Delays, faults, checks and bounds are as before, and orders that reach a new process on a new connection still do.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
@@ -121,20 +121,30 @@
     SimulatedWorker worker = addressed.get();
     JsonNode body = HttpBodies.parseJson(request);
     return switch (request.path()) {
-      case "/v1/run-start" -> execute(responses, () -> start(worker, body));
-      case "/v1/run-stop" -> execute(responses, () -> stop(worker, body));
+      case "/v1/run-start" -> execute(worker, responses, () -> start(worker, body));
+      case "/v1/run-stop" -> execute(worker, responses, () -> stop(worker, body));
       case "/v1/hold" -> renew(worker, body, responses);
       default -> Single.succeeded(responses.notFound());
     };
   }
 
+  /**
+   * Executes an order, or lets it wait in the memory of the worker's process. What waits there is
+   * lost when the process ends: the next one knows nothing of it.
+   */
   private Single<HttpResponse> execute(
-      HttpResponseFactory responses, Supplier<OrderReply> operation) {
+      SimulatedWorker worker, HttpResponseFactory responses, Supplier<OrderReply> operation) {
     if (random.nextDouble() < lateOrderFraction) {
+      long receivedByStartedAtMs = worker.startedAtMs();
       loop.schedule(
           1 + random.nextLong(MAX_ORDER_DELAY_MS),
           () -> {
-            OrderReply unused = operation.get();
+            boolean isSameProcess =
+                currentWorker.filter(current -> current == worker).isPresent()
+                    && worker.startedAtMs() == receivedByStartedAtMs;
+            if (isSameProcess) {
+              OrderReply unused = operation.get();
+            }
           });
       return Single.never();
     }
