Give the window of first reports and ended workers places of their own

After reading the change as a newcomer: Scheduler held the counter of awaited first reports and the list handling of ended workers. Behaviour is the same; RestartedWorkerTest, FirstReportsTest, FreshWorkerTest and SchedulerTest pass.

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -27,13 +27,6 @@
 
   private static final long SLOWNESS_DECAY_INTERVAL_MS = 1_000;
 
-  /**
-   * Maximum number of first reports that are awaited at the same time. A process that takes over
-   * soon after its start needs milliseconds of processor time for each connection; if it opened all
-   * at once, the reports would time out before it could read them.
-   */
-  private static final int MAX_FIRST_REPORTS_AWAITED = 48;
-
   private final SchedulerSettings settings;
   private final long term;
   private final TakeoverGuard takeoverGuard;
@@ -42,6 +35,7 @@
   private final WorkerTable workers = new WorkerTable();
   private final TeamUsage teamUsage = new TeamUsage();
   private final PendingChanges changes = new PendingChanges();
+  private final FirstReportWindow firstReports = new FirstReportWindow();
   private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
   private final Tickets adviceTickets = new Tickets();
   private final TeamTokenBuckets teamBuckets = new TeamTokenBuckets();
@@ -53,7 +47,6 @@
   private FleetConfig config = FleetConfig.EMPTY;
   private Set<String> outOfServiceDataCentres = Set.of();
   private long storedBatchNumber;
-  private int firstReportsAwaited;
 
   /** Latest local time at which this process is known to have been the owner. */
   private long ownershipProvenAtMs;
@@ -338,7 +331,7 @@
     if (worker == null) {
       return List.of();
     }
-    clearAwaitedFirstReport(worker);
+    firstReports.onSettled(worker);
     List<Order> unknownRuns = runTracker.onReport(worker, report, requestedAtMs, nowMs);
     worker.acknowledge(storedBatchNumber);
     return unknownRuns;
@@ -348,7 +341,7 @@
   public void onReportMissed(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
     if (worker != null) {
-      clearAwaitedFirstReport(worker);
+      firstReports.onSettled(worker);
       worker.missedReports++;
       worker.lastReportAttemptMs = nowMs;
       // The acknowledgement that the request carried may not have arrived.
@@ -369,26 +362,16 @@
   /** Returns the renewal to send to a worker now; empty if none is due. */
   public Optional<Renewal> renewal(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
-    if (worker == null
-        || worker.isTerminated
-        || (!worker.isFenced && firstReportsAwaited >= MAX_FIRST_REPORTS_AWAITED)) {
+    if (worker == null || worker.isTerminated || (!worker.isFenced && !firstReports.hasRoom())) {
       return Optional.empty();
     }
     Optional<Renewal> renewal = RenewalPolicy.decide(worker, settings, nowMs);
-    if (renewal.isPresent() && !worker.isFenced && !worker.isFirstReportAwaited) {
-      worker.isFirstReportAwaited = true;
-      firstReportsAwaited++;
+    if (renewal.isPresent() && !worker.isFenced) {
+      firstReports.onRequested(worker);
     }
     return renewal;
   }
 
-  private void clearAwaitedFirstReport(Worker worker) {
-    if (worker.isFirstReportAwaited) {
-      worker.isFirstReportAwaited = false;
-      firstReportsAwaited--;
-    }
-  }
-
   /**
    * Returns a request for an immediate report, in addition to the one that the worker may be
    * delaying; empty if none is needed. It is needed after an unanswered start has been stopped,
@@ -425,25 +408,8 @@
   public void onWorkerTerminated(String workerId, long listedUntilMs) {
     Worker worker = workers.find(workerId);
     if (worker != null && worker.attempts.isEmpty()) {
-      worker.isTerminated = true;
-      worker.isEnrolled = false;
-      worker.terminatedUntilMs = listedUntilMs;
-      clearAwaitedFirstReport(worker);
-      workers.rebuildPools();
-    }
-  }
-
-  /** Uses workers again that count as terminated although the registry goes on listing them. */
-  private void reviveListed(long nowMs) {
-    boolean isAnyBack = false;
-    for (Worker worker : workers.all()) {
-      if (worker.isTerminated && worker.isListed && nowMs > worker.terminatedUntilMs) {
-        worker.isTerminated = false;
-        isAnyBack = true;
-      }
-    }
-    if (isAnyBack) {
-      workers.rebuildPools();
+      firstReports.onSettled(worker);
+      workers.markTerminated(worker, listedUntilMs);
     }
   }
 
@@ -540,8 +506,8 @@
     }
     workers
         .removeUnlisted(ownershipProvenAtMs, takeoverGuard.isOver(ownershipProvenAtMs))
-        .forEach(this::clearAwaitedFirstReport);
-    reviveListed(nowMs);
+        .forEach(firstReports::onSettled);
+    workers.reviveListed(nowMs);
     if (nowMs - slownessDecayedAtMs >= SLOWNESS_DECAY_INTERVAL_MS) {
       slownessDecayedAtMs = nowMs;
       workers.all().forEach(worker -> worker.health.decaySlowness());
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -69,6 +69,32 @@
     return removed;
   }
 
+  /**
+   * Takes a worker out of its pool because its process has ended.
+   *
+   * @param listedUntilMs local time until which the registry may list an ended worker
+   */
+  void markTerminated(Worker worker, long listedUntilMs) {
+    worker.isTerminated = true;
+    worker.isEnrolled = false;
+    worker.terminatedUntilMs = listedUntilMs;
+    rebuildPools();
+  }
+
+  /** Uses workers again that count as terminated although the registry goes on listing them. */
+  void reviveListed(long nowMs) {
+    boolean isAnyBack = false;
+    for (Worker worker : workers.values()) {
+      if (worker.isTerminated && worker.isListed && nowMs > worker.terminatedUntilMs) {
+        worker.isTerminated = false;
+        isAnyBack = true;
+      }
+    }
+    if (isAnyBack) {
+      rebuildPools();
+    }
+  }
+
   /** Rebuilds the pools after a change of the workers or of their state. */
   void rebuildPools() {
     Map<String, List<Worker>> built = new LinkedHashMap<>();
