Log once a second what limits the owner

The line owner: event=load gives the delay of the owner's own timers, the replies to orders with their mean time, and the unanswered ones; node: event=started gives the instance's cores and link. No logic changes.

--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -131,7 +131,11 @@
 
   private void start() {
     Logger.info(
-        "node: event=started name={} dataCentre={}", settings.name(), settings.dataCentre());
+        "node: event=started name={} dataCentre={} cores={} linkMbps={}",
+        settings.name(),
+        settings.dataCentre(),
+        settings.cpuShare(),
+        settings.linkMbps());
     operators.start();
     election.start();
     registerAddress();
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -74,6 +74,7 @@
   private final Listener listener;
   private final Scheduler scheduler;
   private final JobStore jobs;
+  private final OwnerLoad load;
   private final WorkerDriver driver;
   private final Optional<MachineController> machineController;
   private final Runnable onOperatorChange = this::applyOperatorRecords;
@@ -83,6 +84,7 @@
   private boolean isRoundScheduled;
   private boolean isClosed;
   private long finishedRemovedAtMs;
+  private long nextTickAtMs;
 
   Owner(
       NodeSettings settings,
@@ -122,9 +124,19 @@
             settings.maxWriteBytes(),
             meters,
             new StoreCallbacks());
+    this.load = new OwnerLoad(clock.nowMs());
     this.driver =
         new WorkerDriver(
-            settings, loop, clock, store, tenure, scheduler, this::scheduleRound, listener, meters);
+            settings,
+            loop,
+            clock,
+            store,
+            tenure,
+            scheduler,
+            this::scheduleRound,
+            listener,
+            meters,
+            load);
     this.machineController =
         settings
             .machineServiceAddress()
@@ -197,6 +209,7 @@
         contents.progress().size(),
         contents.enrolled().size());
     driver.start();
+    nextTickAtMs = nowMs;
     tick();
   }
 
@@ -214,8 +227,13 @@
       return;
     }
     try {
+      long nowMs = clock.nowMs();
+      load.onTimer(nowMs - nextTickAtMs);
+      load.report(nowMs, scheduler.liveJobCount())
+          .ifPresent(line -> Logger.info("owner: event=load {}", line));
       runRound();
     } finally {
+      nextTickAtMs = clock.nowMs() + TICK_MS;
       loop.schedule(TICK_MS, this::tick);
     }
   }
@@ -238,6 +256,7 @@
     if (isClosed || !tenure.hasAuthority(nowMs)) {
       return;
     }
+    load.onRound();
     if (scheduler.needsEnrolment() && driver.isRegistryRead()) {
       enrol();
     }
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/node/OwnerLoad.java
@@ -0,0 +1,69 @@
+package org.laburnumarch.internal.node;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Measures what limits the owner, for one line of the log a second. An owner without enough
+ * processor time runs its timers late; one without enough network gets late replies, or none, while
+ * its timers are on time. Not thread-safe; no I/O.
+ */
+final class OwnerLoad {
+
+  private static final long REPORT_EVERY_MS = 1_000;
+
+  private long reportAtMs;
+  private int rounds;
+  private long maxTimerDelayMs;
+  private int replies;
+  private long replyTimeSumMs;
+  private int unanswered;
+
+  OwnerLoad(long nowMs) {
+    this.reportAtMs = nowMs + REPORT_EVERY_MS;
+  }
+
+  /** Records a scheduling round. */
+  void onRound() {
+    rounds++;
+  }
+
+  /** Records by how much a timer ran late. */
+  void onTimer(long delayMs) {
+    maxTimerDelayMs = Math.max(maxTimerDelayMs, delayMs);
+  }
+
+  /** Records the reply to an order to a worker, or that there was none in time. */
+  void onReply(long afterMs, boolean isAnswered) {
+    if (isAnswered) {
+      replies++;
+      replyTimeSumMs += afterMs;
+    } else {
+      unanswered++;
+    }
+  }
+
+  /** Returns the measurements since the last report, once a second; empty in between. */
+  Optional<String> report(long nowMs, int liveJobs) {
+    if (nowMs < reportAtMs) {
+      return Optional.empty();
+    }
+    String line =
+        String.format(
+            Locale.ROOT,
+            "live_jobs=%d rounds=%d max_timer_delay_ms=%d replies=%d mean_reply_ms=%d unanswered=%d",
+            liveJobs,
+            rounds,
+            maxTimerDelayMs,
+            replies,
+            replies == 0 ? 0 : replyTimeSumMs / replies,
+            unanswered);
+    reportAtMs = nowMs + REPORT_EVERY_MS;
+    rounds = 0;
+    maxTimerDelayMs = 0;
+    replies = 0;
+    replyTimeSumMs = 0;
+    unanswered = 0;
+    return Optional.of(line);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -51,6 +51,7 @@
   private final Runnable onEvent;
   private final Owner.Listener listener;
   private final Meters meters;
+  private final OwnerLoad load;
   private final StoreTail registry;
   private final Optional<AdvisorClient> advisor;
   private final Map<String, WorkerListing> listings = new HashMap<>();
@@ -83,8 +84,10 @@
       Scheduler scheduler,
       Runnable onEvent,
       Owner.Listener listener,
-      Meters meters) {
+      Meters meters,
+      OwnerLoad load) {
     this.meters = meters;
+    this.load = load;
     this.loop = loop;
     this.clock = clock;
     this.tenure = tenure;
@@ -215,6 +218,7 @@
         reply.outcome());
     meters.count("orders_total", kind + ' ' + reply.outcome());
     meters.recordDuration("order_answer_seconds", nowMs - sentAtMs);
+    load.onReply(nowMs - sentAtMs, reply.outcome() != Outcome.UNKNOWN);
     if (order instanceof Order.Start start) {
       scheduler.onStartReply(start, reply, nowMs);
     } else if (order instanceof Order.Stop stop) {
