Let daemons on the largest instances claim the ownership first

Cause: ownership fell to an instance with 0.36 cores and 10 Mbit/s although 6 of 44 have 1.5 cores and 200 Mbit/s. Small instances do delay their claims, but the delay counted from the owner's last renewal, and no daemon reads the log before 1.9 s of silence (or before it has found the owner's process gone), when the delay had passed on all of them: the first to look won. The class of fault: a delay that starts from an event which everybody notices later than the delay is long. The delay also looked at cores only, and at a fixed number of them.

Change: the delay counts from the first read that shows a claim to be due. Daemons register the size of their instance in keyed.nodes (two numbers after the address, which older versions ignore), and the delay follows from the scarcer of cores and link beside the largest registered ones: none among equals. Nobody claims before it has read the sizes once; at the system's first start that is 400 ms after registering.

shouldDelayItsClaimFromWhenItFindsTheOwnerSilent and shouldDelayItsClaimAfterTheOwnersProcessHasEnded failed before. Looked for the same cause elsewhere: the other delays (GRACE_AFTER_OUTAGE_MS, OrderGuard) count from this daemon's own observation.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -47,6 +47,9 @@
   private long heartbeatRenewalNumber = -1;
   private boolean isOwnerProcessTerminated;
 
+  /** Local time of the first read since which a claim has been due; -1 if none is due. */
+  private long claimDueSinceMs = -1;
+
   /**
    * Applies the result of a read of the log.
    *
@@ -66,6 +69,11 @@
     newest = record.isPresent() ? record : newest;
     endOffset = newEndOffset;
     lastReadAtMs = nowMs;
+    if (!isClaimDue(nowMs)) {
+      claimDueSinceMs = -1;
+    } else if (claimDueSinceMs < 0) {
+      claimDueSinceMs = nowMs;
+    }
   }
 
   /** Records that this daemon could not read the log. */
@@ -122,15 +130,24 @@
   /**
    * Returns whether to claim the ownership now.
    *
-   * @param claimDelayMs how much later than preferred daemons this daemon claims, in milliseconds
+   * @param claimDelayMs how much later than preferred daemons this daemon claims, in milliseconds.
+   *     It counts from the read that showed this daemon that a claim is due: all daemons notice at
+   *     about the same time, but only after the owner has been silent for longer than the delay.
    */
   public boolean shouldClaim(long nowMs, long claimDelayMs) {
+    if (!isClaimDue(nowMs)) {
+      return false;
+    }
+    long dueForMs = claimDueSinceMs < 0 ? 0 : nowMs - claimDueSinceMs;
+    return dueForMs >= claimDelayMs;
+  }
+
+  private boolean isClaimDue(long nowMs) {
     if (endOffset < 0 || nowMs - lastReadAtMs > MAX_READ_GAP_MS) {
       return false;
     }
-    long silentMs = nowMs - silentSinceMs;
     if (newest.isEmpty() || newest.get().isReleased()) {
-      return silentMs >= claimDelayMs;
+      return true;
     }
     boolean isOwnerLiving =
         !isOwnerProcessTerminated && nowMs - heartbeatAtMs < MAX_HEARTBEAT_AGE_MS;
@@ -139,7 +156,7 @@
     }
     long requiredSilenceMs =
         isOwnerProcessTerminated ? SILENCE_AFTER_END_MS : SILENCE_BEFORE_CLAIM_MS;
-    return silentMs >= requiredSilenceMs + claimDelayMs;
+    return nowMs - silentSinceMs >= requiredSilenceMs;
   }
 
   /** Returns the record for a claim, with the term after the newest known one. */
--- a/src/main/java/org/laburnumarch/internal/node/Announcer.java
+++ b/src/main/java/org/laburnumarch/internal/node/Announcer.java
@@ -1,13 +1,11 @@
 package org.laburnumarch.internal.node;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerRecord;
@@ -17,11 +15,7 @@
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
 import org.laburnumarch.internal.platform.NodeSettings;
 import org.laburnumarch.internal.platform.StoreClient;
-import org.laburnumarch.internal.platform.StoreClient.KeyedValue;
 import org.laburnumarch.internal.platform.StoreClient.StoreRecord;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessageUnpacker;
 import org.tinylog.Logger;
 
 /**
@@ -62,31 +56,6 @@
     this.onEarlierOwnerStopped = onEarlierOwnerStopped;
   }
 
-  /** Stores the address on which other daemons reach this one; retries until it succeeds. */
-  static void register(StoreClient store, EventLoopThread loop, NodeSettings settings) {
-    store
-        .append(
-            StoreClient.DAEMON_LOG,
-            List.of(new KeyedValue(settings.name(), Optional.of(encode(settings)))),
-            OptionalLong.empty(),
-            Optional.empty())
-        .whenComplete(
-            (result, failure) -> {
-              if (failure != null) {
-                loop.schedule(RETRY_MS, () -> register(store, loop, settings));
-              }
-            });
-  }
-
-  private static byte[] encode(NodeSettings settings) {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      out.packString(settings.ip()).packInt(settings.linkPort());
-      return out.toByteArray();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   void start() {
     if (isClosed) {
       return;
@@ -107,8 +76,8 @@
     if (daemon.key().equals(settings.name()) || daemon.value().isEmpty()) {
       return;
     }
-    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(daemon.value().get())) {
-      announce(daemon.key(), new InetSocketAddress(in.unpackString(), in.unpackInt()), 0);
+    try {
+      announce(daemon.key(), DaemonRecord.decode(daemon.value().get()).address(), 0);
     } catch (IOException e) {
       Logger.warn("nodes: event=unreadable node={} cause={}", daemon.key(), e.getMessage());
     }
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
@@ -55,7 +56,7 @@
   private final String holder;
   private final String host;
   private final int port;
-  private final long claimDelayMs;
+  private final Supplier<OptionalLong> claimDelayMs;
   private final Listener listener;
   private final OwnerWatch watch = new OwnerWatch();
   private Optional<OwnerTenure> tenure = Optional.empty();
@@ -73,7 +74,8 @@
    * @param holder name of this process; different after each start
    * @param host IP number on which other daemons reach this one
    * @param port port on which other daemons reach this one
-   * @param claimDelayMs time by which this daemon delays its claims, so that others claim first
+   * @param claimDelayMs returns by how much this daemon delays a claim, so that others claim first;
+   *     empty while it must not claim
    */
   Election(
       StoreClient store,
@@ -82,7 +84,7 @@
       String holder,
       String host,
       int port,
-      long claimDelayMs,
+      Supplier<OptionalLong> claimDelayMs,
       Listener listener) {
     this.store = store;
     this.loop = loop;
@@ -207,13 +209,18 @@
         .ifPresent(listener::onOwnerChanged);
     // If the response to a claim of this process was lost, it claims again under a new term.
     boolean isOwn = watch.newest().map(record -> record.holder().equals(holder)).orElse(false);
-    if (isCandidate && !isWriting && (isOwn || watch.shouldClaim(nowMs, claimDelayMs))) {
+    if (isCandidate && !isWriting && (isOwn || shouldClaim(nowMs))) {
       claim(nowMs);
     } else {
       loop.schedule(READ_EVERY_MS - TICK_MS, this::readOwnerAgain);
     }
   }
 
+  private boolean shouldClaim(long nowMs) {
+    OptionalLong delayMs = claimDelayMs.get();
+    return delayMs.isPresent() && watch.shouldClaim(nowMs, delayMs.getAsLong());
+  }
+
   private void readOwnerAgain() {
     if (!isClosed
         && !isReading
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -43,18 +43,13 @@
   /** Time for which open connections are still served after a shutdown released the ownership. */
   private static final long LINGER_MS = 3_000;
 
-  /** Delay of a claim on the slowest instance, so that daemons on faster ones claim first. */
-  private static final long MAX_CLAIM_DELAY_MS = 400;
-
-  /** Fraction of a core from which an instance claims without delay. */
-  private static final double FULL_CPU_SHARE = 1.0;
-
   private final NodeSettings settings;
   private final EventLoopThread loop;
   private final SuspendAwareClock clock = new SuspendAwareClock();
   private final Meters meters = new Meters();
   private final StoreClient store;
   private final OperatorWatch operators;
+  private final DaemonDirectory daemons;
   private final Election election;
   private final JobRouter router;
   private final LinkServer linkServer;
@@ -83,6 +78,7 @@
     this.store = new StoreClient(settings.storeAddress(), loop);
     this.operators = new OperatorWatch(store, loop, clock);
     this.router = new JobRouter(loop, clock);
+    this.daemons = new DaemonDirectory(store, loop, settings);
     this.holder = settings.name() + '/' + clock.epochMs();
     this.election =
         new Election(
@@ -92,7 +88,7 @@
             holder,
             settings.ip(),
             settings.linkPort(),
-            claimDelayMs(settings),
+            daemons::claimDelayMs,
             new ElectionListener());
     this.linkServer =
         new LinkServer(
@@ -124,11 +120,6 @@
     loop.execute(this::start);
   }
 
-  private static long claimDelayMs(NodeSettings settings) {
-    double missingShare = Math.max(0, FULL_CPU_SHARE - settings.cpuShare()) / FULL_CPU_SHARE;
-    return (long) (MAX_CLAIM_DELAY_MS * missingShare);
-  }
-
   private void start() {
     Logger.info(
         "node: event=started name={} dataCentre={} cores={} linkMbps={}",
@@ -138,15 +129,10 @@
         settings.linkMbps());
     operators.start();
     election.start();
-    registerAddress();
+    daemons.start();
     heartbeat();
   }
 
-  /** Stores the address on which other daemons reach this one. */
-  private void registerAddress() {
-    Announcer.register(store, loop, settings);
-  }
-
   private boolean isReady() {
     return !isStopping && operators.canServeCallers() && router.isConnected() && canOwnerStore();
   }
@@ -246,6 +232,7 @@
     metrics.closeAsync().subscribe();
     linkServer.close();
     election.close();
+    daemons.close();
     operators.close();
     store.close();
     loop.close();
@@ -301,6 +288,7 @@
 
     @Override
     public void onOwnerChanged(OwnerRecord record) {
+      daemons.refresh();
       if (owner.isEmpty()) {
         Logger.info("owner: event=changed term={} holder={}", record.term(), record.holder());
         reconnect(new InetSocketAddress(record.host(), record.port()));
--- a/src/main/java/org/laburnumarch/internal/platform/NodeSettings.java
+++ b/src/main/java/org/laburnumarch/internal/platform/NodeSettings.java
@@ -22,6 +22,7 @@
  * @param machineServiceAddress address of the service that moves and maintains instances, if there
  *     is one
  * @param advisorAddress address of the advisory service, if there is one
+ * @param isFirstStart whether the whole system starts for the first time
  * @param cpuShare processor time that the process may use per second, in seconds of one core
  * @param linkMbps speed of the instance's network link in Mbit/s
  * @param maxLeaseMs longest lease that a worker grants
@@ -51,6 +52,7 @@
     InetSocketAddress storeAddress,
     Optional<InetSocketAddress> machineServiceAddress,
     Optional<InetSocketAddress> advisorAddress,
+    boolean isFirstStart,
     double cpuShare,
     double linkMbps,
     long maxLeaseMs,
@@ -109,6 +111,7 @@
         Json.address(Json.text(section(root, "platform"), "address")),
         optionalAddress(root.path("cloud").path("address")),
         optionalAddress(root.path("advice")),
+        Json.flag(root, "bootstrap"),
         Json.decimalOr(limits, "cpuShare", 1) * Json.decimalOr(limits, "cores", 1),
         Json.decimalOr(limits, "linkMbps", 1_000),
         Json.number(bounds, "maxHoldMs"),
--- a/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -98,6 +98,45 @@
     }
   }
 
+  @Nested
+  class OnASmallInstance {
+
+    private static final long DELAY_MS = 300;
+
+    /**
+     * Guards against an owner on a small instance while larger ones are there. A daemon first reads
+     * the log when the owner's last renewal is older than the delay, so a delay that counts from
+     * the renewal has passed before any daemon looks.
+     */
+    @Test
+    void shouldDelayItsClaimFromWhenItFindsTheOwnerSilent() {
+      watch.onRead(Optional.of(OWNER), 10, 0);
+      watch.onHeartbeat(9, 2_000, 2_000);
+      watch.onRead(Optional.of(OWNER), 10, 2_100);
+      assertThat(watch.shouldClaim(2_100, DELAY_MS)).isFalse();
+      readUntil(OWNER, 2_200, 2_100 + DELAY_MS);
+      assertThat(watch.shouldClaim(2_100 + DELAY_MS - 1, DELAY_MS)).isFalse();
+      assertThat(watch.shouldClaim(2_100 + DELAY_MS, DELAY_MS)).isTrue();
+    }
+
+    @Test
+    void shouldDelayItsClaimAfterTheOwnersProcessHasEnded() {
+      readUntil(OWNER, 0, 1_000);
+      watch.onOwnerProcessTerminated();
+      readUntil(OWNER, 1_100, 1_300);
+      assertThat(watch.shouldClaim(1_300, DELAY_MS)).isFalse();
+      readUntil(OWNER, 1_400, 1_400);
+      assertThat(watch.shouldClaim(1_400, DELAY_MS)).isTrue();
+    }
+
+    @Test
+    void shouldDelayItsClaimAgainIfTheOwnerRenewsInBetween() {
+      readUntil(OWNER, 0, 1_700);
+      readUntil(OWNER.renewed(), 1_800, 3_300);
+      assertThat(watch.shouldClaim(3_300, DELAY_MS)).isFalse();
+    }
+  }
+
   @Nested
   class AfterAnOutageOfTheStore {
 
