Give up tasks that crash the workers which start them

Cause: a run counts as an attempt only if its worker lists it as failed. A crashed worker lists nothing, so its runs lapse uncounted and the task is started again every 4.5 s for as long as its job lives. The class of fault: a limit on attempts that counts only the failures which somebody reports.

Ruled out: counts lost at a takeover (the same owner starts the task again and again), and late starts in the next process (each has a new run number).

Change: CrashTracker counts the ends of workers' processes under each task: a new incarnation in the registry, a refused connection, or another process that answers. A worker that had announced its shutdown does not count, nor does one that only fell silent. Most tasks on a crashed worker are innocent, so a task that had just been started, or was there twice, is next started on a worker without another new run, where nothing else starts until a report shows that it survived its start. After two crashes right after its start, the second with no other new run there, or after three in any case, its job is failed at once. The counts are stored with the job's progress, at the end of the record, which earlier versions do not read.

--- a/src/main/java/org/laburnumarch/internal/job/JobCodec.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobCodec.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.laburnumarch.internal.job.JobProgress.CrashedTask;
 import org.laburnumarch.internal.job.JobProgress.FailedRuns;
 import org.laburnumarch.internal.job.JobProgress.StepProgress;
 import org.msgpack.core.MessageBufferPacker;
@@ -138,6 +139,14 @@
       for (StepProgress step : progress.steps()) {
         packStepProgress(out, step);
       }
+      out.packArrayHeader(progress.crashedTasks().size());
+      for (CrashedTask task : progress.crashedTasks()) {
+        out.packInt(task.occurrence())
+            .packInt(task.step())
+            .packInt(task.index())
+            .packInt(task.crashes())
+            .packBoolean(task.isSuspect());
+      }
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -175,8 +184,20 @@
       for (int i = 0; i < count; i++) {
         steps.add(unpackStepProgress(in));
       }
-      return new JobProgress(id, status, steps);
+      return new JobProgress(id, status, steps, unpackCrashedTasks(in));
+    }
+  }
+
+  private static List<CrashedTask> unpackCrashedTasks(MessageUnpacker in) throws IOException {
+    // Earlier versions ended the record before this list.
+    int count = in.hasNext() ? in.unpackArrayHeader() : 0;
+    List<CrashedTask> tasks = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      tasks.add(
+          new CrashedTask(
+              in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackInt(), in.unpackBoolean()));
     }
+    return tasks;
   }
 
   private static StepProgress unpackStepProgress(MessageUnpacker in) throws IOException {
--- a/src/main/java/org/laburnumarch/internal/job/JobProgress.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobProgress.java
@@ -9,12 +9,20 @@
  * @param id the job's id
  * @param status the job's status; a later owner relies on it only if it is final
  * @param steps the progress of each step that has made any
+ * @param crashedTasks the tasks under which processes of workers have ended
  */
-public record JobProgress(String id, JobStatus status, List<StepProgress> steps) {
+public record JobProgress(
+    String id, JobStatus status, List<StepProgress> steps, List<CrashedTask> crashedTasks) {
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public JobProgress {
     steps = List.copyOf(steps);
+    crashedTasks = List.copyOf(crashedTasks);
+  }
+
+  /** Creates the progress of a job whose tasks have crashed no worker. */
+  public JobProgress(String id, JobStatus status, List<StepProgress> steps) {
+    this(id, status, steps, List.of());
   }
 
   /**
@@ -34,6 +42,17 @@
     }
   }
 
+  /**
+   * A task under which processes of workers have ended.
+   *
+   * @param occurrence number of the occurrence
+   * @param step number of the step
+   * @param index the task's number within its step
+   * @param crashes how many processes have ended
+   * @param isSuspect whether the task may be the cause
+   */
+  public record CrashedTask(int occurrence, int step, int index, int crashes, boolean isSuspect) {}
+
   /**
    * The failed runs of one task.
    *
--- a/src/main/java/org/laburnumarch/internal/platform/PlatformFailures.java
+++ b/src/main/java/org/laburnumarch/internal/platform/PlatformFailures.java
@@ -1,6 +1,8 @@
 package org.laburnumarch.internal.platform;
 
+import java.net.ConnectException;
 import java.util.concurrent.CompletionException;
+import org.laburnumarch.internal.schedule.OrderReply;
 import org.laburnumarch.spi.PlatformException;
 
 /** Evaluates the failures of calls to the platform. */
@@ -17,6 +19,23 @@
     return cause;
   }
 
+  /**
+   * Returns whether a call to a worker failed because its process has ended: nothing listens at its
+   * address, or another process answers there. A worker behind a cut does not answer at all.
+   */
+  public static boolean showsEndedProcess(Throwable failure) {
+    if (unwrap(failure) instanceof WorkerRefusalException refusal) {
+      return refusal.outcome() == OrderReply.Outcome.OTHER_INCARNATION;
+    }
+    for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+      if (cause instanceof ConnectException
+          && String.valueOf(cause.getMessage()).contains("Connection refused")) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Returns whether a failed call may still have taken effect; true if the failure is of unknown
    * kind.
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -47,6 +47,15 @@
    */
   boolean isOfNextIncarnation;
 
+  /** Whether the worker has reported the run a while after its start. */
+  boolean hasSurvivedStart;
+
+  /** Whether nothing else may start on the worker for now. */
+  boolean isIsolated;
+
+  /** Whether the end of the worker's process has been counted as a crash under this run. */
+  boolean isCrashCounted;
+
   /** Whether the run should be stopped. */
   boolean isStopWanted;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.laburnumarch.internal.job.JobProgress;
+import org.laburnumarch.internal.job.JobProgress.CrashedTask;
 import org.laburnumarch.internal.job.JobProgress.FailedRuns;
 import org.laburnumarch.internal.job.JobProgress.StepProgress;
 import org.laburnumarch.internal.job.JobSpec;
@@ -158,7 +159,26 @@
         }
       }
     }
-    return new JobProgress(spec.id(), status, steps);
+    return new JobProgress(spec.id(), status, steps, crashedTasks());
+  }
+
+  private List<CrashedTask> crashedTasks() {
+    if (status.isFinal()) {
+      return List.of();
+    }
+    return occurrences.values().stream()
+        .flatMap(List::stream)
+        .flatMap(step -> step.tasks.stream())
+        .filter(task -> task.crashes > 0)
+        .map(
+            task ->
+                new CrashedTask(
+                    task.key.occurrence(),
+                    task.key.step(),
+                    task.key.index(),
+                    task.crashes,
+                    task.isSuspect))
+        .toList();
   }
 
   private static boolean hasProgress(Step step) {
@@ -195,9 +215,19 @@
     }
     addDueOccurrences(epochMs);
     progress.steps().stream().filter(stored -> stored.step() >= 0).forEach(this::restoreStep);
+    progress.crashedTasks().forEach(this::restoreCrashes);
     removeDoneOccurrences();
   }
 
+  private void restoreCrashes(CrashedTask stored) {
+    hasStarted = true;
+    Task task = find(stored.occurrence(), stored.step(), stored.index());
+    if (task != null) {
+      task.crashes = stored.crashes();
+      task.isSuspect = stored.isSuspect();
+    }
+  }
+
   private void restoreStep(StepProgress stored) {
     for (int i = 0; i < stored.done().length * 8; i++) {
       Task task = find(stored.occurrence(), stored.step(), i);
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -20,6 +20,12 @@
 
   private static final double AVOIDED_WORKER_COST = 2;
 
+  /** Cost of each run that a task which may crash its worker would end with it. */
+  private static final double ENDANGERED_RUN_COST = 0.5;
+
+  /** One isolated run is allowed, and another one for each this many workers of the pool. */
+  private static final int POOL_SIZE_PER_ISOLATED_RUN = 8;
+
   /**
    * Weight of the fraction of a worker that would stay free. Filling one worker after the other
    * leaves others empty, whose instances can then move at once. The weight is so small that a slow
@@ -48,11 +54,16 @@
 
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
   Optional<Worker> choose(Task task, Map<String, String> tickets, boolean needsTicket) {
+    boolean needsIsolation = task.needsIsolation();
+    if (needsIsolation && !mayIsolateAnother()) {
+      return Optional.empty();
+    }
     Worker best = null;
     double bestCost = Double.MAX_VALUE;
     for (Worker worker : pool) {
       if (heldWorkers.contains(worker)
           || worker.ordersInFlight >= MAX_ORDERS_IN_FLIGHT
+          || (needsIsolation && worker.newRunCount() > 0)
           || !worker.freeCapacity().holds(task.step.spec.reserved())
           || !mayRun(worker, task.step)
           || (needsTicket && !tickets.containsKey(worker.id))) {
@@ -67,6 +78,15 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns whether one more worker of the pool may be given to a single task. Several suspects may
+   * wait, and each may crash its worker.
+   */
+  boolean mayIsolateAnother() {
+    long isolated = pool.stream().filter(Worker::hasIsolatedRun).count();
+    return isolated <= pool.size() / POOL_SIZE_PER_ISOLATED_RUN;
+  }
+
   /** Returns whether any worker could start a task now. */
   boolean hasCapacityFor(Task task) {
     for (Worker worker : pool) {
@@ -84,6 +104,7 @@
         && worker.isFenced
         && worker.isEnrolled
         && !worker.isCordoned
+        && !worker.hasIsolatedRun()
         && !worker.listing.isDraining()
         && worker.blockedUntilMs <= nowMs
         && worker.missedReports == 0
@@ -113,6 +134,9 @@
     if (spec.isRackSensitive() && wouldSpanRacks(worker, task.step)) {
       cost *= remoteSlowdownFactor;
     }
+    if (task.needsIsolation()) {
+      cost += ENDANGERED_RUN_COST * worker.attempts.size();
+    }
     if (worker.id.equals(task.avoidedWorker)) {
       cost += AVOIDED_WORKER_COST;
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -28,6 +28,9 @@
    */
   private static final long CLOCK_TOLERANCE_MS = 1_500;
 
+  /** Age at which a run that its worker reports has not crashed the worker by being started. */
+  private static final long START_SURVIVAL_MS = 300;
+
   private static final long REFUSAL_PAUSE_MS = 60;
   private static final long UNHEALTHY_PAUSE_MS = 800;
 
@@ -36,6 +39,7 @@
   private final PendingChanges changes;
   private final RunTimeEstimator runTimeEstimator;
   private final QueueLookup queues;
+  private final CrashTracker crashTracker;
 
   /** Finds the configuration of a queue. */
   interface QueueLookup {
@@ -53,6 +57,12 @@
     this.changes = changes;
     this.runTimeEstimator = runTimeEstimator;
     this.queues = queues;
+    this.crashTracker = new CrashTracker(this, changes);
+  }
+
+  /** Records that a worker's process has ended. */
+  void onProcessEnded(Worker worker) {
+    crashTracker.onProcessEnded(worker);
   }
 
   /** Registers a run whose start is about to be ordered. */
@@ -66,6 +76,7 @@
             task.checkpoint,
             nowMs,
             startDeadlineClockMs);
+    attempt.isIsolated = task.needsIsolation();
     task.attempt = attempt;
     task.lastRun = run;
     task.step.job.hasStarted = true;
@@ -201,6 +212,7 @@
       return;
     }
     if (worker.startedEpochMs != 0 || worker.hasClock()) {
+      crashTracker.onProcessEnded(worker);
       List.copyOf(worker.attempts.values()).stream()
           .filter(attempt -> attempt.isListed && !attempt.isOfNextIncarnation)
           .forEach(this::unregister);
@@ -241,6 +253,10 @@
       }
     }
     attempt.isListed = true;
+    if (!attempt.hasSurvivedStart && nowMs - attempt.orderedAtMs >= START_SURVIVAL_MS) {
+      attempt.hasSurvivedStart = true;
+      crashTracker.onStartSurvived(attempt);
+    }
     attempt.isOfNextIncarnation = false;
     if (attempt.phase != Attempt.Phase.RUNNING) {
       attempt.phase = Attempt.Phase.RUNNING;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -349,6 +349,17 @@
     }
   }
 
+  /**
+   * Records that a worker's process has ended: its address refuses connections, or another process
+   * answers there. Tasks that it was running may have crashed it.
+   */
+  public void onWorkerProcessEnded(String workerId) {
+    Worker worker = workers.find(workerId);
+    if (worker != null) {
+      runTracker.onProcessEnded(worker);
+    }
+  }
+
   /** Stores tickets that the advisory service has issued for a step, by worker id. */
   public void onAdvice(String stepName, Map<String, String> byWorker, long validityMs, long nowMs) {
     adviceTickets.store(stepName, byWorker, validityMs, nowMs);
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -91,6 +91,12 @@
         return false;
       }
       Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
+      if (worker.isEmpty() && task.needsIsolation()) {
+        if (placement.mayIsolateAnother()) {
+          placement.holdWorkerFor(task);
+        }
+        continue;
+      }
       if (worker.isEmpty()) {
         if (candidate.rank() == CandidateRanking.Rank.LONG_RUNNING) {
           placement.holdWorkerFor(task);
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -18,6 +18,12 @@
   /** Numbers of the runs that ended as failed. */
   final Set<Long> failedRuns = new LinkedHashSet<>();
 
+  /** Number of workers whose processes ended under the task. */
+  int crashes;
+
+  /** Whether the task may be the cause of a worker's crash. */
+  boolean isSuspect;
+
   /** Highest run number used so far. */
   long lastRun;
 
@@ -34,6 +40,14 @@
     this.step = step;
   }
 
+  /**
+   * Returns whether the next run must start on a worker without other new runs. Gangs need several
+   * workers at once and long-running tasks stay, so these share workers all the same.
+   */
+  boolean needsIsolation() {
+    return isSuspect && !step.spec.isGang() && !step.spec.isLongRunning();
+  }
+
   /** Returns whether the task's own state allows a new run, regardless of workers and limits. */
   boolean isStartable(long nowMs) {
     return !isDone && attempt == null && notBeforeMs <= nowMs;
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -121,6 +121,20 @@
     return count;
   }
 
+  /** Returns whether a task that may crash workers runs here, so that nothing else may start. */
+  boolean hasIsolatedRun() {
+    return attempts.values().stream().anyMatch(attempt -> attempt.isIsolated);
+  }
+
+  /** Returns the number of runs that may still crash the worker by being started. */
+  int newRunCount() {
+    int count = 0;
+    for (Attempt attempt : attempts.values()) {
+      count += attempt.hasSurvivedStart ? 0 : 1;
+    }
+    return count;
+  }
+
   Resources freeCapacity() {
     return listing.capacity().minus(reserved);
   }
--- a/src/test/java/org/laburnumarch/internal/job/JobCodecTest.java
+++ b/src/test/java/org/laburnumarch/internal/job/JobCodecTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.JobProgress.FailedRuns;
@@ -65,4 +66,23 @@
         .isInstanceOf(IOException.class)
         .hasMessageContaining("format 9");
   }
+
+  @Test
+  void shouldKeepCrashedTasks() throws IOException {
+    JobProgress progress =
+        new JobProgress(
+            "a",
+            JobStatus.RUNNING,
+            List.of(),
+            List.of(new JobProgress.CrashedTask(1, 2, 3, 2, true)));
+    assertThat(JobCodec.decodeProgress(JobCodec.encode(progress))).isEqualTo(progress);
+  }
+
+  @Test
+  void shouldReadProgressOfAnEarlierVersion() throws IOException {
+    JobProgress progress = new JobProgress("a", JobStatus.RUNNING, List.of());
+    byte[] bytes = JobCodec.encode(progress);
+    // Earlier versions did not write the list of crashed tasks, whose empty form is one byte.
+    assertThat(JobCodec.decodeProgress(Arrays.copyOf(bytes, bytes.length - 1))).isEqualTo(progress);
+  }
 }
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -0,0 +1,219 @@
+package org.laburnumarch.internal.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.JobCodec;
+import org.laburnumarch.internal.job.JobProgress;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.platform.standin.SimulatedWorker;
+import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
+
+/** Tests that tasks which crash their workers are given up and others are not, in virtual time. */
+class CrashingTaskTest {
+
+  private static final long START_MS = 1_000_000;
+  private static final long TERM = 1;
+  private static final long RUN_MS = 600;
+  private static final int WORKERS = 8;
+
+  private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
+  private final Set<String> crashing = new HashSet<>();
+  private final Map<String, Integer> startsByTask = new LinkedHashMap<>();
+  private long nowMs = START_MS;
+  private int crashes;
+  private Scheduler scheduler;
+
+  @BeforeEach
+  void createScheduler() {
+    for (int i = 0; i < WORKERS; i++) {
+      workers.put("w" + i, new SimulatedWorker("w" + i, TestJobs.SERVICE, "r" + i / 4, nowMs));
+    }
+    scheduler = newScheduler(TERM);
+    playUntil(nowMs + 100);
+  }
+
+  private Scheduler newScheduler(long term) {
+    Scheduler created = new Scheduler(TestJobs.SETTINGS, term, nowMs, term > TERM);
+    created.configure(TestJobs.config(10_000_000, 2));
+    return created;
+  }
+
+  private void playUntil(long endMs) {
+    for (; nowMs < endMs; nowMs += 20) {
+      scheduler.updateWorkerListings(
+          workers.values().stream().map(SimulatedWorker::listing).toList(), nowMs);
+      scheduler.confirmEnrolment(scheduler.workersToEnrol());
+      workers.values().forEach(this::report);
+      scheduler.onOwnershipProven(nowMs);
+      scheduler.decide(nowMs, nowMs).orders().forEach(this::execute);
+      scheduler.takeChanges().ifPresent(changes -> scheduler.confirmStored(changes, nowMs));
+    }
+  }
+
+  private void report(SimulatedWorker worker) {
+    scheduler
+        .renewal(worker.id(), nowMs)
+        .map(renewal -> worker.renew(renewal, TERM, nowMs))
+        .ifPresent(report -> scheduler.onReport(worker.id(), report, nowMs, nowMs));
+  }
+
+  private void execute(Order order) {
+    SimulatedWorker worker = workers.get(order.workerId());
+    if (order instanceof Order.Stop stop) {
+      scheduler.onStopReply(stop, worker.stop(stop, TERM, nowMs), nowMs);
+    } else if (order instanceof Order.Start start) {
+      startsByTask.merge(start.taskName(), 1, Integer::sum);
+      Behaviour behaviour = new Behaviour(nowMs + RUN_MS, false, Resources.NONE);
+      scheduler.onStartReply(start, worker.start(start, TERM, behaviour, nowMs), nowMs);
+      if (crashing.contains(start.taskName())) {
+        crashes++;
+        worker.crash(nowMs + 1);
+      }
+    }
+  }
+
+  private JobSpec accept(String id, int tasks) {
+    JobSpec job = TestJobs.job(id, nowMs, TestJobs.step(tasks, 1_000));
+    scheduler.accept(job, nowMs);
+    return job;
+  }
+
+  @Nested
+  class ATaskThatCrashesItsWorkers {
+
+    /** Guards against one task that crashes worker after worker without end. */
+    @Test
+    void shouldBeGivenUpAfterTwoCrashes() {
+      crashing.add("deadly.0.0.0");
+      accept("deadly", 1);
+      playUntil(nowMs + 60_000);
+      assertThat(startsByTask.get("deadly.0.0.0")).isEqualTo(2);
+      assertThat(scheduler.status("deadly")).contains(JobStatus.FAILED);
+    }
+
+    /** Guards against giving up, or never finishing, tasks that only shared its workers. */
+    @Test
+    void shouldNotTakeOtherJobsDownWithIt() {
+      crashing.add("deadly.0.0.3");
+      crashing.add("deadlier.0.0.1");
+      for (int i = 0; i < 12; i++) {
+        accept("innocent" + i, 6);
+      }
+      accept("deadly", 6);
+      accept("deadlier", 6);
+      playUntil(nowMs + 60_000);
+      assertThat(scheduler.status("deadly")).contains(JobStatus.FAILED);
+      assertThat(scheduler.status("deadlier")).contains(JobStatus.FAILED);
+      for (int i = 0; i < 12; i++) {
+        assertThat(scheduler.status("innocent" + i)).contains(JobStatus.COMPLETED);
+      }
+      assertThat(crashes).isEqualTo(4);
+    }
+
+    /** Guards against counting from 0 again with each owner. */
+    @Test
+    void shouldBeGivenUpByALaterOwnerToo() throws IOException {
+      crashing.add("deadly.0.0.0");
+      JobSpec job = accept("deadly", 1);
+      while (crashes == 0) {
+        playUntil(nowMs + 20);
+      }
+      scheduler.updateWorkerListings(
+          workers.values().stream().map(SimulatedWorker::listing).toList(), nowMs);
+      JobProgress progress = scheduler.takeChanges().orElseThrow().progress().get(0);
+      JobProgress stored = JobCodec.decodeProgress(JobCodec.encode(progress));
+      scheduler = newScheduler(TERM + 1);
+      scheduler.restore(job, Optional.of(stored), nowMs, nowMs);
+      playUntil(nowMs + 60_000);
+      assertThat(startsByTask.get("deadly.0.0.0")).isEqualTo(2);
+      assertThat(scheduler.status("deadly")).contains(JobStatus.FAILED);
+    }
+  }
+
+  @Nested
+  class ATaskOnWorkersThatEndForOtherReasons {
+
+    private String workerOf(String task) {
+      return workers.values().stream()
+          .filter(worker -> worker.runningTasks().contains(task))
+          .map(SimulatedWorker::id)
+          .findFirst()
+          .orElseThrow();
+    }
+
+    /**
+     * Guards against giving up a task that its workers had listed as running before they crashed.
+     */
+    @Test
+    void shouldNotBeGivenUpAfterTwoCrashes() {
+      accept("innocent", 1);
+      for (int i = 0; i < 2; i++) {
+        playUntil(nowMs + 400);
+        workers.get(workerOf("innocent.0.0.0")).crash(nowMs);
+      }
+      playUntil(nowMs + 5_000);
+      assertThat(scheduler.status("innocent")).contains(JobStatus.COMPLETED);
+      assertThat(startsByTask.get("innocent.0.0.0")).isEqualTo(3);
+    }
+  }
+
+  @Nested
+  class AProcessThatHasEnded {
+
+    private Order.Start startUnlisted() {
+      accept("job", 1);
+      scheduler.onOwnershipProven(nowMs);
+      Order.Start start = (Order.Start) scheduler.decide(nowMs, nowMs).orders().get(0);
+      execute(start);
+      return start;
+    }
+
+    private Optional<JobProgress> progressAfterEndOf(String workerId) {
+      scheduler.takeChanges();
+      scheduler.onReportMissed(workerId, nowMs);
+      scheduler.onWorkerProcessEnded(workerId);
+      scheduler.onWorkerProcessEnded(workerId);
+      return scheduler.takeChanges().map(changes -> changes.progress().get(0));
+    }
+
+    @Test
+    void shouldCountOnceForEachRun() {
+      Order.Start start = startUnlisted();
+      assertThat(progressAfterEndOf(start.workerId()).orElseThrow().crashedTasks())
+          .containsExactly(new JobProgress.CrashedTask(0, 0, 0, 1, true));
+    }
+
+    /** Guards against counting a planned shutdown as a crash. */
+    @Test
+    void shouldNotCountIfItHadAnnouncedItsShutdown() {
+      Order.Start start = startUnlisted();
+      WorkerListing listing = workers.get(start.workerId()).listing();
+      scheduler.updateWorkerListings(
+          List.of(
+              new WorkerListing(
+                  listing.id(),
+                  listing.service(),
+                  listing.address(),
+                  listing.dataCentre(),
+                  listing.capacity(),
+                  listing.labels(),
+                  true,
+                  1_000,
+                  listing.startedEpochMs())),
+          nowMs);
+      assertThat(progressAfterEndOf(start.workerId())).isEmpty();
+    }
+  }
+}
