Log the tasks that crashed workers when their job ends

An operator saw only that a job had failed. The final record of a job keeps the crashes under its unfinished tasks, and jobs: event=workers-crashed names them.

--- a/src/main/java/org/laburnumarch/internal/job/JobProgress.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobProgress.java
@@ -9,7 +9,7 @@
  * @param id the job's id
  * @param status the job's status; a later owner relies on it only if it is final
  * @param steps the progress of each step that has made any
- * @param crashedTasks the tasks under which processes of workers have ended
+ * @param crashedTasks the unfinished tasks under which processes of workers have ended
  */
 public record JobProgress(
     String id, JobStatus status, List<StepProgress> steps, List<CrashedTask> crashedTasks) {
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -411,6 +411,10 @@
     private void onFinalStored(JobProgress progress) {
       meters.count("finished_jobs_total", progress.status().label());
       Logger.info("jobs: event=final job={} status={}", progress.id(), progress.status().label());
+      if (!progress.crashedTasks().isEmpty()) {
+        Logger.warn(
+            "jobs: event=workers-crashed job={} tasks={}", progress.id(), progress.crashedTasks());
+      }
     }
 
     @Override
--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -163,13 +163,10 @@
   }
 
   private List<CrashedTask> crashedTasks() {
-    if (status.isFinal()) {
-      return List.of();
-    }
     return occurrences.values().stream()
         .flatMap(List::stream)
         .flatMap(step -> step.tasks.stream())
-        .filter(task -> task.crashes > 0)
+        .filter(task -> task.crashes > 0 && !task.isDone)
         .map(
             task ->
                 new CrashedTask(
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -169,6 +169,37 @@
     }
   }
 
+  @Nested
+  class AWorkerWhoseCapacityShrinks {
+
+    /** Guards against starting more on a worker than it has room for since it shrank. */
+    @Test
+    void shouldGetNoTaskThatNoLongerFits() {
+      List<WorkerListing> shrunk =
+          workers.values().stream()
+              .map(SimulatedWorker::listing)
+              .map(
+                  listing ->
+                      new WorkerListing(
+                          listing.id(),
+                          listing.service(),
+                          listing.address(),
+                          listing.dataCentre(),
+                          new Resources(2_500, listing.capacity().memoryMb(), 0),
+                          listing.labels(),
+                          false,
+                          0,
+                          listing.startedEpochMs()))
+              .toList();
+      accept("before", 4 * WORKERS);
+      playUntil(nowMs + 100);
+      scheduler.updateWorkerListings(shrunk, nowMs);
+      accept("after", 4 * WORKERS);
+      scheduler.onOwnershipProven(nowMs);
+      assertThat(scheduler.decide(nowMs, nowMs).orders()).isEmpty();
+    }
+  }
+
   @Nested
   class AProcessThatHasEnded {
 
