Let a task end that is slow on every worker

Callers saw: a job that never ended.

Cause: StragglerDetector stops a run that would take more than 3.5 times its estimate. A task that really is that long is a straggler wherever it runs, so it was moved without end, and each of its workers counted as slow.

Change: after two straggling runs of a task, a crawling one is left alone. Runs without any progress are stopped as before.

StragglerTest failed before (the job was still running after ten times its length).

--- a/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
@@ -20,6 +20,12 @@
   /** A run that would take more than this many times its expected run time is crawling. */
   private static final double CRAWL_RATIO = 3.5;
 
+  /**
+   * Number of straggling runs of a task after which a crawling one is left alone. A task that
+   * crawls on one worker after the other is long, and not slowed down by any of them.
+   */
+  private static final int MAX_STRAGGLING_RUNS = 2;
+
   /** Time that a run elsewhere must save to make up for the lost work. */
   private static final long MIN_GAIN_MS = 700;
 
@@ -46,6 +52,7 @@
       if (ratio > 1) {
         worker.health.recordOverdueRun(ratio);
         attempt.isStopWanted = true;
+        attempt.task.stragglingRuns++;
         attempt.task.avoidedWorker = worker.id;
       }
     }
@@ -69,7 +76,9 @@
     double projectedTotalMs = (double) ranMs * ALL_PERCENT / attempt.percent;
     double remainingMs = projectedTotalMs - (nowMs - attempt.orderedAtMs);
     boolean isCrawling =
-        projectedTotalMs > CRAWL_RATIO * expectedMs && remainingMs > expectedMs + MIN_GAIN_MS;
+        attempt.task.stragglingRuns < MAX_STRAGGLING_RUNS
+            && projectedTotalMs > CRAWL_RATIO * expectedMs
+            && remainingMs > expectedMs + MIN_GAIN_MS;
     return isCrawling ? projectedTotalMs / expectedMs : 1;
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -18,6 +18,9 @@
   /** Numbers of the runs that ended as failed. */
   final Set<Long> failedRuns = new LinkedHashSet<>();
 
+  /** Number of runs that were stopped because they progressed too slowly. */
+  int stragglingRuns;
+
   /** Number of workers whose processes ended under the task. */
   int crashes;
 
