--- a/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
@@ -72,7 +72,7 @@
     }
     if (task.crashes < CRASHES_FOR_PROOF) {
       task.isSuspect = false;
-      attempt.isIsolated = false;
+      attempt.worker.endIsolation(attempt);
     }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -75,6 +75,7 @@
   final Map<String, Attempt> attempts = new LinkedHashMap<>();
 
   Resources reserved = Resources.NONE;
+  private int isolatedRuns;
   int ordersInFlight;
 
   /** Number of consecutive missed reports. */
@@ -100,6 +101,7 @@
   void add(Attempt attempt) {
     attempts.put(attemptKey(attempt.task.key.wireName(), attempt.run), attempt);
     reserved = reserved.plus(attempt.reserved);
+    isolatedRuns += attempt.isIsolated ? 1 : 0;
   }
 
   boolean remove(Attempt attempt) {
@@ -107,6 +109,7 @@
         attempts.remove(attemptKey(attempt.task.key.wireName(), attempt.run), attempt);
     if (isRemoved) {
       reserved = reserved.minus(attempt.reserved);
+      isolatedRuns -= attempt.isIsolated ? 1 : 0;
     }
     return isRemoved;
   }
@@ -123,7 +126,13 @@
 
   /** Returns whether a task that may crash workers runs here, so that nothing else may start. */
   boolean hasIsolatedRun() {
-    return attempts.values().stream().anyMatch(attempt -> attempt.isIsolated);
+    return isolatedRuns > 0;
+  }
+
+  /** Lets other tasks start beside a run. */
+  void endIsolation(Attempt attempt) {
+    isolatedRuns -= attempt.isIsolated ? 1 : 0;
+    attempt.isIsolated = false;
   }
 
   /** Returns the number of runs that may still crash the worker by being started. */
