Blame a task for a crash only if its run was lost with the process

Cause, by a test: the registry shows a restart up to a beat late. A run that was ordered in between goes on in the new process, and was counted as crashed with the earlier one; a suspect that is moved to another worker which has just restarted too was proved guilty by the same restart. Also, by reading: a refused connection was counted at once, although a path that is reset for a while refuses connections of a worker that is well.

Change: of runs that only a reply has confirmed, the first report of the new incarnation shows which were lost; a worker whose address refuses connections counts as crashed only if it has not reported again when its leases have expired.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -340,9 +340,9 @@
         "workers: event=no-report worker={} cause={}", renewal.workerId(), cause.getMessage());
     meters.count("reports_missed_total", "renewal");
     scheduler.onReportMissed(renewal.workerId(), clock.nowMs());
-    if (PlatformFailures.showsEndedProcess(failure)) {
-      meters.count("reports_missed_total", "process ended");
-      scheduler.onWorkerProcessEnded(renewal.workerId());
+    if (PlatformFailures.showsProcessGone(failure)) {
+      meters.count("reports_missed_total", "process gone");
+      scheduler.onWorkerGone(renewal.workerId());
     }
     if (cause instanceof WorkerRefusalException refusal && refusal.outcome() == Outcome.FENCED) {
       listener.onFenced("worker " + renewal.workerId());
--- a/src/main/java/org/laburnumarch/internal/platform/PlatformFailures.java
+++ b/src/main/java/org/laburnumarch/internal/platform/PlatformFailures.java
@@ -20,10 +20,10 @@
   }
 
   /**
-   * Returns whether a call to a worker failed because its process has ended: nothing listens at its
-   * address, or another process answers there. A worker behind a cut does not answer at all.
+   * Returns whether a call to a worker failed because nothing listens at its address or another
+   * process answers there. A worker behind a cut usually does not answer at all.
    */
-  public static boolean showsEndedProcess(Throwable failure) {
+  public static boolean showsProcessGone(Throwable failure) {
     if (unwrap(failure) instanceof WorkerRefusalException refusal) {
       return refusal.outcome() == OrderReply.Outcome.OTHER_INCARNATION;
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -53,8 +53,11 @@
   /** Whether nothing else may start on the worker for now. */
   boolean isIsolated;
 
-  /** Whether the end of the worker's process has been counted as a crash under this run. */
-  boolean isCrashCounted;
+  /**
+   * Whether a reply has confirmed the run and the worker has started again since, so that the next
+   * report shows whether the run was lost with the earlier incarnation.
+   */
+  boolean isOfUnknownIncarnation;
 
   /** Whether the run should be stopped. */
   boolean isStopWanted;
@@ -106,6 +109,7 @@
   void onNextIncarnation() {
     isStopConfirmed = false;
     isListed = false;
+    isOfUnknownIncarnation = phase == Phase.RUNNING;
     if (!isOfNextIncarnation) {
       confirmedClockMs = -1;
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
@@ -1,5 +1,6 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.Collection;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.StepSpec;
 
@@ -28,21 +29,18 @@
   }
 
   /**
-   * Records that a worker's process has ended. May be called repeatedly; each run counts once. A
-   * worker that has announced its shutdown does not crash.
+   * Records that a worker's process has crashed under some of its runs, which must still be
+   * registered. A worker that has announced its shutdown does not crash.
    */
-  void onProcessEnded(Worker worker) {
+  void onCrash(Worker worker, Collection<Attempt> runs) {
     if (worker.listing.isDraining()) {
       return;
     }
     boolean isOnlyNewRun = worker.newRunCount() == 1;
-    for (Attempt attempt : worker.attempts.values()) {
+    for (Attempt run : runs) {
       // A start without a reply yet may have been refused by the ended process.
-      if (!attempt.isCrashCounted && attempt.phase != Attempt.Phase.ORDERED) {
-        attempt.isCrashCounted = true;
-        if (attempt.task.attempt == attempt) {
-          count(attempt, isOnlyNewRun);
-        }
+      if (run.phase != Attempt.Phase.ORDERED && run.task.attempt == run) {
+        count(run, isOnlyNewRun);
       }
     }
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -60,11 +60,6 @@
     this.crashTracker = new CrashTracker(this, changes);
   }
 
-  /** Records that a worker's process has ended. */
-  void onProcessEnded(Worker worker) {
-    crashTracker.onProcessEnded(worker);
-  }
-
   /** Registers a run whose start is about to be ordered. */
   Attempt registerStart(Task task, Worker worker, long run, long nowMs, long startDeadlineClockMs) {
     Attempt attempt =
@@ -184,6 +179,7 @@
     worker.recordClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
     worker.missedReports = 0;
+    worker.isGone = false;
     worker.lastReportAttemptMs = nowMs;
     Set<String> seen = new HashSet<>();
     for (EndedTask ended : report.ended()) {
@@ -212,17 +208,22 @@
       return;
     }
     if (worker.startedEpochMs != 0 || worker.hasClock()) {
-      crashTracker.onProcessEnded(worker);
-      List.copyOf(worker.attempts.values()).stream()
-          .filter(attempt -> attempt.isListed && !attempt.isOfNextIncarnation)
-          .forEach(this::unregister);
+      List<Attempt> ended =
+          worker.attempts.values().stream()
+              .filter(attempt -> attempt.isListed && !attempt.isOfNextIncarnation)
+              .toList();
+      crashTracker.onCrash(worker, ended);
+      ended.forEach(this::unregister);
       worker.attempts.values().forEach(Attempt::onNextIncarnation);
     }
     worker.resetIncarnation(startedEpochMs, nowMs);
   }
 
-  /** Removes all runs of a worker on which nothing can be running any more. */
-  void unregisterAll(Worker worker) {
+  /** Removes all runs of a silent worker on which nothing can be running any more. */
+  void onLeaseExpired(Worker worker) {
+    if (worker.isGone) {
+      crashTracker.onCrash(worker, worker.attempts.values());
+    }
     List.copyOf(worker.attempts.values()).forEach(this::unregister);
   }
 
@@ -238,6 +239,9 @@
           attempt.confirmedAtMs >= 0 && requestedAtMs > attempt.confirmedAtMs;
       if (!seen.contains(entry.getKey())
           && (isRequestedAfterConfirmation || report.workerClockMs() > mustBeListedAfterClockMs)) {
+        if (attempt.isOfUnknownIncarnation) {
+          crashTracker.onCrash(worker, List.of(attempt));
+        }
         unregister(attempt);
       }
     }
@@ -253,6 +257,7 @@
       }
     }
     attempt.isListed = true;
+    attempt.isOfUnknownIncarnation = false;
     if (!attempt.hasSurvivedStart && nowMs - attempt.orderedAtMs >= START_SURVIVAL_MS) {
       attempt.hasSurvivedStart = true;
       crashTracker.onStartSurvived(attempt);
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -350,13 +350,13 @@
   }
 
   /**
-   * Records that a worker's process has ended: its address refuses connections, or another process
-   * answers there. Tasks that it was running may have crashed it.
+   * Records that nothing listens at a worker's address, or that another process answers there. If
+   * the worker does not report again before its leases have expired, its process has crashed.
    */
-  public void onWorkerProcessEnded(String workerId) {
+  public void onWorkerGone(String workerId) {
     Worker worker = workers.find(workerId);
     if (worker != null) {
-      runTracker.onProcessEnded(worker);
+      worker.isGone = true;
     }
   }
 
@@ -512,7 +512,7 @@
   public Decisions decide(long nowMs, long epochMs) {
     for (Worker worker : workers.all()) {
       if (worker.missedReports > 0 && worker.isLeaseExpired(ownershipProvenAtMs)) {
-        runTracker.unregisterAll(worker);
+        runTracker.onLeaseExpired(worker);
       }
     }
     workers
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -81,6 +81,9 @@
   /** Number of consecutive missed reports. */
   int missedReports;
 
+  /** Whether nothing listens at its address, or another process does, as of the last request. */
+  boolean isGone;
+
   /** Local time at which the last report arrived or was given up as missed. */
   long lastReportAttemptMs;
 
@@ -163,6 +166,7 @@
     sentAcknowledgement = 0;
     unacknowledged.clear();
     isFenced = false;
+    isGone = false;
   }
 
   boolean hasClock() {
