Let half of a pool's workers run isolated suspects at a time

Suspected, by reading, not shown when this was written: workers that restart all the time leave many innocent suspects, and a pool of 6 to 9 workers let one or two of them start at a time, each until a report a second later. Now every second worker may run one.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -23,8 +23,11 @@
   /** Cost of each run that a task which may crash its worker would end with it. */
   private static final double ENDANGERED_RUN_COST = 0.5;
 
-  /** One isolated run is allowed, and another one for each this many workers of the pool. */
-  private static final int POOL_SIZE_PER_ISOLATED_RUN = 8;
+  /**
+   * One isolated run is allowed, and another one for each this many workers of the pool. Restarts
+   * of workers leave many innocent suspects, which must not queue behind each other for long.
+   */
+  private static final int POOL_SIZE_PER_ISOLATED_RUN = 2;
 
   /**
    * Weight of the fraction of a worker that would stay free. Filling one worker after the other
