Store what an owner has learnt for its successor

The parts for hard load learn run times, demand and shares, and lost them with the owner. No behaviour changes yet: nothing writes such a record.

--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,6 +49,9 @@
   /** Key prefix of the state of maintenance waves. */
   private static final String WAVE = "u";
 
+  /** Key prefix of what owners have learnt. */
+  private static final String STATE = "s";
+
   private static final long RETRY_MS = 120;
 
   /** Time after which a submission is refused if its job has certainly not been stored. */
@@ -75,6 +79,7 @@
       Optional<JobChanges> changes,
       Optional<List<WorkerListing>> enrolment,
       List<WaveRecord> waves,
+      List<OwnerState> states,
       List<String> removedJobs) {}
 
   /** Supplies progress to write and receives the results of writes. */
@@ -110,6 +115,7 @@
   private final Map<String, CompletableFuture<SubmissionResult>> pendingResults = new HashMap<>();
   private final List<String> removedJobs = new ArrayList<>();
   private final List<WaveRecord> waves = new ArrayList<>();
+  private final Map<String, OwnerState> states = new LinkedHashMap<>();
   private Optional<List<WorkerListing>> enrolment = Optional.empty();
   private long nextSequence;
   private boolean isWriting;
@@ -133,15 +139,21 @@
     this.callbacks = callbacks;
   }
 
-  /** The records that earlier owners have stored. */
+  /**
+   * The records that earlier owners have stored.
+   *
+   * @param states what they have learnt, as encoded records by name
+   */
   record Contents(
       Map<String, JobSpec> jobs,
       Map<String, JobProgress> progress,
       List<WorkerListing> enrolled,
-      List<WaveRecord> waves) {
+      List<WaveRecord> waves,
+      Map<String, byte[]> states) {
 
     static Contents empty() {
-      return new Contents(new HashMap<>(), new HashMap<>(), new ArrayList<>(), new ArrayList<>());
+      return new Contents(
+          new HashMap<>(), new HashMap<>(), new ArrayList<>(), new ArrayList<>(), new HashMap<>());
     }
   }
 
@@ -209,6 +221,8 @@
           contents.enrolled().addAll(EnrolmentCodec.decode(value));
         } else if (stored.key().startsWith(WAVE)) {
           contents.waves().add(WaveRecord.decode(value));
+        } else if (stored.key().startsWith(STATE)) {
+          contents.states().put(stored.key().substring(STATE.length()), value);
         } else if (stored.key().startsWith(JOB)) {
           JobSpec job = JobCodec.decodeJob(value);
           contents.jobs().put(job.id(), job);
@@ -253,6 +267,14 @@
     flush();
   }
 
+  /**
+   * Stores what the owner has learnt with the next write. A record of the same name that still
+   * waits is replaced, so an outage of the store does not leave a queue of outdated records.
+   */
+  void storeState(OwnerState state) {
+    states.put(state.name(), state);
+  }
+
   /** Deletes the progress of jobs that are not needed any more; written with the next flush. */
   void deleteProgress(List<String> jobIds) {
     removedJobs.addAll(jobIds);
@@ -288,9 +310,11 @@
             callbacks.takeChanges(),
             enrolment,
             List.copyOf(waves),
+            List.copyOf(states.values()),
             List.copyOf(removedJobs));
     enrolment = Optional.empty();
     waves.clear();
+    states.clear();
     removedJobs.clear();
     return batch;
   }
@@ -321,6 +345,9 @@
     for (WaveRecord wave : batch.waves()) {
       values.add(new KeyedValue(WAVE + wave.number(), Optional.of(wave.encode())));
     }
+    for (OwnerState state : batch.states()) {
+      values.add(new KeyedValue(STATE + state.name(), Optional.of(state.value())));
+    }
     for (String jobId : batch.removedJobs()) {
       values.add(new KeyedValue(PROGRESS + jobId, Optional.empty()));
     }
@@ -404,6 +431,7 @@
             batch.changes(),
             batch.enrolment(),
             batch.waves(),
+            batch.states(),
             batch.removedJobs());
     List<KeyedValue> remainingValues = values(remaining);
     if (remainingValues.isEmpty()) {
--- a/src/test/java/org/laburnumarch/internal/node/JobStoreTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/JobStoreTest.java
@@ -175,6 +175,20 @@
     }
   }
 
+  /** Guards against outdated records that queue up during an outage and are written one by one. */
+  @Test
+  void shouldWriteOnlyTheNewestStateOfAName() {
+    isStoreUp = false;
+    assertThat(submit("first", 10)).isNotDone();
+    jobs.storeState(new OwnerState("demand", new byte[] {1}));
+    jobs.storeState(new OwnerState("demand", new byte[] {2}));
+    isStoreUp = true;
+    runDelayed();
+    assertThat(writes.stream().flatMap(List::stream).filter(it -> it.key().equals("sdemand")))
+        .singleElement()
+        .satisfies(it -> assertThat(it.value().orElseThrow()).containsExactly(2));
+  }
+
   /** Guards against an unexpected error after which nothing is ever written again. */
   @Test
   void shouldReportAnUnexpectedError() {
