Bound how long a suspect waits for a worker of its own

Cause: a suspect starts only on a worker without other new runs, each such start takes the worker until a report shows that it survived, and nothing limited the wait. Suspects that found no worker also held back one worker each, without a limit.

A suspect now waits at most 1.5 s from when it first finds no worker; then it starts like any other task, on the worker with the fewest runs. Workers held back count towards the limit on isolated runs, and workers that do not report do not.

--- a/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
@@ -17,6 +17,9 @@
   /** Crashes right after a start, the last with no other new run there, that prove the cause. */
   private static final int CRASHES_FOR_PROOF = 2;
 
+  /** Longest time that a suspect waits for a worker without other new runs. */
+  static final long MAX_ISOLATION_WAIT_MS = 1_500;
+
   /** Crashes after which a task is given up in any case. */
   private static final int MAX_CRASHES = 3;
 
@@ -55,6 +58,7 @@
     }
     task.crashes++;
     task.isSuspect |= isNew || task.crashes >= CRASHES_FOR_PROOF;
+    task.isolationDeadlineAtMs = Long.MAX_VALUE;
     boolean isProved = isNew && isOnlyNewRun && task.crashes >= CRASHES_FOR_PROOF;
     if (isProved || task.crashes >= MAX_CRASHES) {
       runTracker.finish(job, JobStatus.FAILED);
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -25,7 +25,8 @@
 
   /**
    * One isolated run is allowed, and another one for each this many workers of the pool. Restarts
-   * of workers leave many innocent suspects, which must not queue behind each other for long.
+   * of workers leave many innocent suspects, which must not queue behind each other for long. The
+   * limit includes workers that are held back for a suspect, so that the others serve other tasks.
    */
   private static final int POOL_SIZE_PER_ISOLATED_RUN = 2;
 
@@ -44,6 +45,8 @@
   /** Workers that get no further tasks in this round, so that a large task will fit there. */
   private final Set<Worker> heldWorkers = new HashSet<>();
 
+  private int heldForSuspects;
+
   Placement(
       Collection<Worker> pool,
       Set<String> outOfServiceDataCentres,
@@ -57,7 +60,7 @@
 
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
   Optional<Worker> choose(Task task, Map<String, String> tickets, boolean needsTicket) {
-    boolean needsIsolation = task.needsIsolation();
+    boolean needsIsolation = task.needsIsolation(nowMs);
     if (needsIsolation && !mayIsolateAnother()) {
       return Optional.empty();
     }
@@ -86,8 +89,17 @@
    * wait, and each may crash its worker.
    */
   boolean mayIsolateAnother() {
-    long isolated = pool.stream().filter(Worker::hasIsolatedRun).count();
-    return isolated <= pool.size() / POOL_SIZE_PER_ISOLATED_RUN;
+    long isolated =
+        pool.stream()
+            .filter(worker -> worker.hasIsolatedRun() && worker.missedReports == 0)
+            .count();
+    return isolated + heldForSuspects <= pool.size() / POOL_SIZE_PER_ISOLATED_RUN;
+  }
+
+  /** Holds a worker back until it has no new runs, so that a suspect can start there. */
+  void holdWorkerForSuspect(Task task) {
+    holdWorkerFor(task);
+    heldForSuspects++;
   }
 
   /** Returns whether any worker could start a task now. */
@@ -137,7 +149,7 @@
     if (spec.isRackSensitive() && wouldSpanRacks(worker, task.step)) {
       cost *= remoteSlowdownFactor;
     }
-    if (task.needsIsolation()) {
+    if (task.isSuspect) {
       cost += ENDANGERED_RUN_COST * worker.attempts.size();
     }
     if (worker.id.equals(task.avoidedWorker)) {
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -71,7 +71,7 @@
             task.checkpoint,
             nowMs,
             startDeadlineClockMs);
-    attempt.isIsolated = task.needsIsolation();
+    attempt.isIsolated = task.needsIsolation(nowMs);
     task.attempt = attempt;
     task.lastRun = run;
     task.step.job.hasStarted = true;
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -91,9 +91,11 @@
         return false;
       }
       Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
-      if (worker.isEmpty() && task.needsIsolation()) {
+      if (worker.isEmpty() && task.needsIsolation(nowMs)) {
+        task.isolationDeadlineAtMs =
+            Math.min(task.isolationDeadlineAtMs, nowMs + CrashTracker.MAX_ISOLATION_WAIT_MS);
         if (placement.mayIsolateAnother()) {
-          placement.holdWorkerFor(task);
+          placement.holdWorkerForSuspect(task);
         }
         continue;
       }
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -27,6 +27,12 @@
   /** Whether the task may be the cause of a worker's crash. */
   boolean isSuspect;
 
+  /**
+   * Local time from which the task no longer waits for a worker without other new runs although it
+   * is a suspect; set when it first has to wait for one.
+   */
+  long isolationDeadlineAtMs = Long.MAX_VALUE;
+
   /** Highest run number used so far. */
   long lastRun;
 
@@ -45,10 +51,15 @@
 
   /**
    * Returns whether the next run must start on a worker without other new runs. Gangs need several
-   * workers at once and long-running tasks stay, so these share workers all the same.
+   * workers at once and long-running tasks stay, so these share workers all the same. So does a
+   * suspect that has waited for long: a crash of many workers leaves more suspects than can start
+   * one by one in time.
    */
-  boolean needsIsolation() {
-    return isSuspect && !step.spec.isGang() && !step.spec.isLongRunning();
+  boolean needsIsolation(long nowMs) {
+    return isSuspect
+        && nowMs < isolationDeadlineAtMs
+        && !step.spec.isGang()
+        && !step.spec.isLongRunning();
   }
 
   /** Returns whether the task's own state allows a new run, regardless of workers and limits. */
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -170,6 +170,30 @@
     }
   }
 
+  @Nested
+  class ManyTasksOfWorkersThatCrashTogether {
+
+    /**
+     * Guards against suspects that wait for each other: each isolated start takes a worker for a
+     * while, and after a crash of all workers there are far more suspects than workers.
+     */
+    @Test
+    void shouldAllStartAgainWithinTheBound() {
+      for (int i = 0; i < 8; i++) {
+        accept("job" + i, 8);
+      }
+      playUntil(nowMs + 100);
+      assertThat(startsByTask).hasSize(64);
+      workers.values().forEach(worker -> worker.crash(nowMs));
+      playUntil(nowMs + CrashTracker.MAX_ISOLATION_WAIT_MS + 2 * RUN_MS);
+      assertThat(startsByTask.values()).allMatch(starts -> starts >= 2);
+      playUntil(nowMs + 2 * RUN_MS);
+      for (int i = 0; i < 8; i++) {
+        assertThat(scheduler.status("job" + i)).contains(JobStatus.COMPLETED);
+      }
+    }
+  }
+
   @Nested
   class ATaskThatTheNextProcessRuns {
 
