Look up unanswered starts of long-running tasks before stopping them

The owner now requests a report at once and decides by it: a run that it lists goes on, one that it does not list is stopped as before, and so is one that no report has shown after 2 s. Other tasks are stopped at once as before, since they may be needed elsewhere. Three tests in SchedulerTest.WhenAStartGetsNoReply; the first one failed before.

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -62,6 +62,12 @@
   /** Whether the run should be stopped. */
   boolean isStopWanted;
 
+  /**
+   * Local time until which an unanswered start is looked up in the worker's reports before it is
+   * stopped.
+   */
+  long lookUpDeadlineAtMs;
+
   /** Whether the worker has confirmed that the run is ending or will never start. */
   boolean isStopConfirmed;
 
@@ -120,6 +126,11 @@
     isOfNextIncarnation = false;
   }
 
+  /** Returns whether a report is awaited that shows whether an unanswered start has begun. */
+  boolean isLookedUp() {
+    return phase == Phase.UNANSWERED && !isStopWanted;
+  }
+
   /**
    * Returns whether the task counts as available. A long-running task does once it reports 100%, as
    * long as its worker goes on reporting: of a silent worker's task nobody knows.
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -31,6 +31,12 @@
   /** Age at which a run that its worker reports has not crashed the worker by being started. */
   private static final long START_SURVIVAL_MS = 300;
 
+  /**
+   * Longest time for which an unanswered start is looked up. A worker that reports does so much
+   * sooner, and one that does not would not obey a stop either.
+   */
+  private static final long LOOK_UP_MS = 2_000;
+
   private static final long REFUSAL_PAUSE_MS = 60;
   private static final long UNHEALTHY_PAUSE_MS = 800;
 
@@ -116,7 +122,9 @@
       }
       case UNKNOWN -> {
         attempt.phase = Attempt.Phase.UNANSWERED;
-        attempt.isStopWanted = true;
+        // A long-running task that has begun serves callers already, so it is looked up first.
+        attempt.isStopWanted |= !attempt.task.step.spec.isLongRunning();
+        attempt.lookUpDeadlineAtMs = nowMs + LOOK_UP_MS;
         worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + REFUSAL_PAUSE_MS);
       }
       case NO_ROOM, LATE -> onRefused(attempt, REFUSAL_PAUSE_MS, nowMs);
@@ -219,6 +227,13 @@
     worker.resetIncarnation(startedEpochMs, nowMs);
   }
 
+  /** Marks unanswered starts to be stopped that no report has shown in time. */
+  static void endLookUps(Worker worker, long nowMs) {
+    for (Attempt attempt : worker.attempts.values()) {
+      attempt.isStopWanted |= attempt.isLookedUp() && nowMs >= attempt.lookUpDeadlineAtMs;
+    }
+  }
+
   /** Removes all runs of a silent worker on which nothing can be running any more. */
   void onLeaseExpired(Worker worker) {
     if (worker.isGone) {
@@ -243,6 +258,11 @@
           crashTracker.onCrash(worker, List.of(attempt));
         }
         unregister(attempt);
+      } else if (!seen.contains(entry.getKey())
+          && attempt.isLookedUp()
+          && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
+        // The worker may still execute the start until its deadline.
+        attempt.isStopWanted = true;
       }
     }
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -385,8 +385,9 @@
 
   /**
    * Returns a request for an immediate report, in addition to the one that the worker may be
-   * delaying; empty if none is needed. It is needed after an unanswered start has been stopped,
-   * because the task can only start again once a report shows that it does not run there.
+   * delaying; empty if none is needed. It is needed to look up an unanswered start, and after one
+   * has been stopped, because the task can only start again once a report shows that it does not
+   * run there.
    */
   public Optional<Renewal> immediateReportRequest(String workerId) {
     Worker worker = workers.find(workerId);
@@ -395,7 +396,9 @@
             && worker.attempts.values().stream()
                 .anyMatch(
                     attempt ->
-                        attempt.phase == Attempt.Phase.UNANSWERED && attempt.isStopConfirmed);
+                        attempt.phase == Attempt.Phase.UNANSWERED
+                            && (attempt.isStopConfirmed
+                                || (attempt.isLookedUp() && worker.missedReports == 0)));
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
@@ -535,6 +538,7 @@
 
   private void stopUnwanted(List<Order> orders, long nowMs) {
     for (Worker worker : workers.all()) {
+      RunTracker.endLookUps(worker, nowMs);
       for (Attempt attempt : worker.attempts.values()) {
         if (attempt.isStopWanted
             && !attempt.isStopConfirmed
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -233,6 +233,51 @@
           worker(lost).start(lost, 1, new Behaviour(nowMs + 500, false, Resources.NONE), nowMs);
       assertThat(late.outcome()).isEqualTo(Outcome.OUTDATED);
     }
+
+    private Order.Start startLongRunningWithoutReply() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.longRunningStep(1, 0, 0)), nowMs);
+      Order.Start lost = starts().get(0);
+      nowMs += 400;
+      scheduler.onStartReply(lost, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      return lost;
+    }
+
+    /**
+     * Guards against stopping long-running tasks that serve already, because their starts were
+     * answered late over a slow link.
+     */
+    @Test
+    void shouldNotStopALongRunningTaskThatHasBegun() {
+      Order.Start lost = startLongRunningWithoutReply();
+      SimulatedWorker worker = worker(lost);
+      worker.start(lost, 1, new Behaviour(Long.MAX_VALUE / 4, false, Resources.NONE), nowMs);
+      assertThat(decide()).isEmpty();
+      assertThat(scheduler.immediateReportRequest(lost.workerId())).isPresent();
+      nowMs += 1_000;
+      report(worker, 1);
+      nowMs += 2_000;
+      assertThat(decide()).isEmpty();
+      assertThat(worker.runningTasks()).containsExactly("a.0.0.0");
+    }
+
+    /** Guards against a long-running task that never starts because its start order was lost. */
+    @Test
+    void shouldStopALongRunningTaskThatAReportDoesNotShow() {
+      Order.Start lost = startLongRunningWithoutReply();
+      nowMs += 20;
+      report(worker(lost), 1);
+      assertThat(decide()).containsExactly(new Order.Stop(lost.workerId(), "a.0.0.0", lost.run()));
+    }
+
+    /** Guards against waiting for ever for the report of a worker that does not answer. */
+    @Test
+    void shouldStopALongRunningTaskOfASilentWorker() {
+      Order.Start lost = startLongRunningWithoutReply();
+      nowMs += 1_900;
+      assertThat(decide()).isEmpty();
+      nowMs += 100;
+      assertThat(decide()).containsExactly(new Order.Stop(lost.workerId(), "a.0.0.0", lost.run()));
+    }
   }
 
   @Nested
