Limit reads of the ownership log to 400 ms

After an outage in which the store did not answer, a daemon on a small instance could become the owner although larger ones read the store. A read that got no answer held back a daemon for 2 s, while the delays of claims by instance size are at most 0.4 s.

Reads of the ownership log now end after 400 ms, and the longest delay of a claim is 600 ms, which is more than a read without an answer and the time until the next one. The delay counts from an answered read, as before. When to read is decided in OwnerWatch, so that it can be simulated; Election keeps the timers.

--- a/src/main/java/org/laburnumarch/internal/lead/InstanceSize.java
+++ b/src/main/java/org/laburnumarch/internal/lead/InstanceSize.java
@@ -14,8 +14,13 @@
   /** The size of an instance of which none is known. */
   public static final InstanceSize UNKNOWN = new InstanceSize(0, 0);
 
-  /** Delay of a claim by a daemon on an instance that is tiny beside the largest one. */
-  private static final long MAX_CLAIM_DELAY_MS = 400;
+  /**
+   * Delay of a claim by a daemon on an instance that is tiny beside the largest one, in
+   * milliseconds. It is longer than the time that a daemon on the largest one may need to learn
+   * that a claim is due: the time limit of a read without an answer, and the time until the next
+   * read.
+   */
+  private static final long MAX_CLAIM_DELAY_MS = OwnerWatch.READ_TIMEOUT_MS + 200;
 
   /**
    * Returns by how much a daemon on this instance delays a claim, in milliseconds, so that daemons
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -35,9 +35,22 @@
    */
   private static final long GRACE_AFTER_OUTAGE_MS = 1_000;
 
+  /**
+   * Time limit of a read of the ownership log, in milliseconds. An answer takes 4 ms and 240 ms
+   * from a slow store. A daemon whose read gets no answer cannot claim until the limit has passed,
+   * so the limit is shorter than the longest delay of a claim.
+   */
+  public static final long READ_TIMEOUT_MS = 400;
+
   /** Age of the last heartbeat up to which the owner counts as living. */
   private static final long MAX_HEARTBEAT_AGE_MS = 700;
 
+  /** Age of the owner's renewal from which a heartbeat no longer shows that the owner is alive. */
+  public static final long MAX_OWNER_RENEWAL_AGE_MS = 2 * OwnerTenure.RENEW_EVERY_MS + 200;
+
+  /** Time without a heartbeat over the link after which the log is read. */
+  private static final long READ_AFTER_SILENCE_MS = 700;
+
   private Optional<OwnerRecord> newest = Optional.empty();
   private long endOffset = -1;
   private long silentSinceMs;
@@ -47,6 +60,9 @@
   private long heartbeatRenewalNumber = -1;
   private boolean isOwnerProcessTerminated;
 
+  /** Local time of the last heartbeat that showed that the owner renews. */
+  private long renewingAtMs = Long.MIN_VALUE / 2;
+
   /** Local time of the first read since which a claim has been due; -1 if none is due. */
   private long claimDueSinceMs = -1;
 
@@ -87,6 +103,17 @@
    */
   public void onOwnerProcessTerminated() {
     isOwnerProcessTerminated = true;
+    renewingAtMs = Long.MIN_VALUE / 2;
+  }
+
+  /** Records that the link to the owner has ended. */
+  public void onLinkClosed() {
+    renewingAtMs = Long.MIN_VALUE / 2;
+  }
+
+  /** Returns whether the log should be read now, because the owner may have stopped renewing. */
+  public boolean shouldRead(long nowMs) {
+    return nowMs - renewingAtMs > READ_AFTER_SILENCE_MS;
   }
 
   /**
@@ -100,6 +127,9 @@
     heartbeatRenewalNumber = renewalNumber;
     heartbeatAtMs = nowMs;
     silentSinceMs = nowMs - renewalAgeMs;
+    if (renewalAgeMs < MAX_OWNER_RENEWAL_AGE_MS) {
+      renewingAtMs = nowMs;
+    }
   }
 
   private boolean isKnownFromHeartbeat(OwnerRecord record) {
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -44,12 +44,6 @@
   /** Time between two checks of the owner's heartbeats, or of this daemon's own ownership. */
   private static final long TICK_MS = 100;
 
-  /** Age of the owner's renewal from which a heartbeat no longer shows that the owner is alive. */
-  private static final long MAX_OWNER_RENEWAL_AGE_MS = 2 * OwnerTenure.RENEW_EVERY_MS + 200;
-
-  /** Time without a heartbeat over the link after which the log is read. */
-  private static final long READ_AFTER_SILENCE_MS = 700;
-
   private final StoreClient store;
   private final EventLoopThread loop;
   private final SuspendAwareClock clock;
@@ -60,7 +54,6 @@
   private final Listener listener;
   private final OwnerWatch watch = new OwnerWatch();
   private Optional<OwnerTenure> tenure = Optional.empty();
-  private long ownerAliveAtMs = Long.MIN_VALUE / 2;
   private long endOffset = -1;
   private boolean isReading;
   private boolean isWriting;
@@ -127,14 +120,15 @@
       } else if (!isWriting && nowMs - lastRenewalAttemptMs >= renewalIntervalMs(nowMs)) {
         renew(nowMs);
       }
-    } else if (nowMs - ownerAliveAtMs > READ_AFTER_SILENCE_MS && !isReading) {
+    } else if (watch.shouldRead(nowMs) && !isReading) {
       readOwner();
     }
   }
 
   /** Returns the time between two renewals, which is shorter while they fail. */
   private long renewalIntervalMs(long nowMs) {
-    boolean isFailing = tenure.orElseThrow().renewalAgeMs(nowMs) > MAX_OWNER_RENEWAL_AGE_MS;
+    boolean isFailing =
+        tenure.orElseThrow().renewalAgeMs(nowMs) > OwnerWatch.MAX_OWNER_RENEWAL_AGE_MS;
     return isFailing ? READ_EVERY_MS : OwnerTenure.RENEW_EVERY_MS;
   }
 
@@ -148,13 +142,9 @@
             .orElse(false);
     if (isOwner) {
       watch.onHeartbeat(heartbeat.renewalNumber(), heartbeat.renewalAgeMs(), nowMs);
-      if (heartbeat.renewalAgeMs() < MAX_OWNER_RENEWAL_AGE_MS) {
-        ownerAliveAtMs = nowMs;
-      }
     } else if (heartbeat.term() == 0) {
       // The process at the owner's address does not own the fleet: the owner has stepped down, or a
       // new process has replaced it.
-      ownerAliveAtMs = Long.MIN_VALUE / 2;
       watch.onOwnerProcessTerminated();
     }
   }
@@ -178,7 +168,7 @@
    *     timed out
    */
   void onLinkClosed(boolean isUnreachable) {
-    ownerAliveAtMs = Long.MIN_VALUE / 2;
+    watch.onLinkClosed();
     if (isUnreachable) {
       watch.onOwnerProcessTerminated();
     }
@@ -187,7 +177,7 @@
   private void readOwner() {
     isReading = true;
     store
-        .readNewest(StoreClient.OWNERSHIP_LOG, Optional.empty())
+        .readNewest(StoreClient.OWNERSHIP_LOG, Optional.empty(), OwnerWatch.READ_TIMEOUT_MS)
         .whenComplete(
             (page, failure) -> {
               isReading = false;
@@ -222,10 +212,7 @@
   }
 
   private void readOwnerAgain() {
-    if (!isClosed
-        && !isReading
-        && tenure.isEmpty()
-        && clock.nowMs() - ownerAliveAtMs > READ_AFTER_SILENCE_MS) {
+    if (!isClosed && !isReading && tenure.isEmpty() && watch.shouldRead(clock.nowMs())) {
       readOwner();
     }
   }
@@ -292,7 +279,7 @@
    */
   private void checkRenewal(OwnerTenure held, long sentAtMs) {
     store
-        .readNewest(StoreClient.OWNERSHIP_LOG, Optional.empty())
+        .readNewest(StoreClient.OWNERSHIP_LOG, Optional.empty(), OwnerWatch.READ_TIMEOUT_MS)
         .whenComplete(
             (page, failure) -> {
               if (failure != null || tenure.isEmpty()) {
--- a/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
@@ -283,14 +283,25 @@
    * @param afterKey key after which the page begins; empty for the first page
    */
   public CompletionStage<NewestPage> readNewest(String log, Optional<String> afterKey) {
+    return readNewest(log, afterKey, 2 * READ_TIMEOUT_MS);
+  }
+
+  /**
+   * Reads a page of the newest record of each key within a time limit.
+   *
+   * @param log the log's name
+   * @param afterKey key after which the page begins; empty for the first page
+   * @param timeoutMs time limit of the read, in milliseconds
+   */
+  public CompletionStage<NewestPage> readNewest(
+      String log, Optional<String> afterKey, long timeoutMs) {
     String target =
         "/v1/log-newest?part=0&topic="
             + log
             + afterKey
                 .map(key -> "&after=" + URLEncoder.encode(key, StandardCharsets.UTF_8))
                 .orElse("");
-    return reads.call(
-        HttpRequestMethod.GET, target, NO_BODY, 2 * READ_TIMEOUT_MS, StoreClient::toNewestPage);
+    return reads.call(HttpRequestMethod.GET, target, NO_BODY, timeoutMs, StoreClient::toNewestPage);
   }
 
   private static NewestPage toNewestPage(Response response) {
