Let all daemons learn at the same time that a claim is due

When the store rejected the owner, a daemon on a small instance could claim first although larger instances had not lost the store. Two causes: A daemon with heartbeats began to read the ownership log only 700 ms after the last heartbeat with a young renewal, so up to 0.5 s after a claim was due; one without a link had read all the time, and its delay had passed by then. And the sizes of instances were read only at the start and after a change of the owner, so that a daemon that had started before larger ones registered did not delay its claim.

Now all daemons read the log from the time when the renewal is overdue (1.2 s), before a claim is due (1.5 s), and read the sizes every 3 s.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -111,9 +111,14 @@
     renewingAtMs = Long.MIN_VALUE / 2;
   }
 
-  /** Returns whether the log should be read now, because the owner may have stopped renewing. */
+  /**
+   * Returns whether the log should be read now, because the owner may have stopped renewing. A
+   * daemon that still gets heartbeats begins when their renewal is overdue, before a claim is due:
+   * otherwise it would learn later than a small daemon without a link that it should claim.
+   */
   public boolean shouldRead(long nowMs) {
-    return nowMs - renewingAtMs > READ_AFTER_SILENCE_MS;
+    return nowMs - renewingAtMs > READ_AFTER_SILENCE_MS
+        || nowMs - silentSinceMs >= MAX_OWNER_RENEWAL_AGE_MS;
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/node/DaemonDirectory.java
+++ b/src/main/java/org/laburnumarch/internal/node/DaemonDirectory.java
@@ -25,6 +25,12 @@
   /** Short, because a daemon claims no ownership before it has read the sizes. */
   private static final long READ_RETRY_MS = 150;
 
+  /**
+   * Time between two reads. A daemon that started before the others would otherwise not know that
+   * they are larger, and claim without a delay.
+   */
+  private static final long REFRESH_EVERY_MS = 3_000;
+
   /** Time that all daemons have to register when the whole system starts for the first time. */
   private static final long FIRST_START_WAIT_MS = 400;
 
@@ -47,7 +53,14 @@
   /** Registers this daemon and reads the others; retries until both succeed. */
   void start() {
     register();
-    loop.schedule(settings.isFirstStart() ? FIRST_START_WAIT_MS : 0, this::refresh);
+    loop.schedule(settings.isFirstStart() ? FIRST_START_WAIT_MS : 0, this::refreshAtIntervals);
+  }
+
+  private void refreshAtIntervals() {
+    if (!isClosed) {
+      refresh();
+      loop.schedule(REFRESH_EVERY_MS, this::refreshAtIntervals);
+    }
   }
 
   private void register() {
@@ -75,14 +88,21 @@
       return;
     }
     isReading = true;
+    read();
+  }
+
+  private void read() {
+    if (isClosed) {
+      return;
+    }
     store
         .readNewest(StoreClient.DAEMON_LOG, Optional.empty())
         .whenComplete(
             (page, failure) -> {
-              isReading = false;
               if (failure != null) {
-                loop.schedule(READ_RETRY_MS, this::refresh);
+                loop.schedule(READ_RETRY_MS, this::read);
               } else {
+                isReading = false;
                 onRead(page);
               }
             });
--- a/src/test/java/org/laburnumarch/internal/lead/ClaimOrderTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/ClaimOrderTest.java
@@ -119,4 +119,11 @@
         firstClaimant(StoreFault.SILENT_FOR_A_WHILE, 5_000 + random.nextInt(1_000), 4_500);
     assertThat(first.size).as("seed %d", seed).isEqualTo(LARGE);
   }
+
+  /** Guards against daemons that learn at different times that a claim is due. */
+  @RepeatedTest(100)
+  void shouldPreferLargeInstancesIfTheStoreRejectsTheOwner() {
+    Daemon first = firstClaimant(StoreFault.REJECTS_A_THIRD, 0, END_MS);
+    assertThat(first.size).as("seed %d", seed).isEqualTo(LARGE);
+  }
 }
