Limit the starts in flight by the times of their replies

What callers saw: an owner on a small link sent all starts for which workers had capacity. They waited in the link, their replies came after the time limit of 400 ms, and the runs had to be stopped before they could start again.

Change: OrderPacer keeps one limit for the owner's link, by the gradient of the reply times, and one for each worker. The scheduler orders a start only within that limit, the most urgent ones of all pools first. Stops, renewals and reports are not limited. Reports are spaced up to 50 ms apart, instead of 20 ms, while replies are late.

Measured: OrderPacerTest on a simulated link in virtual time; the tests of the schedule package and ArchitectureTest pass.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -230,7 +230,7 @@
       long nowMs = clock.nowMs();
       load.onTimer(nowMs - nextTickAtMs);
       load.report(nowMs, scheduler.liveJobCount())
-          .ifPresent(line -> Logger.info("owner: event=load {}", line));
+          .ifPresent(line -> Logger.info("owner: event=load {} {}", line, driver.pacingSummary()));
       runRound();
     } finally {
       nextTickAtMs = clock.nowMs() + TICK_MS;
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -9,6 +9,7 @@
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.metrics.Meters;
+import org.laburnumarch.internal.pacing.OrderPacer;
 import org.laburnumarch.internal.platform.AdvisorClient;
 import org.laburnumarch.internal.platform.MalformedMessageException;
 import org.laburnumarch.internal.platform.NodeSettings;
@@ -52,6 +53,7 @@
   private final Owner.Listener listener;
   private final Meters meters;
   private final OwnerLoad load;
+  private final OrderPacer pacer;
   private final StoreTail registry;
   private final Optional<AdvisorClient> advisor;
   private final Map<String, WorkerListing> listings = new HashMap<>();
@@ -88,6 +90,8 @@
       OwnerLoad load) {
     this.meters = meters;
     this.load = load;
+    this.pacer = new OrderPacer(settings.linkMbps(), WorkerClient.ORDER_TIMEOUT_MS);
+    scheduler.setStartLimits(pacer);
     this.loop = loop;
     this.clock = clock;
     this.tenure = tenure;
@@ -118,6 +122,13 @@
 
   void start() {
     registry.start();
+    meters.registerGauge("start_limit", pacer::startLimit);
+    meters.registerGauge("starts_in_flight", pacer::startsInFlight);
+  }
+
+  /** Returns the limit on start orders and what it follows, for the log. */
+  String pacingSummary() {
+    return pacer.summary();
   }
 
   /** Returns whether the registry has been read completely at least once. */
@@ -152,6 +163,10 @@
   void carryOut(Decisions decisions) {
     decisions.orders().forEach(this::send);
     decisions.queries().forEach(this::requestAdvice);
+    if (pacer.pollStartsHeld()) {
+      meters.count("start_rounds_held_total", "link");
+    }
+    pacer.report(clock.nowMs()).ifPresent(line -> Logger.info("owner: event=pacing {}", line));
   }
 
   private Optional<WorkerClient> client(String workerId) {
@@ -174,6 +189,9 @@
   private void send(Order order) {
     Optional<WorkerClient> client = client(order.workerId());
     long sentAtMs = clock.nowMs();
+    if (order instanceof Order.Start) {
+      pacer.onStartSent(order.workerId());
+    }
     if (client.isEmpty()) {
       onReply(order, sentAtMs, new OrderReply(Outcome.UNREACHABLE, -1));
       return;
@@ -220,6 +238,11 @@
     meters.recordDuration("order_answer_seconds", nowMs - sentAtMs);
     load.onReply(nowMs - sentAtMs, reply.outcome() != Outcome.UNKNOWN);
     if (order instanceof Order.Start start) {
+      boolean isAnswered =
+          reply.outcome() != Outcome.UNKNOWN && reply.outcome() != Outcome.UNREACHABLE;
+      pacer
+          .onStartSettled(start.workerId(), sentAtMs, isAnswered, nowMs)
+          .ifPresent(cause -> meters.count("start_limit_cuts_total", cause));
       scheduler.onStartReply(start, reply, nowMs);
     } else if (order instanceof Order.Stop stop) {
       scheduler.onStopReply(stop, reply, nowMs);
@@ -260,7 +283,9 @@
   void renewLeases() {
     List<String> workerIds = scheduler.workerIds();
     if (connections.size() > workerIds.size()) {
-      closeUnused(Set.copyOf(workerIds));
+      Set<String> knownWorkerIds = Set.copyOf(workerIds);
+      closeUnused(knownWorkerIds);
+      pacer.retainWorkers(knownWorkerIds);
     }
     for (String workerId : workerIds) {
       if (!renewing.contains(workerId)) {
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/pacing/LinkLimit.java
@@ -0,0 +1,176 @@
+package org.laburnumarch.internal.pacing;
+
+/**
+ * Limits the start orders that are in flight over the owner's whole link, by the gradient of the
+ * reply times. Load: an owner on a link of 7 Mbit/s, or with too little processor time, whose
+ * backlog is larger than what can be answered within the time limit of an order.
+ *
+ * <p>The limit doubles in a round trip while replies are near their minimum, rises slowly while
+ * they are below the target, and falls in proportion to the reply time above it. It falls to a half
+ * when most workers do not reply. It only rises when it is used.
+ */
+final class LinkLimit {
+
+  /** Reasons for which the limit falls. */
+  enum Cut {
+    NONE,
+    /** Replies are later than the target. */
+    DELAY,
+    /** Most workers do not reply. */
+    MISSING,
+    /** Replies have been late for so long that their minimum has to be measured again. */
+    PROBE
+  }
+
+  /** Limit above which nothing is limited in practice. */
+  private static final int MAX_LIMIT = 4_096;
+
+  private static final int MIN_LIMIT = 8;
+
+  /**
+   * Most starts at the beginning. Each costs a small instance about a millisecond of processor
+   * time, and the connections to the workers are not open yet.
+   */
+  private static final int MAX_INITIAL = 256;
+
+  /** Lowest limit as a fraction of the initial one. */
+  private static final double MIN_FRACTION = 0.125;
+
+  /**
+   * Share of the time limit of an order that the link may need at the beginning to transmit all
+   * starts in flight.
+   */
+  private static final double INITIAL_SHARE = 0.125;
+
+  /** Share of the time limit of an order by which replies may be later than their minimum. */
+  private static final double TARGET_SHARE = 0.25;
+
+  /** Highest target as a share of the time limit, whatever the minimum. */
+  private static final double MAX_TARGET_SHARE = 0.75;
+
+  /** Share of the time limit by which a reply near the minimum may be later than the minimum. */
+  private static final double NEAR_SHARE = 0.05;
+
+  private static final double MAX_CUT = 0.5;
+  private static final double PROBE_CUT = 0.25;
+
+  /** Share of the limit that must have been in flight for the limit to rise. */
+  private static final double USED_SHARE = 0.5;
+
+  private static final long MIN_WINDOW_MS = 10;
+  private static final long MAX_WINDOW_MS = 100;
+
+  private final long timeoutMs;
+  private final double minLimit;
+  private final MinimumReplyTime minimum = new MinimumReplyTime();
+  private final ReplyWindow window = new ReplyWindow();
+  private double limit;
+  private long medianMs;
+  private long windowEndsAtMs;
+
+  /**
+   * Creates the limit of a new owner.
+   *
+   * @param linkBytesPerMs speed of the owner's link in bytes per millisecond
+   * @param orderBytes size of a start order on the link in bytes
+   * @param timeoutMs time after which an order counts as unanswered, in milliseconds
+   */
+  LinkLimit(double linkBytesPerMs, double orderBytes, long timeoutMs) {
+    this.timeoutMs = timeoutMs;
+    double carried = linkBytesPerMs * timeoutMs * INITIAL_SHARE / orderBytes;
+    this.limit = Math.max(MIN_LIMIT, Math.min(MAX_INITIAL, carried));
+    this.minLimit = Math.max(MIN_LIMIT, limit * MIN_FRACTION);
+  }
+
+  int get() {
+    return (int) limit;
+  }
+
+  long medianMs() {
+    return medianMs;
+  }
+
+  long minimumMs() {
+    return minimum.get();
+  }
+
+  /** Returns how far replies are from their minimum to the target, from 0 to 1; 0 if near it. */
+  double pressure() {
+    if (medianMs <= nearMs()) {
+      return 0;
+    }
+    return Math.min(1, (double) (medianMs - minimum.get()) / (targetMs() - minimum.get()));
+  }
+
+  private double nearMs() {
+    return minimum.get() + timeoutMs * NEAR_SHARE;
+  }
+
+  private double targetMs() {
+    return Math.max(
+        nearMs(), Math.min(minimum.get() + timeoutMs * TARGET_SHARE, timeoutMs * MAX_TARGET_SHARE));
+  }
+
+  void onSent(int startsInFlight) {
+    window.onInFlight(startsInFlight);
+  }
+
+  /** Records a reply; returns why the limit has fallen, if it has. */
+  Cut onAnswered(String workerId, long replyMs, int startsInFlight, long nowMs) {
+    window.onAnswered(workerId, replyMs);
+    boolean isMinimumOld = minimum.add(replyMs, nowMs);
+    if (isMinimumOld && medianMs > nearMs()) {
+      limit = Math.max(minLimit, limit * PROBE_CUT);
+      endWindow(startsInFlight, nowMs);
+      return Cut.PROBE;
+    }
+    if (window.peakInFlight() >= limit * USED_SHARE) {
+      rise(replyMs);
+    }
+    return adjust(startsInFlight, nowMs);
+  }
+
+  /** Records that a start got no reply in time; returns why the limit has fallen, if it has. */
+  Cut onMissing(String workerId, int startsInFlight, long nowMs) {
+    window.onMissing(workerId);
+    return adjust(startsInFlight, nowMs);
+  }
+
+  private void rise(long replyMs) {
+    if (Math.max(replyMs, medianMs) <= nearMs()) {
+      limit += 1;
+    } else if (replyMs <= targetMs()) {
+      // Adds the square root of the limit in a round trip.
+      limit += 1 / Math.sqrt(limit);
+    }
+    limit = Math.min(MAX_LIMIT, limit);
+  }
+
+  private Cut adjust(int startsInFlight, long nowMs) {
+    if (nowMs < windowEndsAtMs) {
+      return Cut.NONE;
+    }
+    Cut cut = Cut.NONE;
+    if (window.isSufficient()) {
+      // A limit that is far above what is in flight would need several cuts to take effect.
+      double used = Math.min(limit, Math.max(minLimit, window.peakInFlight()));
+      if (window.isMostlyMissing()) {
+        cut = Cut.MISSING;
+        limit = Math.max(minLimit, used * MAX_CUT);
+      } else {
+        medianMs = window.medianMs();
+        if (medianMs > targetMs()) {
+          cut = Cut.DELAY;
+          limit = Math.max(minLimit, used * Math.max(MAX_CUT, targetMs() / medianMs));
+        }
+      }
+    }
+    endWindow(startsInFlight, nowMs);
+    return cut;
+  }
+
+  private void endWindow(int startsInFlight, long nowMs) {
+    windowEndsAtMs = nowMs + Math.max(MIN_WINDOW_MS, Math.min(MAX_WINDOW_MS, medianMs));
+    window.clear(startsInFlight);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -15,9 +15,6 @@
  */
 final class Placement {
 
-  /** Maximum number of pending start orders to one worker; each may take a connection. */
-  private static final int MAX_ORDERS_IN_FLIGHT = 4;
-
   private static final double AVOIDED_WORKER_COST = 2;
 
   /** Cost of each run that a task which may crash its worker would end with it. */
@@ -65,7 +62,7 @@
     double bestCost = Double.MAX_VALUE;
     for (Worker worker : pool) {
       if (heldWorkers.contains(worker)
-          || worker.ordersInFlight >= MAX_ORDERS_IN_FLIGHT
+          || worker.ordersInFlight >= worker.maxOrdersInFlight
           || (needsIsolation && worker.newRunCount() > 0)
           || !worker.freeCapacity().holds(task.step.spec.reserved())
           || !mayRun(worker, task.step)
--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -1,6 +1,7 @@
 package org.laburnumarch.internal.schedule;
 
 import java.util.Optional;
+import org.laburnumarch.internal.pacing.StartLimits;
 
 /**
  * Decides when a worker is asked for a report, whether that renews its lease, and how long the
@@ -17,6 +18,15 @@
    */
   private static final long MIN_REPORT_INTERVAL_MS = 20;
 
+  /**
+   * Minimum time from a report to the next request while replies of workers are late. A request
+   * that is sent by the timer of the owner, every 50 ms, can then still carry an acknowledgement.
+   */
+  private static final long MIN_PRESSED_REPORT_INTERVAL_MS = 50;
+
+  /** Highest minimum time between reports as a fraction of a lease, which each report renews. */
+  private static final double MAX_REPORT_INTERVAL_OF_LEASE = 0.05;
+
   /**
    * Interval between reports while ends from the last one are not stored yet. The worker would list
    * the same ends again at once, so asking more often only costs calls.
@@ -49,8 +59,9 @@
 
   private RenewalPolicy() {}
 
-  static Optional<Renewal> decide(Worker worker, SchedulerSettings settings, long nowMs) {
-    Optional<Renewal> renewal = choose(worker, settings, nowMs);
+  static Optional<Renewal> decide(
+      Worker worker, SchedulerSettings settings, StartLimits limits, long nowMs) {
+    Optional<Renewal> renewal = choose(worker, settings, limits, nowMs);
     renewal.ifPresent(
         chosen ->
             worker.sentAcknowledgement =
@@ -73,7 +84,15 @@
     return Math.min(maxMs, RETRY_AFTER_MISS_MS << doublings);
   }
 
-  private static Optional<Renewal> choose(Worker worker, SchedulerSettings settings, long nowMs) {
+  private static long minReportIntervalMs(
+      SchedulerSettings settings, StartLimits limits, long nowMs) {
+    long pressedMs =
+        limits.reportIntervalMs(MIN_REPORT_INTERVAL_MS, MIN_PRESSED_REPORT_INTERVAL_MS, nowMs);
+    return Math.min(pressedMs, (long) (settings.leaseMs() * MAX_REPORT_INTERVAL_OF_LEASE));
+  }
+
+  private static Optional<Renewal> choose(
+      Worker worker, SchedulerSettings settings, StartLimits limits, long nowMs) {
     long sinceReportMs = nowMs - worker.lastReportAttemptMs;
     if (!worker.isFenced) {
       return worker.missedReports > 0 && sinceReportMs < retryAfterMissMs(worker)
@@ -95,7 +114,9 @@
     long pauseMs =
         worker.missedReports > 0
             ? retryAfterMissMs(worker)
-            : worker.hasUnacknowledgedEnds() ? UNSTORED_ENDS_INTERVAL_MS : MIN_REPORT_INTERVAL_MS;
+            : worker.hasUnacknowledgedEnds()
+                ? UNSTORED_ENDS_INTERVAL_MS
+                : minReportIntervalMs(settings, limits, nowMs);
     if (sinceReportMs < pauseMs) {
       return Optional.empty();
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -14,6 +14,7 @@
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.QueueConfig;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.pacing.StartLimits;
 import org.laburnumarch.internal.pool.PoolDemand;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
 
@@ -45,6 +46,7 @@
   private long slownessDecayedAtMs;
   private final RunTracker runTracker;
   private FleetConfig config = FleetConfig.EMPTY;
+  private StartLimits startLimits = StartLimits.FIXED;
   private Set<String> outOfServiceDataCentres = Set.of();
   private long storedBatchNumber;
 
@@ -74,6 +76,11 @@
     this.config = newConfig;
   }
 
+  /** Sets the limits on the start orders that may be sent. */
+  public void setStartLimits(StartLimits newStartLimits) {
+    this.startLimits = newStartLimits;
+  }
+
   /** Replaces the set of data centres that are out of service; nothing starts there. */
   public void setOutOfServiceDataCentres(Set<String> dataCentres) {
     this.outOfServiceDataCentres = Set.copyOf(dataCentres);
@@ -300,6 +307,7 @@
     Attempt attempt = find(worker, order);
     if (worker != null) {
       worker.ordersInFlight--;
+      worker.maxOrdersInFlight = startLimits.startsInFlightAllowed(worker.id);
     }
     if (attempt != null) {
       runTracker.onStartReply(attempt, reply, nowMs);
@@ -376,7 +384,7 @@
     if (worker == null || worker.isTerminated || (!worker.isFenced && !firstReports.hasRoom())) {
       return Optional.empty();
     }
-    Optional<Renewal> renewal = RenewalPolicy.decide(worker, settings, nowMs);
+    Optional<Renewal> renewal = RenewalPolicy.decide(worker, settings, startLimits, nowMs);
     if (renewal.isPresent() && !worker.isFenced) {
       firstReports.onRequested(worker);
     }
@@ -558,6 +566,7 @@
         collectCandidates(job, byService, unreportedByTeam, nowMs, epochMs);
       }
     }
+    StartBudget budget = new StartBudget(startLimits, nowMs);
     StartRound.Context context =
         new StartRound.Context(
             config,
@@ -569,15 +578,18 @@
             unreportedByTeam,
             orders,
             queries,
+            budget,
             nowMs);
+    StartSequence sequence = new StartSequence();
     byService.forEach(
         (service, candidates) -> {
           candidates.sort(CandidateRanking.BY_URGENCY);
           List<Worker> pool = workers.pool(service);
           Placement placement =
               new Placement(pool, outOfServiceDataCentres, settings.remoteSlowdownFactor(), nowMs);
-          new StartRound(context, placement).startCandidates(candidates, pool);
+          sequence.add(new StartRound(context, placement), pool, candidates);
         });
+    sequence.run(budget);
   }
 
   private void collectCandidates(
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -7,7 +7,7 @@
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
 
-/** Starts waiting tasks on the workers of one pool, in one pass over the ranked candidates. */
+/** Starts waiting tasks on the workers of one pool, in the order in which candidates are passed. */
 final class StartRound {
   /**
    * Low-order bits of a run number that count runs within one term; the term is in the bits above,
@@ -25,6 +25,7 @@
    *     reported yet
    * @param orders receives the start orders
    * @param queries receives the requests to the advisory service
+   * @param budget number of starts that may be ordered
    */
   record Context(
       FleetConfig config,
@@ -36,11 +37,13 @@
       Map<String, Resources> unreportedByTeam,
       List<Order> orders,
       List<AdviceQuery> queries,
+      StartBudget budget,
       long nowMs) {}
 
   private final Context context;
   private final Placement placement;
   private final long nowMs;
+  private int misses;
 
   StartRound(Context context, Placement placement) {
     this.context = context;
@@ -48,25 +51,24 @@
     this.nowMs = context.nowMs();
   }
 
-  void startCandidates(List<Candidate> candidates, List<Worker> pool) {
-    int misses = 0;
-    for (Candidate candidate : candidates) {
-      if (misses >= MAX_MISSES) {
-        return;
-      }
-      Step step = candidate.step();
-      boolean needsTicket = candidate.queue().advice().isPresent();
-      Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
-      if (needsTicket && stepTickets.isEmpty()) {
-        requestTickets(candidate, pool);
-        continue;
-      }
-      boolean isPlaced =
-          step.spec.isGang()
-              ? startGang(step, stepTickets, needsTicket)
-              : startTasks(candidate, stepTickets, needsTicket);
-      misses += isPlaced ? 0 : 1;
+  /** Returns whether so many steps have found no worker that the pool counts as full. */
+  boolean isPoolFull() {
+    return misses >= MAX_MISSES;
+  }
+
+  void startCandidate(Candidate candidate, List<Worker> pool) {
+    Step step = candidate.step();
+    boolean needsTicket = candidate.queue().advice().isPresent();
+    Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
+    if (needsTicket && stepTickets.isEmpty()) {
+      requestTickets(candidate, pool);
+      return;
     }
+    boolean isPlaced =
+        step.spec.isGang()
+            ? startGang(step, stepTickets, needsTicket)
+            : startTasks(candidate, stepTickets, needsTicket);
+    misses += isPlaced ? 0 : 1;
   }
 
   private void requestTickets(Candidate candidate, List<Worker> pool) {
@@ -103,6 +105,9 @@
         }
         return false;
       }
+      if (!context.budget().tryTake(1)) {
+        return false;
+      }
       start(task, worker.get(), nextRun(task), stepTickets);
     }
     return true;
@@ -119,7 +124,7 @@
     }
     Optional<Map<Task, Worker>> chosen =
         placement.chooseForGang(step.tasks, stepTickets, needsTicket);
-    if (chosen.isEmpty()) {
+    if (chosen.isEmpty() || !context.budget().tryTake(step.tasks.size())) {
       return false;
     }
     long run = step.tasks.stream().mapToLong(this::nextRun).max().orElse(1);
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.pacing.StartLimits;
 
 /** A worker, its current incarnation as far as known, and the runs that it may have. */
 final class Worker {
@@ -78,6 +79,9 @@
   private int isolatedRuns;
   int ordersInFlight;
 
+  /** Maximum number of pending start orders. */
+  int maxOrdersInFlight = StartLimits.INITIAL_STARTS_PER_WORKER;
+
   /** Number of consecutive missed reports. */
   int missedReports;
 
--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -28,6 +28,7 @@
     INTERNAL + "fleet..",
     INTERNAL + "task..",
     INTERNAL + "hash..",
+    INTERNAL + "pacing..",
   };
 
   private static final JavaClasses PRODUCTION =
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/pacing/OrderPacerTest.java
@@ -0,0 +1,103 @@
+package org.laburnumarch.internal.pacing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests the pacing of orders on a simulated link in virtual time. */
+class OrderPacerTest {
+
+  private static final int WORKERS = 200;
+  private static final double ENDLESS_BACKLOG = 4_000;
+  private static final double SMALL_LINK_MBPS = 7;
+
+  /** Starts per second on a link of 7 Mbit/s with orders of 1,660 bytes on average. */
+  private static final double SMALL_LINK_STARTS_PER_S = 7e6 / 8 / 1_660;
+
+  private long seed;
+
+  @BeforeEach
+  void printSeed() {
+    seed = Long.getLong("seed", System.nanoTime());
+    System.out.println("OrderPacerTest -Dseed=" + seed);
+  }
+
+  /** Guards against a limit that delays starts although the link could carry them. */
+  @Test
+  void shouldNotLimitAnUnloadedLink() {
+    SimulatedLink link = new SimulatedLink(1_000, WORKERS, seed);
+    link.run(30_000, 780);
+    assertThat(link.heldRounds).isZero();
+    assertThat(link.unanswered).isZero();
+    assertThat(link.backlog).isZero();
+    assertThat(link.pacer.reportIntervalMs(20, 50, link.nowMs)).isEqualTo(20);
+    assertThat(link.pacer.report(link.nowMs)).isEmpty();
+  }
+
+  @Nested
+  class AtFullLoadOfASmallLink {
+
+    private SimulatedLink link;
+
+    @BeforeEach
+    void createLink() {
+      link = new SimulatedLink(SMALL_LINK_MBPS, WORKERS, seed);
+    }
+
+    private double answeredPerSecond(long durationMs) {
+      long before = link.answered;
+      link.run(durationMs, ENDLESS_BACKLOG);
+      return (link.answered - before) * 1_000.0 / durationMs;
+    }
+
+    /** Guards against replies that come too late, and against a link that is not used. */
+    @Test
+    void shouldGetAsManyStartsAnsweredAsTheLinkCarries() {
+      assertThat(answeredPerSecond(1_000)).isGreaterThan(0.9 * SMALL_LINK_STARTS_PER_S);
+      assertThat(answeredPerSecond(30_000)).isGreaterThan(0.95 * SMALL_LINK_STARTS_PER_S);
+      assertThat(link.unanswered).isLessThan(link.answered / 50);
+      assertThat(link.pacer.report(link.nowMs)).isPresent();
+      assertThat(link.pacer.report(link.nowMs + 999)).isEmpty();
+    }
+
+    /** Guards against a link that stays idle after all orders in flight have failed at once. */
+    @Test
+    void shouldRecoverWithinASecondOfAResetOfAllConnections() {
+      link.run(5_000, ENDLESS_BACKLOG);
+      link.resetConnections();
+      assertThat(answeredPerSecond(1_000)).isGreaterThan(0.9 * SMALL_LINK_STARTS_PER_S);
+    }
+
+    /** Guards against silent and slow workers that slow down the starts of all others. */
+    @Test
+    void shouldNotLowerTheLimitOfAllForAFewWorkers() {
+      link.run(5_000, ENDLESS_BACKLOG);
+      link.clearCounts();
+      link.run(5_000, ENDLESS_BACKLOG);
+      int usualLimit = link.lowestLimit;
+      link.silent.add(1);
+      link.slow.add(2);
+      link.clearCounts();
+      assertThat(answeredPerSecond(10_000)).isGreaterThan(0.9 * SMALL_LINK_STARTS_PER_S);
+      assertThat(link.lowestLimit).isGreaterThan(usualLimit / 2);
+      assertThat(link.pacer.startsInFlightAllowed("w1")).isEqualTo(1);
+      assertThat(link.pacer.startsInFlightAllowed("w2")).isEqualTo(1);
+    }
+  }
+
+  /** Guards against an outage of all workers after which the limit stays at its lower bound. */
+  @Test
+  void shouldRecoverWithinASecondOfAnOutageOfAllWorkers() {
+    SimulatedLink link = new SimulatedLink(140, WORKERS, seed);
+    link.run(2_000, 780);
+    for (int i = 0; i < WORKERS; i++) {
+      link.silent.add(i);
+    }
+    link.run(3_000, 780);
+    link.silent.clear();
+    link.run(1_000, 780);
+    assertThat(link.backlog).isZero();
+  }
+}
