--- a/src/main/java/org/laburnumarch/internal/metrics/Meters.java
+++ b/src/main/java/org/laburnumarch/internal/metrics/Meters.java
@@ -32,10 +32,21 @@
    * @param label kind of the event; the number of distinct values must be small
    */
   public void count(String name, String label) {
+    add(name, label, 1);
+  }
+
+  /**
+   * Adds to a counter, such as one of bytes.
+   *
+   * @param name name of the counter
+   * @param label kind of what is counted; the number of distinct values must be small
+   * @param amount what is added
+   */
+  public void add(String name, String label, long amount) {
     counters
         .computeIfAbsent(name, ignored -> new HashMap<>())
         .computeIfAbsent(label, kind -> registry.counter(PREFIX + name + "{kind=\"" + kind + "\"}"))
-        .inc();
+        .inc(amount);
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -181,7 +181,8 @@
     if (known != null) {
       known.client().close();
     }
-    WorkerClient created = new WorkerClient(listing.get().address(), workerId, loop);
+    WorkerClient created =
+        new WorkerClient(listing.get().address(), workerId, loop, new MeteredTraffic(meters));
     connections.put(workerId, new Connection(listing.get(), created));
     return Optional.of(created);
   }
--- a/src/main/java/org/laburnumarch/internal/platform/WorkerClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/WorkerClient.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.http.PlatformHttpClient;
 import org.laburnumarch.internal.http.PlatformHttpClient.Response;
@@ -28,6 +29,7 @@
   private final PlatformHttpClient orders;
   private final PlatformHttpClient reports;
   private final Map<String, String> headers;
+  private final WorkerTraffic traffic;
 
   /**
    * Creates a client; no connection is opened before the first call.
@@ -36,8 +38,11 @@
    * @param workerId id under which the worker is listed; a worker with another id refuses the
    *     orders
    * @param loop event loop that runs sockets and callbacks
+   * @param traffic is told the size of each message
    */
-  public WorkerClient(InetSocketAddress address, String workerId, EventLoopThread loop) {
+  public WorkerClient(
+      InetSocketAddress address, String workerId, EventLoopThread loop, WorkerTraffic traffic) {
+    this.traffic = traffic;
     this.orders = new PlatformHttpClient(address, loop);
     this.reports = new PlatformHttpClient(address, loop);
     this.headers = Map.of("X-Target-Instance", workerId, "Content-Type", "application/json");
@@ -75,12 +80,13 @@
     if (!ticket.isEmpty()) {
       body.put("ticket", ticket);
     }
-    return sendOrder("/v1/run-start", body);
+    return sendOrder("start", "/v1/run-start", body);
   }
 
   /** Orders the worker to stop a run and to refuse any later order to start it. */
   public CompletionStage<OrderReply> stop(String taskName, long run, long fencingToken) {
     return sendOrder(
+        "stop",
         "/v1/run-stop",
         Json.object().put("task", taskName).put("run", run).put("fenceToken", fencingToken));
   }
@@ -89,6 +95,7 @@
   public CompletionStage<OrderReply> pace(
       String taskName, long run, int percent, long fencingToken) {
     return sendOrder(
+        "pace",
         "/v1/pace",
         Json.object()
             .put("task", taskName)
@@ -97,18 +104,32 @@
             .put("fenceToken", fencingToken));
   }
 
-  private CompletionStage<OrderReply> sendOrder(String target, ObjectNode body) {
-    return orders
-        .call(
-            HttpRequestMethod.POST,
-            target,
-            headers,
-            Json.encode(body),
-            ORDER_TIMEOUT_MS,
-            WorkerClient::toOrderReply)
+  private CompletionStage<OrderReply> sendOrder(String kind, String target, ObjectNode body) {
+    return call(orders, kind, target, body, ORDER_TIMEOUT_MS, WorkerClient::toOrderReply)
         .exceptionally(WorkerClient::replyAfterFailure);
   }
 
+  private <T> CompletionStage<T> call(
+      PlatformHttpClient client,
+      String kind,
+      String target,
+      ObjectNode body,
+      long timeoutMs,
+      Function<Response, T> parse) {
+    byte[] request = Json.encode(body);
+    traffic.onRequest(kind, request.length);
+    return client.call(
+        HttpRequestMethod.POST,
+        target,
+        headers,
+        request,
+        timeoutMs,
+        response -> {
+          traffic.onResponse(kind, response.bytes().length);
+          return parse.apply(response);
+        });
+  }
+
   private static OrderReply replyAfterFailure(Throwable failure) {
     return new OrderReply(
         PlatformFailures.mayHaveTakenEffect(failure) ? Outcome.UNKNOWN : Outcome.UNREACHABLE, -1);
@@ -134,11 +155,11 @@
     if (waitMs > 0) {
       body.put("waitMs", waitMs);
     }
-    return reports.call(
-        HttpRequestMethod.POST,
+    return call(
+        reports,
+        "report",
         "/v1/hold",
-        headers,
-        Json.encode(body),
+        body,
         waitMs + REPORT_TIMEOUT_MS,
         WorkerClient::toWorkerReport);
   }
