--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -24,6 +24,7 @@
     INTERNAL + "membership..",
     INTERNAL + "limit..",
     INTERNAL + "queue..",
+    INTERNAL + "runtime..",
     INTERNAL + "routing..",
     INTERNAL + "fleet..",
     INTERNAL + "task..",
@@ -95,7 +96,11 @@
   class PlatformDecisions {
 
     private final String[] packages = {
-      INTERNAL + "job..", INTERNAL + "schedule..", INTERNAL + "pool..", INTERNAL + "lead..",
+      INTERNAL + "job..",
+      INTERNAL + "schedule..",
+      INTERNAL + "runtime..",
+      INTERNAL + "pool..",
+      INTERNAL + "lead..",
     };
 
     @Test
