Learn run times from ended runs and pass them on in the store

An owner forgets its corrections of the estimates with every takeover, and the corrections include effects that are not the task's: a run on another rack than its data counted with the slowdown, a run that an earlier owner had started counted from the takeover, a task on a slow worker as a long task.

RunTimeLearner removes these: it divides by the factor for remote data and by the slowness of a worker whose last five runs took 1.5 times as long as those of all workers, takes runs with an uncertain start or end and stopped runs as lower bounds, and leaves out restored runs, gangs, fillers and stalled runs. The end of a run is placed between two reports if the worker had not delayed the second one. RunTimesKeeper stores the record runtimes at most every 2 s, if a quantile has moved by a quarter, and restores it before the jobs.

Nothing uses the predictions yet.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -73,6 +73,7 @@
   private final Meters meters;
   private final Listener listener;
   private final Scheduler scheduler;
+  private final RunTimesKeeper runTimesKeeper;
   private final JobStore jobs;
   private final OwnerLoad load;
   private final WorkerDriver driver;
@@ -115,6 +116,7 @@
             tenure.term(),
             clock.nowMs(),
             earlier.isPresent());
+    this.runTimesKeeper = new RunTimesKeeper(scheduler.runTimes());
     this.jobs =
         new JobStore(
             store,
@@ -185,6 +187,7 @@
     }
     long nowMs = clock.nowMs();
     long epochMs = clock.epochMs();
+    runTimesKeeper.restore(contents);
     contents.enrolled().forEach(scheduler::restoreEnrolled);
     contents.jobs().values().stream()
         .sorted(Comparator.comparingLong(JobSpec::submittedEpochMs))
@@ -272,6 +275,7 @@
       finishedRemovedAtMs = nowMs;
       jobs.deleteProgress(scheduler.removeFinishedJobs(nowMs));
     }
+    runTimesKeeper.stateToStore(nowMs).ifPresent(jobs::storeState);
     jobs.flush();
   }
 
--- a/src/main/java/org/laburnumarch/internal/runtime/RunTimeModel.java
+++ b/src/main/java/org/laburnumarch/internal/runtime/RunTimeModel.java
@@ -35,7 +35,7 @@
   private static final int MAX_RESTORED_RUNS = 50;
 
   /** Change of a quantile, as a logarithm, from which on the stored record is out of date. */
-  private static final double STORED_TOLERANCE = 0.1;
+  private static final double STORED_TOLERANCE = 0.25;
 
   private int runs;
   private double meanLogEstimate;
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -59,6 +59,15 @@
    */
   boolean isOfUnknownIncarnation;
 
+  /**
+   * Whether it is not known when the run began: an earlier owner started it, or the start order got
+   * no reply.
+   */
+  boolean isStartUncertain;
+
+  /** Whether the run is stopped because it made no progress, which its worker causes. */
+  boolean isStalled;
+
   /** Whether the run should be stopped. */
   boolean isStopWanted;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -38,6 +38,7 @@
   private final TeamUsage teamUsage;
   private final PendingChanges changes;
   private final RunTimeEstimator runTimeEstimator;
+  private final RunTimeLearner runTimeLearner;
   private final QueueLookup queues;
   private final CrashTracker crashTracker;
 
@@ -51,11 +52,13 @@
       TeamUsage teamUsage,
       PendingChanges changes,
       RunTimeEstimator runTimeEstimator,
+      RunTimeLearner runTimeLearner,
       QueueLookup queues) {
     this.jobs = jobs;
     this.teamUsage = teamUsage;
     this.changes = changes;
     this.runTimeEstimator = runTimeEstimator;
+    this.runTimeLearner = runTimeLearner;
     this.queues = queues;
     this.crashTracker = new CrashTracker(this, changes);
   }
@@ -116,6 +119,7 @@
       }
       case UNKNOWN -> {
         attempt.phase = Attempt.Phase.UNANSWERED;
+        attempt.isStartUncertain = true;
         attempt.isStopWanted = true;
         worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + REFUSAL_PAUSE_MS);
       }
@@ -185,7 +189,7 @@
     for (EndedTask ended : report.ended()) {
       seen.add(Worker.attemptKey(ended.taskName(), ended.run()));
       if (ended.number() > worker.lastEndNumber) {
-        worker.recordEnd(ended.number(), onEnd(worker, ended, nowMs));
+        worker.recordEnd(ended.number(), onEnd(worker, ended, requestedAtMs, nowMs));
       }
     }
     List<Order> unknownRuns = new ArrayList<>();
@@ -306,6 +310,7 @@
       attempt.isStopWanted = true;
     }
     attempt.phase = Attempt.Phase.RUNNING;
+    attempt.isStartUncertain = true;
     attempt.confirmedClockMs = worker.clockMs(nowMs);
     attempt.confirmedAtMs = nowMs;
     register(attempt);
@@ -339,7 +344,7 @@
    * Applies the end of a run; returns the number of the batch that must be stored before the end is
    * acknowledged, or 0 if nothing needs to be stored.
    */
-  private long onEnd(Worker worker, EndedTask ended, long nowMs) {
+  private long onEnd(Worker worker, EndedTask ended, long requestedAtMs, long nowMs) {
     Attempt attempt = worker.attempts.get(Worker.attemptKey(ended.taskName(), ended.run()));
     Task task = attempt == null ? findTask(ended.taskName()) : attempt.task;
     boolean isStopOrdered = attempt != null && attempt.isStopWanted;
@@ -359,9 +364,12 @@
       return lastBatchNumber(ended.taskName());
     }
     return switch (ended.how()) {
-      case DONE -> onDone(worker, task, attempt, nowMs);
+      case DONE -> onDone(worker, task, attempt, requestedAtMs, nowMs);
       case FAILED -> onFailed(worker, task, ended.run(), nowMs);
       case STOPPED, LAPSED, BROKEN, ALONE -> {
+        if (attempt != null) {
+          runTimeLearner.onInterrupted(attempt);
+        }
         if (!isStopOrdered) {
           task.avoidedWorker = worker.id;
         }
@@ -370,7 +378,7 @@
     };
   }
 
-  private long onDone(Worker worker, Task task, Attempt attempt, long nowMs) {
+  private long onDone(Worker worker, Task task, Attempt attempt, long requestedAtMs, long nowMs) {
     Step step = task.step;
     if (step.spec.isLongRunning()) {
       return 0;
@@ -380,6 +388,7 @@
       worker.health.recordSuccess(
           ranMs / runTimeEstimator.expectedMs(step.job.spec.queue(), step.spec));
       runTimeEstimator.addSample(step.job.spec.queue(), step.spec, ranMs);
+      runTimeLearner.onDone(attempt, requestedAtMs, nowMs);
     }
     if (step.spec.isGang()) {
       // A gang is done as soon as one of its tasks is.
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -15,6 +15,7 @@
 import org.laburnumarch.internal.job.QueueConfig;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.pool.PoolDemand;
+import org.laburnumarch.internal.runtime.RunTimes;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
 
 /**
@@ -37,6 +38,7 @@
   private final PendingChanges changes = new PendingChanges();
   private final FirstReportWindow firstReports = new FirstReportWindow();
   private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
+  private final RunTimes runTimes = new RunTimes();
   private final Tickets adviceTickets = new Tickets();
   private final TeamTokenBuckets teamBuckets = new TeamTokenBuckets();
   private final CandidateRanking ranking = new CandidateRanking(runTimeEstimator);
@@ -66,7 +68,17 @@
     this.takeoverGuard = new TakeoverGuard(settings, nowMs, hadEarlierOwner);
     this.runTracker =
         new RunTracker(
-            jobs, teamUsage, changes, runTimeEstimator, queue -> this.config.queue(queue));
+            jobs,
+            teamUsage,
+            changes,
+            runTimeEstimator,
+            new RunTimeLearner(runTimes, settings.remoteSlowdownFactor()),
+            queue -> this.config.queue(queue));
+  }
+
+  /** Returns what has been learnt about run times; it may be restored before the first job. */
+  public RunTimes runTimes() {
+    return runTimes;
   }
 
   /** Replaces the configuration. */
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -22,6 +22,9 @@
   /** Lowest speed of a steady clock relative to real time. */
   private static final double SLOWEST_CLOCK = 0.98;
 
+  /** Number of runs by which a worker's speed is judged; one long task in five is outvoted. */
+  private static final int DEVIATIONS = 5;
+
   final String id;
   WorkerListing listing;
 
@@ -92,6 +95,9 @@
 
   final WorkerHealth health = new WorkerHealth();
 
+  /** Logarithms of the ratios of actual to predicted run times of the newest runs. */
+  final MovingMedian deviations = new MovingMedian(DEVIATIONS);
+
   Worker(WorkerListing listing) {
     this.id = listing.id();
     this.listing = listing;
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/schedule/RunTimeLearnerTest.java
@@ -0,0 +1,133 @@
+package org.laburnumarch.internal.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.StepSpec;
+import org.laburnumarch.internal.runtime.RunTimes;
+
+/** Tests that only what a task itself takes is learnt from its runs. */
+class RunTimeLearnerTest {
+
+  private static final double REMOTE_FACTOR = 2;
+  private static final StepSpec SPEC =
+      new StepSpec(
+          1,
+          new Resources(1_000, 1_000, 0),
+          500,
+          List.of(),
+          true,
+          false,
+          false,
+          "",
+          "r1",
+          0,
+          false,
+          false,
+          "image",
+          0,
+          false,
+          0);
+
+  private final RunTimes runTimes = new RunTimes();
+  private final RunTimeLearner learner = new RunTimeLearner(runTimes, REMOTE_FACTOR);
+  private int run;
+
+  private static Worker worker(String id, String rack) {
+    return new Worker(
+        new WorkerListing(
+            id,
+            TestJobs.SERVICE,
+            InetSocketAddress.createUnresolved("localhost", 1),
+            "dc",
+            new Resources(8_000, 32_000, 0),
+            List.of("kind", rack),
+            false,
+            0,
+            0));
+  }
+
+  private Attempt attempt(Worker worker, String checkpoint) {
+    JobSpec job = TestJobs.job("j" + run++, 0, SPEC);
+    Task task = new Step(new Job(job, 0, false), 0, 0, SPEC).tasks.get(0);
+    return new Attempt(task, worker, run, Resources.NONE, checkpoint, 0, 0);
+  }
+
+  private void runOn(Worker worker, long ms) {
+    Attempt attempt = attempt(worker, "");
+    attempt.reportedAtMs = ms - 20;
+    learner.onDone(attempt, ms - 500, ms);
+  }
+
+  private double expectedMs() {
+    return runTimes.predict(TestJobs.QUEUE, SPEC).medianMs();
+  }
+
+  /** Guards against run times that depend on where the tasks happened to run. */
+  @Test
+  void shouldDivideByTheFactorForRemoteData() {
+    for (int i = 0; i < 100; i++) {
+      runOn(worker("near", "r1"), 1_000);
+      runOn(worker("far", "r2"), 2_000);
+    }
+    assertThat(expectedMs()).isCloseTo(1_000, within(60.0));
+  }
+
+  /** Guards against rests of tasks, and runs of unknown beginning, that count as whole runs. */
+  @Test
+  void shouldLeaveOutPartsOfTasks() {
+    for (int i = 0; i < 100; i++) {
+      runOn(worker("w", "r1"), 1_000);
+    }
+    for (int i = 0; i < 100; i++) {
+      learner.onDone(attempt(worker("w", "r1"), "checkpoint"), 100, 100);
+      Attempt adopted = attempt(worker("w", "r1"), "");
+      adopted.isStartUncertain = true;
+      adopted.reportedAtMs = 90;
+      learner.onDone(adopted, 100, 100);
+      Attempt stalled = attempt(worker("w", "r1"), "");
+      stalled.isStalled = true;
+      stalled.reportedAtMs = 9_000;
+      learner.onInterrupted(stalled);
+    }
+    assertThat(expectedMs()).isCloseTo(1_000, within(60.0));
+  }
+
+  /** Guards against a slow worker that makes its tasks look long. */
+  @Test
+  void shouldDivideBySlownessOfAWorker() {
+    List<Worker> workers = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      workers.add(worker("w" + i, "r1"));
+    }
+    for (int i = 0; i < 100; i++) {
+      for (int w = 0; w < workers.size(); w++) {
+        runOn(workers.get(w), w == 0 ? 4_000 : 1_000);
+      }
+    }
+    assertThat(expectedMs()).isCloseTo(1_000, within(100.0));
+    assertThat(runTimes.predict(TestJobs.QUEUE, SPEC).highMs()).isLessThan(1_500);
+  }
+
+  /** Guards against a change of the tasks that is taken for slow workers and never learnt. */
+  @Test
+  void shouldFollowAChangeOnAllWorkers() {
+    List<Worker> workers = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      workers.add(worker("w" + i, "r1"));
+    }
+    for (int i = 0; i < 400; i++) {
+      runOn(workers.get(i % 20), 1_000);
+    }
+    for (int i = 0; i < 160; i++) {
+      runOn(workers.get(i % 20), 2_000);
+    }
+    assertThat(expectedMs()).isCloseTo(2_000, within(300.0));
+  }
+}
