Rank steps and estimate demand by the learnt run times

A queue with two kinds of work whose estimates are wrong in opposite directions got one correction for both: short jobs passed for late ones and long ones for small ones. Ranking uses the median of the kind for deadline and remaining time, since a mean with a few long tasks would delay the deadlines of all jobs of the kind; demand uses the mean, which adds up to the work. Without evidence both use the caller's estimate as before.

--- a/src/main/java/org/laburnumarch/internal/runtime/RunTimes.java
+++ b/src/main/java/org/laburnumarch/internal/runtime/RunTimes.java
@@ -35,10 +35,16 @@
   /** Largest ratio of prediction to estimate and back; beyond four times a spread of 0.9. */
   private static final double MAX_LOG_RATIO = Math.log(50);
 
+  /** Number of runs from which on single runs change predictions little. */
+  private static final int RUNS_OF_FIRST_GENERATIONS = 64;
+
+  private static final int RUNS_PER_GENERATION = 16;
+
   private final Map<KindKey, RunTimeModel> kinds = new BoundedMap<>(MAX_KINDS);
   private final Map<String, RunTimeModel> images = new BoundedMap<>(MAX_IMAGES);
   private final Map<String, RunTimeModel> queues = new BoundedMap<>(MAX_QUEUES);
   private final Map<String, Calibration> calibrations = new BoundedMap<>(MAX_QUEUES);
+  private long learntRuns;
 
   /** Drops the entry that has not been used for the longest time when it is full. */
   private static final class BoundedMap<K, V> extends LinkedHashMap<K, V> {
@@ -124,6 +130,7 @@
    * @param ranMs its time, as if near its data on a worker of usual speed, in milliseconds
    */
   public void learn(String queue, StepSpec step, double ranMs) {
+    learntRuns++;
     RunTimePrediction before = predict(queue, step);
     if (before.hasEvidence()) {
       calibrations
@@ -165,6 +172,16 @@
     return Collections.unmodifiableMap(calibrations);
   }
 
+  /**
+   * Returns a number that grows as more is learnt. As long as it stays the same, an earlier
+   * prediction for a step is still good enough.
+   */
+  public long generation() {
+    return learntRuns < RUNS_OF_FIRST_GENERATIONS
+        ? learntRuns
+        : RUNS_OF_FIRST_GENERATIONS + learntRuns / RUNS_PER_GENERATION;
+  }
+
   /** Returns the number of kinds of work that are known. */
   public int kindCount() {
     return kinds.size();
--- a/src/main/java/org/laburnumarch/internal/schedule/CandidateRanking.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CandidateRanking.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import org.laburnumarch.internal.job.QueueConfig;
+import org.laburnumarch.internal.runtime.RunTimes;
 
 /**
  * Ranks the steps that wait for workers of one service. Work that can still meet its objective goes
@@ -47,10 +48,10 @@
    */
   private static final double LATENESS_TOLERANCE = 0.1;
 
-  private final RunTimeEstimator runTimeEstimator;
+  private final RunTimes runTimes;
 
-  CandidateRanking(RunTimeEstimator runTimeEstimator) {
-    this.runTimeEstimator = runTimeEstimator;
+  CandidateRanking(RunTimes runTimes) {
+    this.runTimes = runTimes;
   }
 
   /** Builds the candidate for a step of a due occurrence. */
@@ -59,8 +60,8 @@
     if (step.spec.isLongRunning()) {
       return new Candidate(step, queue, Rank.LONG_RUNNING, job.hasStarted, job.submittedAtMs);
     }
-    double chainMs = chainMs(siblings, queue, false);
-    double remainingMs = chainMs(siblings, queue, true);
+    double chainMs = chainMs(siblings, false);
+    double remainingMs = chainMs(siblings, true);
     long originMs =
         job.spec.isTimed()
             ? nowMs - Math.max(0, epochMs - job.spec.dueEpochMs(step.occurrence))
@@ -72,11 +73,13 @@
   }
 
   /**
-   * Returns the expected time of the longest chain of dependent steps, in milliseconds.
+   * Returns the predicted time of the longest chain of dependent steps, in milliseconds, by the
+   * medians of the steps. The mean would let a few long tasks of a kind delay the deadlines of all
+   * its jobs.
    *
    * @param onlyRemaining whether steps that are done count as zero
    */
-  double chainMs(List<Step> steps, QueueConfig queue, boolean onlyRemaining) {
+  double chainMs(List<Step> steps, boolean onlyRemaining) {
     double[] endsMs = new double[steps.size()];
     double longestMs = 0;
     for (int i = 0; i < steps.size(); i++) {
@@ -88,8 +91,7 @@
           startMs = Math.max(startMs, endsMs[earlier]);
         }
       }
-      double ownMs =
-          onlyRemaining && step.isDone() ? 0 : runTimeEstimator.expectedMs(queue.name(), step.spec);
+      double ownMs = onlyRemaining && step.isDone() ? 0 : step.predict(runTimes).medianMs();
       endsMs[i] = startMs + ownMs;
       longestMs = Math.max(longestMs, endsMs[i]);
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -10,6 +10,7 @@
 import org.laburnumarch.internal.job.QueueConfig;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.pool.PoolDemand;
+import org.laburnumarch.internal.runtime.RunTimes;
 
 /**
  * Estimates how many workers each pool needs now, in workers of its usual size. Demand may jump to
@@ -26,12 +27,12 @@
   private static final double LATE_WORK_WEIGHT = 0.3;
 
   private final CandidateRanking ranking;
-  private final RunTimeEstimator runTimeEstimator;
+  private final RunTimes runTimes;
   private final Map<String, ArrivalRate> arrivalsByService = new HashMap<>();
 
-  DemandEstimator(CandidateRanking ranking, RunTimeEstimator runTimeEstimator) {
+  DemandEstimator(CandidateRanking ranking, RunTimes runTimes) {
     this.ranking = ranking;
-    this.runTimeEstimator = runTimeEstimator;
+    this.runTimes = runTimes;
   }
 
   /** Adds an accepted job to the rate of arrivals. Long-running and timed jobs are left out. */
@@ -43,7 +44,7 @@
     for (var step : job.spec.steps()) {
       workerTimeMs +=
           step.count()
-              * runTimeEstimator.expectedMs(queue.name(), step)
+              * runTimes.expectedMs(queue.name(), step)
               * fractionOfWorker(step.need(), workerSize);
     }
     arrivalsByService
@@ -71,7 +72,7 @@
       int unfinished = step.tasks.size() - step.doneCount;
       workMs +=
           unfinished
-              * runTimeEstimator.expectedMs(queue.name(), step.spec)
+              * step.predict(runTimes).expectedMs()
               * fractionOfWorker(step.spec.need(), workerSize);
     }
     if (workMs == 0) {
@@ -79,7 +80,7 @@
     }
     CandidateRanking.Candidate candidate =
         ranking.candidate(steps.get(0), steps, queue, nowMs, epochMs);
-    double chainMs = Math.max(1, ranking.chainMs(steps, queue, true));
+    double chainMs = Math.max(1, ranking.chainMs(steps, true));
     double plannedMs =
         Math.max(chainMs, PLANNED_TIME_FRACTION * (candidate.deadlineAtMs() - nowMs));
     double weight = candidate.rank() == CandidateRanking.Rank.LATE ? LATE_WORK_WEIGHT : 1;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -41,8 +41,8 @@
   private final RunTimes runTimes = new RunTimes();
   private final Tickets adviceTickets = new Tickets();
   private final TeamTokenBuckets teamBuckets = new TeamTokenBuckets();
-  private final CandidateRanking ranking = new CandidateRanking(runTimeEstimator);
-  private final DemandEstimator demandEstimator = new DemandEstimator(ranking, runTimeEstimator);
+  private final CandidateRanking ranking = new CandidateRanking(runTimes);
+  private final DemandEstimator demandEstimator = new DemandEstimator(ranking, runTimes);
   private final StragglerDetector stragglerDetector = new StragglerDetector(runTimeEstimator);
   private long slownessDecayedAtMs;
   private final RunTracker runTracker;
--- a/src/main/java/org/laburnumarch/internal/schedule/Step.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Step.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.job.TaskKey;
+import org.laburnumarch.internal.runtime.RunTimePrediction;
+import org.laburnumarch.internal.runtime.RunTimes;
 
 /** One step of one occurrence of a job. */
 final class Step {
@@ -14,6 +16,8 @@
   final StepSpec spec;
   final List<Task> tasks;
   int doneCount;
+  private RunTimePrediction prediction;
+  private long predictedInGeneration = -1;
 
   Step(Job job, int occurrence, int number, StepSpec spec) {
     this.job = job;
@@ -27,6 +31,18 @@
     this.tasks = List.copyOf(list);
   }
 
+  /**
+   * Returns the predicted run time of the tasks. Each round asks for it several times for each
+   * waiting step, so it is computed anew only after enough has been learnt.
+   */
+  RunTimePrediction predict(RunTimes runTimes) {
+    if (predictedInGeneration != runTimes.generation()) {
+      predictedInGeneration = runTimes.generation();
+      prediction = runTimes.predict(job.spec.queue(), spec);
+    }
+    return prediction;
+  }
+
   boolean isDone() {
     return doneCount == tasks.size();
   }
