Judge stragglers by the tail of their kind and by their own pace

Long tasks of a kind were stopped, up to twice each: 3.5 times the expected run time counts as crawling, whatever is usual for the kind, and the expected time was one corrected estimate for the whole queue. StragglerRule compares the projected time with the 0.995 quantile of the kind, or with its 0.9 quantile on a worker most of whose runs, of three jobs, are that slow. A run stands still if its percentage has not changed for the time that 25% take at its own pace. Without evidence the limits are as before. The factor for remote data now counts for a run, and for the health of its worker, as well.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTimeLearner.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTimeLearner.java
@@ -50,6 +50,12 @@
     return isRemote ? remoteSlowdownFactor : 1;
   }
 
+  /** Returns the ratio of a run's time so far to what was expected where it runs. */
+  double ratioToExpected(Attempt attempt, long nowMs) {
+    double expectedMs = attempt.task.step.predict(runTimes).expectedMs() * remoteFactor(attempt);
+    return (nowMs - attempt.orderedAtMs) / expectedMs;
+  }
+
   /**
    * Learns from a run that was done.
    *
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -37,7 +37,6 @@
   private final Map<String, Job> jobs;
   private final TeamUsage teamUsage;
   private final PendingChanges changes;
-  private final RunTimeEstimator runTimeEstimator;
   private final RunTimeLearner runTimeLearner;
   private final QueueLookup queues;
   private final CrashTracker crashTracker;
@@ -51,13 +50,11 @@
       Map<String, Job> jobs,
       TeamUsage teamUsage,
       PendingChanges changes,
-      RunTimeEstimator runTimeEstimator,
       RunTimeLearner runTimeLearner,
       QueueLookup queues) {
     this.jobs = jobs;
     this.teamUsage = teamUsage;
     this.changes = changes;
-    this.runTimeEstimator = runTimeEstimator;
     this.runTimeLearner = runTimeLearner;
     this.queues = queues;
     this.crashTracker = new CrashTracker(this, changes);
@@ -384,10 +381,7 @@
       return 0;
     }
     if (attempt != null && attempt.checkpoint.isEmpty()) {
-      long ranMs = nowMs - attempt.orderedAtMs;
-      worker.health.recordSuccess(
-          ranMs / runTimeEstimator.expectedMs(step.job.spec.queue(), step.spec));
-      runTimeEstimator.addSample(step.job.spec.queue(), step.spec, ranMs);
+      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, nowMs));
       runTimeLearner.onDone(attempt, requestedAtMs, nowMs);
     }
     if (step.spec.isGang()) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -37,13 +37,12 @@
   private final TeamUsage teamUsage = new TeamUsage();
   private final PendingChanges changes = new PendingChanges();
   private final FirstReportWindow firstReports = new FirstReportWindow();
-  private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
   private final RunTimes runTimes = new RunTimes();
   private final Tickets adviceTickets = new Tickets();
   private final TeamTokenBuckets teamBuckets = new TeamTokenBuckets();
   private final CandidateRanking ranking = new CandidateRanking(runTimes);
   private final DemandEstimator demandEstimator = new DemandEstimator(ranking, runTimes);
-  private final StragglerDetector stragglerDetector = new StragglerDetector(runTimeEstimator);
+  private final StragglerDetector stragglerDetector;
   private long slownessDecayedAtMs;
   private final RunTracker runTracker;
   private FleetConfig config = FleetConfig.EMPTY;
@@ -66,14 +65,10 @@
     this.term = term;
     this.ownershipProvenAtMs = nowMs;
     this.takeoverGuard = new TakeoverGuard(settings, nowMs, hadEarlierOwner);
+    RunTimeLearner learner = new RunTimeLearner(runTimes, settings.remoteSlowdownFactor());
+    this.stragglerDetector = new StragglerDetector(runTimes, learner);
     this.runTracker =
-        new RunTracker(
-            jobs,
-            teamUsage,
-            changes,
-            runTimeEstimator,
-            new RunTimeLearner(runTimes, settings.remoteSlowdownFactor()),
-            queue -> this.config.queue(queue));
+        new RunTracker(jobs, teamUsage, changes, learner, queue -> this.config.queue(queue));
   }
 
   /** Returns what has been learnt about run times; it may be restored before the first job. */
--- a/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
@@ -1,24 +1,21 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.HashSet;
+import java.util.Set;
+import org.laburnumarch.internal.runtime.RunTimePrediction;
+import org.laburnumarch.internal.runtime.RunTimes;
+import org.laburnumarch.internal.runtime.StragglerRule;
+import org.laburnumarch.internal.runtime.StragglerRule.Progress;
+import org.laburnumarch.internal.runtime.StragglerRule.Verdict;
+
 /**
  * Finds runs that make no progress or very slow progress, and marks them to be stopped so that they
  * run elsewhere. This covers workers that report themselves healthy but do not progress.
  */
 final class StragglerDetector {
 
-  /**
-   * A run whose percentage has not changed for this fraction of its expected run time is stalled.
-   */
-  private static final double STALLED_FRACTION = 0.6;
-
-  /**
-   * Minimum time without progress for a run to count as stalled; reports come at least once a
-   * second, so a shorter time is no sign of a stall.
-   */
-  private static final long MIN_STALL_MS = 900;
-
-  /** A run that would take more than this many times its expected run time is crawling. */
-  private static final double CRAWL_RATIO = 3.5;
+  /** Ratio of actual to expected run time that a stalled run counts as. */
+  private static final double STALLED_RATIO = 3.5;
 
   /**
    * Number of straggling runs of a task after which a crawling one is left alone. A task that
@@ -26,31 +23,39 @@
    */
   private static final int MAX_STRAGGLING_RUNS = 2;
 
-  /** Time that a run elsewhere must save to make up for the lost work. */
-  private static final long MIN_GAIN_MS = 700;
+  /** The same on a worker whose other runs are as fast as usual. */
+  private static final int MAX_STRAGGLING_RUNS_ON_USUAL_WORKER = 1;
 
-  private static final int ALL_PERCENT = 100;
+  /**
+   * Number of jobs with slow runs that make a worker slow. One run in ten is above its predicted
+   * 0.9 quantile; the runs of one job may share a wrong estimate.
+   */
+  private static final int MIN_SLOW_JOBS = 3;
 
-  private final RunTimeEstimator runTimeEstimator;
+  private final RunTimes runTimes;
+  private final RunTimeLearner learner;
 
-  StragglerDetector(RunTimeEstimator runTimeEstimator) {
-    this.runTimeEstimator = runTimeEstimator;
+  StragglerDetector(RunTimes runTimes, RunTimeLearner learner) {
+    this.runTimes = runTimes;
+    this.learner = learner;
   }
 
   /** Marks the straggling runs of a worker to be stopped. */
   void check(Worker worker, long nowMs) {
+    boolean isWorkerSlow = isSlow(worker, nowMs);
     for (Attempt attempt : worker.attempts.values()) {
-      Step step = attempt.task.step;
-      if (attempt.phase != Attempt.Phase.RUNNING
-          || attempt.isStopWanted
-          || attempt.task.attempt != attempt
-          || step.spec.isLongRunning()
-          || step.spec.isGang()) {
+      if (!isWatched(attempt)) {
         continue;
       }
-      double ratio = slowness(attempt, nowMs);
-      if (ratio > 1) {
-        worker.health.recordOverdueRun(ratio);
+      Verdict verdict = judge(attempt, isWorkerSlow, nowMs);
+      if (verdict != Verdict.USUAL) {
+        worker.health.recordOverdueRun(
+            verdict == Verdict.STALLED
+                ? STALLED_RATIO
+                : progress(attempt, nowMs).projectedMs()
+                    / (attempt.task.step.predict(runTimes).expectedMs()
+                        * learner.remoteFactor(attempt)));
+        attempt.isStalled = verdict == Verdict.STALLED;
         attempt.isStopWanted = true;
         attempt.task.stragglingRuns++;
         attempt.task.avoidedWorker = worker.id;
@@ -58,27 +63,58 @@
     }
   }
 
-  /** Returns the ratio of a straggler's run time to its expected run time; 1 for any other run. */
-  private double slowness(Attempt attempt, long nowMs) {
+  private static boolean isWatched(Attempt attempt) {
     Step step = attempt.task.step;
-    double expectedMs = runTimeEstimator.expectedMs(step.job.spec.queue(), step.spec);
-    long stalledMs = attempt.reportedAtMs - attempt.percentChangedAtMs;
-    boolean isStalled =
-        stalledMs > Math.max(MIN_STALL_MS, STALLED_FRACTION * expectedMs)
-            && attempt.percent < ALL_PERCENT;
-    if (isStalled) {
-      return CRAWL_RATIO;
-    }
-    long ranMs = attempt.percentChangedAtMs - attempt.orderedAtMs;
-    if (attempt.percent <= 0 || ranMs < MIN_STALL_MS || !attempt.checkpoint.isEmpty()) {
-      return 1;
+    return attempt.phase == Attempt.Phase.RUNNING
+        && !attempt.isStopWanted
+        && attempt.task.attempt == attempt
+        && !step.spec.isLongRunning()
+        && !step.spec.isGang();
+  }
+
+  private static Progress progress(Attempt attempt, long nowMs) {
+    return new Progress(
+        attempt.percent,
+        attempt.percentChangedAtMs - attempt.orderedAtMs,
+        attempt.reportedAtMs - attempt.percentChangedAtMs,
+        nowMs - attempt.orderedAtMs);
+  }
+
+  private Verdict judge(Attempt attempt, boolean isWorkerSlow, long nowMs) {
+    RunTimePrediction prediction = attempt.task.step.predict(runTimes);
+    Verdict verdict =
+        StragglerRule.judge(
+            prediction,
+            learner.remoteFactor(attempt),
+            progress(attempt, nowMs),
+            !attempt.checkpoint.isEmpty(),
+            isWorkerSlow);
+    int maxStragglingRuns =
+        isWorkerSlow || !prediction.hasEvidence()
+            ? MAX_STRAGGLING_RUNS
+            : MAX_STRAGGLING_RUNS_ON_USUAL_WORKER;
+    boolean isLeftAlone =
+        verdict == Verdict.CRAWLING && attempt.task.stragglingRuns >= maxStragglingRuns;
+    return isLeftAlone ? Verdict.USUAL : verdict;
+  }
+
+  /** Returns whether most of a worker's runs, of several jobs, are slower than nine of ten runs. */
+  private boolean isSlow(Worker worker, long nowMs) {
+    int withPace = 0;
+    int slow = 0;
+    Set<Job> slowJobs = new HashSet<>();
+    for (Attempt attempt : worker.attempts.values()) {
+      Progress progress = progress(attempt, nowMs);
+      if (!isWatched(attempt) || !attempt.checkpoint.isEmpty() || !progress.showsPace()) {
+        continue;
+      }
+      withPace++;
+      double highMs = attempt.task.step.predict(runTimes).highMs() * learner.remoteFactor(attempt);
+      if (progress.projectedMs() > highMs) {
+        slow++;
+        slowJobs.add(attempt.task.step.job);
+      }
     }
-    double projectedTotalMs = (double) ranMs * ALL_PERCENT / attempt.percent;
-    double remainingMs = projectedTotalMs - (nowMs - attempt.orderedAtMs);
-    boolean isCrawling =
-        attempt.task.stragglingRuns < MAX_STRAGGLING_RUNS
-            && projectedTotalMs > CRAWL_RATIO * expectedMs
-            && remainingMs > expectedMs + MIN_GAIN_MS;
-    return isCrawling ? projectedTotalMs / expectedMs : 1;
+    return slowJobs.size() >= MIN_SLOW_JOBS && 2 * slow > withPace;
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
@@ -8,8 +8,10 @@
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
+import org.laburnumarch.internal.runtime.RunTimes;
 
 /** Tests that runs which take longer than expected are moved only where that helps. */
 class StragglerTest {
@@ -61,6 +63,40 @@
     assertThat(scheduler.status("long")).contains(JobStatus.COMPLETED);
   }
 
+  /**
+   * Guards against a slow worker that is not found because its kinds have long tails, and against
+   * single long tasks that are stopped.
+   */
+  @Test
+  void shouldStopSlowRunsOnlyWhereMostAreSlow() {
+    RunTimes runTimes = new RunTimes();
+    StepSpec spec = TestJobs.step(1, 1_000);
+    for (int i = 0; i < 500; i++) {
+      runTimes.learn(TestJobs.QUEUE, spec, i % 30 == 0 ? 7_000 : 1_000);
+    }
+    StragglerDetector detector = new StragglerDetector(runTimes, new RunTimeLearner(runTimes, 2));
+    assertThat(stoppedRuns(detector, spec, 5, 5)).isEqualTo(5);
+    assertThat(stoppedRuns(detector, spec, 1, 5)).isZero();
+  }
+
+  /** Returns how many runs of a worker are stopped if some of them are four times too slow. */
+  private static long stoppedRuns(
+      StragglerDetector detector, StepSpec spec, int slowRuns, int runs) {
+    Worker worker = new Worker(new SimulatedWorker("w", TestJobs.SERVICE, "r1", 0).listing());
+    for (int i = 0; i < runs; i++) {
+      Step step = new Step(new Job(TestJobs.job("j" + i, 0, spec), 0, false), 0, 0, spec);
+      Attempt attempt = new Attempt(step.tasks.get(0), worker, 1, spec.need(), "", 0, 0);
+      attempt.phase = Attempt.Phase.RUNNING;
+      step.tasks.get(0).attempt = attempt;
+      attempt.percent = i < slowRuns ? 23 : 92;
+      attempt.percentChangedAtMs = 920;
+      attempt.reportedAtMs = 940;
+      worker.add(attempt);
+    }
+    detector.check(worker, 940);
+    return worker.attempts.values().stream().filter(attempt -> attempt.isStopWanted).count();
+  }
+
   private static WorkerReport withProgress(
       WorkerReport report, Map<Long, Long> startedAtMs, long nowMs) {
     List<RunningTask> running =
