--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -116,7 +116,7 @@
             tenure.term(),
             clock.nowMs(),
             earlier.isPresent());
-    this.runTimesKeeper = new RunTimesKeeper(scheduler.runTimes());
+    this.runTimesKeeper = new RunTimesKeeper(scheduler.runTimes(), meters);
     this.jobs =
         new JobStore(
             store,
