--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -43,7 +43,7 @@
   private final Map<String, Job> jobs;
   private final TeamUsage teamUsage;
   private final PendingChanges changes;
-  private final RunTimeEstimator runTimeEstimator;
+  private final RunTimeLearner runTimeLearner;
   private final QueueLookup queues;
   private final CrashTracker crashTracker;
 
@@ -56,12 +56,12 @@
       Map<String, Job> jobs,
       TeamUsage teamUsage,
       PendingChanges changes,
-      RunTimeEstimator runTimeEstimator,
+      RunTimeLearner runTimeLearner,
       QueueLookup queues) {
     this.jobs = jobs;
     this.teamUsage = teamUsage;
     this.changes = changes;
-    this.runTimeEstimator = runTimeEstimator;
+    this.runTimeLearner = runTimeLearner;
     this.queues = queues;
     this.crashTracker = new CrashTracker(this, changes);
   }
@@ -125,6 +125,7 @@
         // A long-running task that has begun serves callers already, so it is looked up first.
         attempt.isStopWanted |= !attempt.task.step.spec.isLongRunning();
         attempt.lookUpDeadlineAtMs = nowMs + LOOK_UP_MS;
+        attempt.isStartUncertain = true;
         worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + REFUSAL_PAUSE_MS);
       }
       case NO_ROOM, LATE -> onRefused(attempt, REFUSAL_PAUSE_MS, nowMs);
@@ -193,7 +194,7 @@
     for (EndedTask ended : report.ended()) {
       seen.add(Worker.attemptKey(ended.taskName(), ended.run()));
       if (ended.number() > worker.lastEndNumber) {
-        worker.recordEnd(ended.number(), onEnd(worker, ended, nowMs));
+        worker.recordEnd(ended.number(), onEnd(worker, ended, requestedAtMs, nowMs));
       }
     }
     List<Order> unknownRuns = new ArrayList<>();
@@ -326,6 +327,7 @@
       attempt.isStopWanted = true;
     }
     attempt.phase = Attempt.Phase.RUNNING;
+    attempt.isStartUncertain = true;
     attempt.confirmedClockMs = worker.clockMs(nowMs);
     attempt.confirmedAtMs = nowMs;
     register(attempt);
@@ -359,7 +361,7 @@
    * Applies the end of a run; returns the number of the batch that must be stored before the end is
    * acknowledged, or 0 if nothing needs to be stored.
    */
-  private long onEnd(Worker worker, EndedTask ended, long nowMs) {
+  private long onEnd(Worker worker, EndedTask ended, long requestedAtMs, long nowMs) {
     Attempt attempt = worker.attempts.get(Worker.attemptKey(ended.taskName(), ended.run()));
     Task task = attempt == null ? findTask(ended.taskName()) : attempt.task;
     boolean isStopOrdered = attempt != null && attempt.isStopWanted;
@@ -379,9 +381,12 @@
       return lastBatchNumber(ended.taskName());
     }
     return switch (ended.how()) {
-      case DONE -> onDone(worker, task, attempt, nowMs);
+      case DONE -> onDone(worker, task, attempt, requestedAtMs, nowMs);
       case FAILED -> onFailed(worker, task, ended.run(), nowMs);
       case STOPPED, LAPSED, BROKEN, ALONE -> {
+        if (attempt != null) {
+          runTimeLearner.onInterrupted(attempt);
+        }
         if (!isStopOrdered) {
           task.avoidedWorker = worker.id;
         }
@@ -390,16 +395,14 @@
     };
   }
 
-  private long onDone(Worker worker, Task task, Attempt attempt, long nowMs) {
+  private long onDone(Worker worker, Task task, Attempt attempt, long requestedAtMs, long nowMs) {
     Step step = task.step;
     if (step.spec.isLongRunning()) {
       return 0;
     }
     if (attempt != null && attempt.checkpoint.isEmpty()) {
-      long ranMs = nowMs - attempt.orderedAtMs;
-      worker.health.recordSuccess(
-          ranMs / runTimeEstimator.expectedMs(step.job.spec.queue(), step.spec));
-      runTimeEstimator.addSample(step.job.spec.queue(), step.spec, ranMs);
+      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, nowMs));
+      runTimeLearner.onDone(attempt, requestedAtMs, nowMs);
     }
     if (step.spec.isGang()) {
       // A gang is done as soon as one of its tasks is.
