Suspect only runs that were new when their worker was lost

Cause: a run counted as new until a report had shown it 300 ms after its start, and reports come up to 1 s apart, so far too many runs were suspects and each isolated start took up to 1.3 s.

A run is new at the loss of its worker if it was ordered at most 500 ms before the first missed report. A report is requested as soon as an isolated run is 300 ms old. After two crashes a suspect waits up to 4 s for isolation, and a task that was there beside newer runs is given up after four crashes instead of three.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -293,7 +293,7 @@
         scheduler.renewal(workerId, clock.nowMs()).ifPresent(renewal -> renew(renewal, renewing));
       } else if (!requestingReport.contains(workerId)) {
         scheduler
-            .immediateReportRequest(workerId)
+            .immediateReportRequest(workerId, clock.nowMs())
             .ifPresent(renewal -> renew(renewal, requestingReport));
       }
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -135,6 +135,14 @@
     isOfNextIncarnation = false;
   }
 
+  /** Returns whether the run is isolated until a report shows that it has survived its start. */
+  boolean isSurvivalUnknown(long nowMs) {
+    return isIsolated
+        && !hasSurvivedStart
+        && phase == Phase.RUNNING
+        && nowMs - orderedAtMs >= RunTracker.START_SURVIVAL_MS;
+  }
+
   /** Returns whether a report is awaited that shows whether an unanswered start has begun. */
   boolean isLookedUp() {
     return phase == Phase.UNANSWERED && !isStopWanted;
--- a/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
@@ -20,9 +20,25 @@
   /** Longest time that a suspect waits for a worker without other new runs. */
   static final long MAX_ISOLATION_WAIT_MS = 1_500;
 
-  /** Crashes after which a task is given up in any case. */
+  /**
+   * The same after two crashes. Starting beside other suspects again could give up a task that has
+   * crashed no worker.
+   */
+  private static final long MAX_REPEATED_ISOLATION_WAIT_MS = 4_000;
+
+  /**
+   * Age of a run at the loss of its worker up to which it may have caused the crash by being
+   * started. Longer than the time after which a run counts as survived, because the loss is noticed
+   * with a delay.
+   */
+  private static final long NEW_RUN_MS = 500;
+
+  /** Crashes after which a task is given up if it may have caused the last one. */
   private static final int MAX_CRASHES = 3;
 
+  /** Crashes after which a task is given up although a newer run may have caused the last one. */
+  private static final int MAX_CRASHES_BESIDE_NEW_RUNS = 4;
+
   private final RunTracker runTracker;
   private final PendingChanges changes;
 
@@ -35,37 +51,49 @@
    * Records that a worker's process has crashed under some of its runs, which must still be
    * registered. A worker that has announced its shutdown does not crash.
    */
-  void onCrash(Worker worker, Collection<Attempt> runs) {
+  void onCrash(Worker worker, Collection<Attempt> runs, long nowMs) {
     if (worker.listing.isDraining()) {
       return;
     }
-    boolean isOnlyNewRun = worker.newRunCount() == 1;
+    long lostAtMs = worker.missedReports > 0 ? worker.lostAtMs : nowMs;
+    long newRuns = worker.attempts.values().stream().filter(run -> isNew(run, lostAtMs)).count();
     for (Attempt run : runs) {
       // A start without a reply yet may have been refused by the ended process.
       if (run.phase != Attempt.Phase.ORDERED && run.task.attempt == run) {
-        count(run, isOnlyNewRun);
+        count(run, isNew(run, lostAtMs), newRuns);
       }
     }
   }
 
-  private void count(Attempt attempt, boolean isOnlyNewRun) {
+  private static boolean isNew(Attempt run, long lostAtMs) {
+    return !run.hasSurvivedStart && lostAtMs - run.orderedAtMs < NEW_RUN_MS;
+  }
+
+  private void count(Attempt attempt, boolean isNew, long newRuns) {
     Task task = attempt.task;
     Job job = task.step.job;
     StepSpec spec = task.step.spec;
-    boolean isNew = !attempt.hasSurvivedStart;
     if (job.status.isFinal() || task.isDone || (spec.isLongRunning() && !isNew)) {
       return;
     }
     task.crashes++;
     task.isSuspect |= isNew || task.crashes >= CRASHES_FOR_PROOF;
     task.isolationDeadlineAtMs = Long.MAX_VALUE;
-    boolean isProved = isNew && isOnlyNewRun && task.crashes >= CRASHES_FOR_PROOF;
-    if (isProved || task.crashes >= MAX_CRASHES) {
+    boolean isProved = isNew && newRuns == 1 && task.crashes >= CRASHES_FOR_PROOF;
+    boolean mayBeCause = isNew || newRuns == 0;
+    if (isProved || task.crashes >= (mayBeCause ? MAX_CRASHES : MAX_CRASHES_BESIDE_NEW_RUNS)) {
       runTracker.finish(job, JobStatus.FAILED);
     }
     changes.add(job);
   }
 
+  /** Returns how long a task may wait for a worker without other new runs. */
+  static long maxIsolationWaitMs(Task task) {
+    return task.crashes < CRASHES_FOR_PROOF
+        ? MAX_ISOLATION_WAIT_MS
+        : MAX_REPEATED_ISOLATION_WAIT_MS;
+  }
+
   /** Records that a worker still reports a run a while after its start. */
   void onStartSurvived(Attempt attempt) {
     Task task = attempt.task;
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -29,7 +29,7 @@
   private static final long CLOCK_TOLERANCE_MS = 1_500;
 
   /** Age at which a run that its worker reports has not crashed the worker by being started. */
-  private static final long START_SURVIVAL_MS = 300;
+  static final long START_SURVIVAL_MS = 300;
 
   /**
    * Longest time for which an unanswered start is looked up. A worker that reports does so much
@@ -202,7 +202,7 @@
       seen.add(Worker.attemptKey(running.taskName(), running.run()));
       onRunningReported(worker, running, report.workerClockMs(), nowMs).ifPresent(unknownRuns::add);
     }
-    unregisterAbsent(worker, report, requestedAtMs, seen);
+    unregisterAbsent(worker, report, requestedAtMs, seen, nowMs);
     return unknownRuns;
   }
 
@@ -221,7 +221,7 @@
           worker.attempts.values().stream()
               .filter(attempt -> attempt.isListed && !attempt.isOfNextIncarnation)
               .toList();
-      crashTracker.onCrash(worker, ended);
+      crashTracker.onCrash(worker, ended, nowMs);
       ended.forEach(this::unregister);
       worker.attempts.values().forEach(Attempt::onNextIncarnation);
     }
@@ -236,15 +236,15 @@
   }
 
   /** Removes all runs of a silent worker on which nothing can be running any more. */
-  void onLeaseExpired(Worker worker) {
+  void onLeaseExpired(Worker worker, long nowMs) {
     if (worker.isGone) {
-      crashTracker.onCrash(worker, worker.attempts.values());
+      crashTracker.onCrash(worker, worker.attempts.values(), nowMs);
     }
     List.copyOf(worker.attempts.values()).forEach(this::unregister);
   }
 
   private void unregisterAbsent(
-      Worker worker, WorkerReport report, long requestedAtMs, Set<String> seen) {
+      Worker worker, WorkerReport report, long requestedAtMs, Set<String> seen, long nowMs) {
     for (Map.Entry<String, Attempt> entry : List.copyOf(worker.attempts.entrySet())) {
       Attempt attempt = entry.getValue();
       boolean isConfirmed = attempt.confirmedClockMs >= 0;
@@ -256,7 +256,7 @@
       if (!seen.contains(entry.getKey())
           && (isRequestedAfterConfirmation || report.workerClockMs() > mustBeListedAfterClockMs)) {
         if (attempt.isOfUnknownIncarnation) {
-          crashTracker.onCrash(worker, List.of(attempt));
+          crashTracker.onCrash(worker, List.of(attempt), nowMs);
         }
         unregister(attempt);
       } else if (!seen.contains(entry.getKey())
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -357,6 +357,7 @@
     Worker worker = workers.find(workerId);
     if (worker != null) {
       firstReports.onSettled(worker);
+      worker.lostAtMs = worker.missedReports == 0 ? nowMs : worker.lostAtMs;
       worker.missedReports++;
       worker.lastReportAttemptMs = nowMs;
       // The acknowledgement that the request carried may not have arrived.
@@ -402,18 +403,18 @@
    * Returns a request for an immediate report, in addition to the one that the worker may be
    * delaying; empty if none is needed. It is needed to look up an unanswered start, and after one
    * has been stopped, because the task can only start again once a report shows that it does not
-   * run there.
+   * run there. It also ends the isolation of a run as soon as that has survived its start.
    */
-  public Optional<Renewal> immediateReportRequest(String workerId) {
+  public Optional<Renewal> immediateReportRequest(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
     boolean isWanted =
         worker != null
             && worker.attempts.values().stream()
                 .anyMatch(
                     attempt ->
-                        attempt.phase == Attempt.Phase.UNANSWERED
-                            && (attempt.isStopConfirmed
-                                || (attempt.isLookedUp() && worker.missedReports == 0)));
+                        (attempt.phase == Attempt.Phase.UNANSWERED && attempt.isStopConfirmed)
+                            || (worker.missedReports == 0
+                                && (attempt.isLookedUp() || attempt.isSurvivalUnknown(nowMs))));
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
@@ -530,7 +531,7 @@
   public Decisions decide(long nowMs, long epochMs) {
     for (Worker worker : workers.all()) {
       if (worker.missedReports > 0 && worker.isLeaseExpired(ownershipProvenAtMs)) {
-        runTracker.onLeaseExpired(worker);
+        runTracker.onLeaseExpired(worker, nowMs);
       }
     }
     workers
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -95,7 +95,7 @@
       Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
       if (worker.isEmpty() && task.needsIsolation(nowMs)) {
         task.isolationDeadlineAtMs =
-            Math.min(task.isolationDeadlineAtMs, nowMs + CrashTracker.MAX_ISOLATION_WAIT_MS);
+            Math.min(task.isolationDeadlineAtMs, nowMs + CrashTracker.maxIsolationWaitMs(task));
         if (placement.mayIsolateAnother()) {
           placement.holdWorkerForSuspect(task);
         }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -88,6 +88,9 @@
   /** Number of consecutive missed reports. */
   int missedReports;
 
+  /** Local time of the first of these. */
+  long lostAtMs;
+
   /** Whether nothing listens at its address, or another process does, as of the last request. */
   boolean isGone;
 
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -194,6 +194,28 @@
     }
   }
 
+  @Nested
+  class TasksThatCrashWorkersAmongManySuspects {
+
+    /** Guards against giving up tasks that were started beside one that crashes its workers. */
+    @Test
+    void shouldNotTakeOtherJobsDownWithThem() {
+      crashing.addAll(Set.of("job1.0.0.2", "job4.0.0.0", "job6.0.0.7"));
+      for (int i = 0; i < 8; i++) {
+        accept("job" + i, 8);
+      }
+      playUntil(nowMs + 100);
+      workers.values().forEach(worker -> worker.crash(nowMs));
+      playUntil(nowMs + 60_000);
+      for (int i = 0; i < 8; i++) {
+        boolean isCrashing = i == 1 || i == 4 || i == 6;
+        assertThat(scheduler.status("job" + i))
+            .contains(isCrashing ? JobStatus.FAILED : JobStatus.COMPLETED);
+      }
+      assertThat(crashes).isLessThanOrEqualTo(3 * 3);
+    }
+  }
+
   @Nested
   class ATaskThatTheNextProcessRuns {
 
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -219,9 +219,9 @@
       List<Order> next = decide();
       assertThat(next).containsExactly(new Order.Stop(lost.workerId(), "a.0.0.0", lost.run()));
       Order.Stop stop = (Order.Stop) next.get(0);
-      assertThat(scheduler.immediateReportRequest(stop.workerId())).isEmpty();
+      assertThat(scheduler.immediateReportRequest(stop.workerId(), nowMs)).isEmpty();
       scheduler.onStopReply(stop, worker(stop).stop(stop, 1, nowMs), nowMs);
-      assertThat(scheduler.immediateReportRequest(stop.workerId())).isPresent();
+      assertThat(scheduler.immediateReportRequest(stop.workerId(), nowMs)).isPresent();
       assertThat(starts()).isEmpty();
       nowMs += 50;
       report(one, 1);
@@ -252,7 +252,7 @@
       SimulatedWorker worker = worker(lost);
       worker.start(lost, 1, new Behaviour(Long.MAX_VALUE / 4, false, Resources.NONE), nowMs);
       assertThat(decide()).isEmpty();
-      assertThat(scheduler.immediateReportRequest(lost.workerId())).isPresent();
+      assertThat(scheduler.immediateReportRequest(lost.workerId(), nowMs)).isPresent();
       nowMs += 1_000;
       report(worker, 1);
       nowMs += 2_000;
