--- a/src/main/java/org/laburnumarch/internal/pacing/LinkLimit.java
+++ b/src/main/java/org/laburnumarch/internal/pacing/LinkLimit.java
@@ -25,6 +25,7 @@
   /** Limit above which nothing is limited in practice. */
   private static final int MAX_LIMIT = 4_096;
 
+  /** Lowest limit. A link of 1 Mbit/s needs 106 ms to transmit so many starts. */
   private static final int MIN_LIMIT = 8;
 
   /**
@@ -33,9 +34,6 @@
    */
   private static final int MAX_INITIAL = 256;
 
-  /** Lowest limit as a fraction of the initial one. */
-  private static final double MIN_FRACTION = 0.125;
-
   /**
    * Share of the time limit of an order that the link may need at the beginning to transmit all
    * starts in flight.
@@ -61,7 +59,6 @@
   private static final long MAX_WINDOW_MS = 100;
 
   private final long timeoutMs;
-  private final double minLimit;
   private final MinimumReplyTime minimum = new MinimumReplyTime();
   private final ReplyWindow window = new ReplyWindow();
   private double limit;
@@ -79,7 +76,6 @@
     this.timeoutMs = timeoutMs;
     double carried = linkBytesPerMs * timeoutMs * INITIAL_SHARE / orderBytes;
     this.limit = Math.max(MIN_LIMIT, Math.min(MAX_INITIAL, carried));
-    this.minLimit = Math.max(MIN_LIMIT, limit * MIN_FRACTION);
   }
 
   int get() {
@@ -120,7 +116,7 @@
     window.onAnswered(workerId, replyMs);
     boolean isMinimumOld = minimum.add(replyMs, nowMs);
     if (isMinimumOld && medianMs > nearMs()) {
-      limit = Math.max(minLimit, limit * PROBE_CUT);
+      limit = Math.max(MIN_LIMIT, limit * PROBE_CUT);
       endWindow(startsInFlight, nowMs);
       return Cut.PROBE;
     }
@@ -153,15 +149,15 @@
     Cut cut = Cut.NONE;
     if (window.isSufficient()) {
       // A limit that is far above what is in flight would need several cuts to take effect.
-      double used = Math.min(limit, Math.max(minLimit, window.peakInFlight()));
+      double used = Math.min(limit, Math.max(MIN_LIMIT, window.peakInFlight()));
       if (window.isMostlyMissing()) {
         cut = Cut.MISSING;
-        limit = Math.max(minLimit, used * MAX_CUT);
+        limit = Math.max(MIN_LIMIT, used * MAX_CUT);
       } else {
         medianMs = window.medianMs();
         if (medianMs > targetMs()) {
           cut = Cut.DELAY;
-          limit = Math.max(minLimit, used * Math.max(MAX_CUT, targetMs() / medianMs));
+          limit = Math.max(MIN_LIMIT, used * Math.max(MAX_CUT, targetMs() / medianMs));
         }
       }
     }
