Stop no run as crawling because all tasks have become longer

When a kind doubled its run time, most runs on every worker exceeded the 0.9 quantile, so each worker counted as slow and long runs were stopped until the prediction had followed. Kinds with fewer than 10 runs no longer count in judging a worker.

--- a/src/main/java/org/laburnumarch/internal/runtime/StragglerRule.java
+++ b/src/main/java/org/laburnumarch/internal/runtime/StragglerRule.java
@@ -32,13 +32,29 @@
   private static final double FIRST_PROGRESS_FRACTION = 0.4;
 
   /** Evidence from which on a kind's own distribution replaces the fixed fractions. */
-  private static final int MIN_RUNS = 10;
+  public static final int MIN_RUNS = 10;
 
   /** Ratio by which a run must exceed the quantile that it is compared with. */
   private static final double TAIL_MARGIN = 1.25;
 
   private static final double ALL_PERCENT = 100;
 
+  /**
+   * Ratio to the expected time below which no run counts as crawling while runs are slow
+   * everywhere.
+   */
+  private static final double CHANGED_RATIO = 3.5;
+
+  /** Where the other runs are slow, too. */
+  public enum SlowRuns {
+    /** Few runs are slow. */
+    FEW,
+    /** Most runs on the same worker are slow, and few elsewhere. */
+    ON_WORKER,
+    /** Many runs are slow on all workers: the tasks have changed. */
+    EVERYWHERE
+  }
+
   /** What is wrong with a run. */
   public enum Verdict {
     USUAL,
@@ -74,14 +90,14 @@
    *
    * @param factor factor by which the distance from the data lengthens the run
    * @param isResumed whether the run began from a checkpoint, so that its pace is unknown
-   * @param isWorkerSlow whether other runs on the worker are slow, too
+   * @param slowRuns where other runs are slow, too
    */
   public static Verdict judge(
       RunTimePrediction prediction,
       double factor,
       Progress progress,
       boolean isResumed,
-      boolean isWorkerSlow) {
+      SlowRuns slowRuns) {
     if (progress.percent() < ALL_PERCENT
         && progress.unchangedMs()
             > Math.max(MIN_STALL_MS, stallLimitMs(prediction, factor, progress, isResumed))) {
@@ -92,7 +108,7 @@
     }
     double remainingMs = progress.projectedMs() - progress.elapsedMs();
     boolean isCrawling =
-        progress.projectedMs() > crawlLimitMs(prediction, factor, isWorkerSlow)
+        progress.projectedMs() > crawlLimitMs(prediction, factor, slowRuns)
             && remainingMs > prediction.expectedMs() * factor + MIN_GAIN_MS;
     return isCrawling ? Verdict.CRAWLING : Verdict.USUAL;
   }
@@ -112,11 +128,16 @@
   }
 
   private static double crawlLimitMs(
-      RunTimePrediction prediction, double factor, boolean isWorkerSlow) {
+      RunTimePrediction prediction, double factor, SlowRuns slowRuns) {
     if (!prediction.hasEvidence()) {
       return prediction.tailMs() * factor;
     }
-    double quantileMs = isWorkerSlow ? prediction.highMs() : prediction.tailMs();
-    return TAIL_MARGIN * quantileMs * factor;
+    boolean isHighKnown = prediction.runs() >= MIN_RUNS;
+    double tailMs = TAIL_MARGIN * prediction.tailMs() * factor;
+    return switch (slowRuns) {
+      case FEW -> tailMs;
+      case ON_WORKER -> isHighKnown ? TAIL_MARGIN * prediction.highMs() * factor : tailMs;
+      case EVERYWHERE -> Math.max(tailMs, CHANGED_RATIO * prediction.expectedMs() * factor);
+    };
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
@@ -6,6 +6,7 @@
 import org.laburnumarch.internal.runtime.RunTimes;
 import org.laburnumarch.internal.runtime.StragglerRule;
 import org.laburnumarch.internal.runtime.StragglerRule.Progress;
+import org.laburnumarch.internal.runtime.StragglerRule.SlowRuns;
 import org.laburnumarch.internal.runtime.StragglerRule.Verdict;
 
 /**
@@ -32,8 +33,18 @@
    */
   private static final int MIN_SLOW_JOBS = 3;
 
+  /**
+   * Fraction of slow runs on all workers above which the tasks have changed. One run in ten is slow
+   * by definition, so this allows for a quarter of the workers to be slow.
+   */
+  private static final double CHANGED_FRACTION = 0.33;
+
+  /** Weight of one worker in the fraction of slow runs on all workers. */
+  private static final double WORKER_WEIGHT = 1.0 / 64;
+
   private final RunTimes runTimes;
   private final RunTimeLearner learner;
+  private double slowFraction;
 
   StragglerDetector(RunTimes runTimes, RunTimeLearner learner) {
     this.runTimes = runTimes;
@@ -42,12 +53,12 @@
 
   /** Marks the straggling runs of a worker to be stopped. */
   void check(Worker worker, long nowMs) {
-    boolean isWorkerSlow = isSlow(worker, nowMs);
+    SlowRuns slowRuns = findSlowRuns(worker, nowMs);
     for (Attempt attempt : worker.attempts.values()) {
       if (!isWatched(attempt)) {
         continue;
       }
-      Verdict verdict = judge(attempt, isWorkerSlow, nowMs);
+      Verdict verdict = judge(attempt, slowRuns, nowMs);
       if (verdict != Verdict.USUAL) {
         worker.health.recordOverdueRun(
             verdict == Verdict.STALLED
@@ -80,7 +91,7 @@
         nowMs - attempt.orderedAtMs);
   }
 
-  private Verdict judge(Attempt attempt, boolean isWorkerSlow, long nowMs) {
+  private Verdict judge(Attempt attempt, SlowRuns slowRuns, long nowMs) {
     RunTimePrediction prediction = attempt.task.step.predict(runTimes);
     Verdict verdict =
         StragglerRule.judge(
@@ -88,9 +99,9 @@
             learner.remoteFactor(attempt),
             progress(attempt, nowMs),
             !attempt.checkpoint.isEmpty(),
-            isWorkerSlow);
+            slowRuns);
     int maxStragglingRuns =
-        isWorkerSlow || !prediction.hasEvidence()
+        slowRuns == SlowRuns.ON_WORKER || !prediction.hasEvidence()
             ? MAX_STRAGGLING_RUNS
             : MAX_STRAGGLING_RUNS_ON_USUAL_WORKER;
     boolean isLeftAlone =
@@ -98,23 +109,36 @@
     return isLeftAlone ? Verdict.USUAL : verdict;
   }
 
-  /** Returns whether most of a worker's runs, of several jobs, are slower than nine of ten runs. */
-  private boolean isSlow(Worker worker, long nowMs) {
+  /**
+   * Finds out whether most of a worker's runs, of several jobs, are slower than nine of ten runs,
+   * and whether that is so on other workers, too.
+   */
+  private SlowRuns findSlowRuns(Worker worker, long nowMs) {
     int withPace = 0;
     int slow = 0;
     Set<Job> slowJobs = new HashSet<>();
     for (Attempt attempt : worker.attempts.values()) {
       Progress progress = progress(attempt, nowMs);
-      if (!isWatched(attempt) || !attempt.checkpoint.isEmpty() || !progress.showsPace()) {
+      RunTimePrediction prediction = attempt.task.step.predict(runTimes);
+      if (!isWatched(attempt)
+          || !attempt.checkpoint.isEmpty()
+          || !progress.showsPace()
+          || prediction.runs() < StragglerRule.MIN_RUNS) {
         continue;
       }
       withPace++;
-      double highMs = attempt.task.step.predict(runTimes).highMs() * learner.remoteFactor(attempt);
-      if (progress.projectedMs() > highMs) {
+      if (progress.projectedMs() > prediction.highMs() * learner.remoteFactor(attempt)) {
         slow++;
         slowJobs.add(attempt.task.step.job);
       }
     }
-    return slowJobs.size() >= MIN_SLOW_JOBS && 2 * slow > withPace;
+    if (withPace > 0) {
+      slowFraction += WORKER_WEIGHT * ((double) slow / withPace - slowFraction);
+    }
+    if (slowFraction > CHANGED_FRACTION) {
+      return SlowRuns.EVERYWHERE;
+    }
+    boolean isWorkerSlow = slowJobs.size() >= MIN_SLOW_JOBS && 2 * slow > withPace;
+    return isWorkerSlow ? SlowRuns.ON_WORKER : SlowRuns.FEW;
   }
 }
--- a/src/test/java/org/laburnumarch/internal/runtime/StragglerRuleTest.java
+++ b/src/test/java/org/laburnumarch/internal/runtime/StragglerRuleTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.runtime.StragglerRule.Progress;
+import org.laburnumarch.internal.runtime.StragglerRule.SlowRuns;
 import org.laburnumarch.internal.runtime.StragglerRule.Verdict;
 
 /**
@@ -67,7 +68,7 @@
     @Override
     public boolean stops(StepSpec step, Progress progress, int earlierStops) {
       RunTimePrediction prediction = runTimes.predict(QUEUE, step);
-      verdict = StragglerRule.judge(prediction, 1, progress, false, false);
+      verdict = StragglerRule.judge(prediction, 1, progress, false, SlowRuns.FEW);
       int maxStops = prediction.hasEvidence() ? 1 : MAX_STOPS;
       return verdict == Verdict.STALLED || (verdict == Verdict.CRAWLING && earlierStops < maxStops);
     }
--- a/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
@@ -79,6 +79,24 @@
     assertThat(stoppedRuns(detector, spec, 1, 5)).isZero();
   }
 
+  /** Guards against a change of the tasks that makes the system stop them on every worker. */
+  @Test
+  void shouldNotStopRunsThatAreSlowEverywhere() {
+    RunTimes runTimes = new RunTimes();
+    StepSpec spec = TestJobs.step(1, 1_000);
+    for (int i = 0; i < 500; i++) {
+      runTimes.learn(TestJobs.QUEUE, spec, 1_300);
+    }
+    StragglerDetector detector = new StragglerDetector(runTimes, new RunTimeLearner(runTimes, 2));
+    // Until many runs are seen to be slow, each worker with slow runs counts as a slow one.
+    long stopped = 0;
+    for (int worker = 0; worker < 200; worker++) {
+      stopped += stoppedRuns(detector, spec, 5, 5);
+    }
+    assertThat(stopped).isLessThan(5 * 40);
+    assertThat(stoppedRuns(detector, spec, 5, 5)).isZero();
+  }
+
   /** Returns how many runs of a worker are stopped if some of them are four times too slow. */
   private static long stoppedRuns(
       StragglerDetector detector, StepSpec spec, int slowRuns, int runs) {
