Size pools by a forecast of their demand

DemandForecaster learns when the peaks of each pool begin and how high they are, compares each prediction with what happened, and releases instances between peaks where the saved idle time outweighs the risk of being late. They return one lead time before the next peak. Without a recurrence the earlier rule applies. The window is a multiple of the times of a move and a registration now.

--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/forecast/PoolState.java
@@ -0,0 +1,179 @@
+package org.laburnumarch.internal.forecast;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.laburnumarch.internal.forecast.Recurrence.Prediction;
+
+/**
+ * What is known about the demand for one pool. Not thread-safe; no I/O.
+ *
+ * <p>With a confident recurrence, a pool holds its peak's level from a round trip before the next
+ * peak until the peak is overdue, and what it wants otherwise. Without, it holds the most that it
+ * needed in the recent past. A pool without history holds what it has for a round trip, and then a
+ * part that halves every two round trips: the pool is late by at most one lead time at its first
+ * peak, and a pool that is never used is not held for the whole day.
+ */
+final class PoolState {
+
+  /** Confidence from which instances are moved to a pool before its next peak. */
+  private static final double MIN_CONFIDENCE = 0.62;
+
+  /**
+   * Idle instance-seconds that one instance-second of missing capacity counts for. Work that waits
+   * for a move often finishes too late to be of use, while an idle instance only costs its time.
+   */
+  private static final double SHORTAGE_WEIGHT = 3;
+
+  /** Number of round trips in which the instances of a pool without history are halved. */
+  private static final int HALVING_ROUND_TRIPS = 2;
+
+  private final MoveTimes times;
+  private final PeakDetector detector;
+  private final Recurrence recurrence = new Recurrence();
+  private final RecentDemand recent;
+
+  /** Demand since the end of the last peak. */
+  private RecentDemand quiet;
+
+  private final long sinceMs;
+  private final long keepAllUntilMs;
+  private final int initialInstances;
+  private boolean isInitial = true;
+  private boolean hasSeenBatchDemand;
+
+  /**
+   * Creates a state without history.
+   *
+   * @param initialInstances what the pool has now
+   * @param keepAllUntilMs time until which all instances are kept
+   */
+  PoolState(MoveTimes times, int initialInstances, long keepAllUntilMs, long nowMs) {
+    this.times = times;
+    this.detector = new PeakDetector(times.roundTripMs());
+    this.recent = new RecentDemand(times.reactiveHoldMs());
+    this.quiet = new RecentDemand(times.roundTripMs());
+    this.initialInstances = initialInstances;
+    this.keepAllUntilMs = keepAllUntilMs;
+    this.sinceMs = nowMs;
+  }
+
+  /** Continues with what an earlier owner has learnt. */
+  void restore(List<Peak> peaks, List<Long> errorsMs, HitRecord record) {
+    recurrence.restore(peaks, errorsMs, record);
+    if (!peaks.isEmpty()) {
+      detector.restore(peaks.get(peaks.size() - 1));
+    }
+  }
+
+  Recurrence recurrence() {
+    return recurrence;
+  }
+
+  /**
+   * Records the demand and returns the outcome of a prediction, if one is known now.
+   *
+   * @param hasBatchDemand whether short tasks want any instances
+   */
+  Optional<Boolean> update(int wanted, boolean hasBatchDemand, long nowMs) {
+    hasSeenBatchDemand |= hasBatchDemand;
+    double average = recent.record(wanted, nowMs);
+    quiet.record(wanted, nowMs);
+    Optional<Boolean> outcome = Optional.empty();
+    long lastEndMs = detector.last().map(Peak::endMs).orElse(nowMs);
+    switch (detector.update(average, nowMs)) {
+      case BEGUN -> outcome = recurrence.onBegun(detector.last().orElseThrow());
+      case ENDED -> {
+        recurrence.onChanged(detector.last().orElseThrow());
+        quiet = new RecentDemand(times.roundTripMs());
+      }
+      case LEVEL_CHANGED -> recurrence.removeLast();
+      case RESUMED -> {
+        if (nowMs - lastEndMs > times.leadMs() / 2 && recurrence.isContradictedBy(nowMs)) {
+          outcome = Optional.of(false);
+        }
+      }
+      case NONE -> {
+        if (!detector.isInPeak() && recurrence.isMissed(nowMs)) {
+          outcome = Optional.of(false);
+        }
+      }
+    }
+    return outcome;
+  }
+
+  /**
+   * Returns the forecast.
+   *
+   * @param prior share of first predictions that were right in all pools
+   */
+  PoolForecast forecast(int wanted, int present, double prior, long nowMs) {
+    double confidence = recurrence.confidence(prior);
+    Optional<Prediction> prediction = recurrence.prediction();
+    int ahead = wanted;
+    int soon = wanted;
+    int hold = wanted;
+    if (detector.isInPeak()) {
+      hold = Math.max(hold, detector.last().orElseThrow().level());
+    }
+    if (confidence >= MIN_CONFIDENCE && detector.isInPeak()) {
+      hold = Math.max(hold, recurrence.level(true));
+    } else if (confidence >= MIN_CONFIDENCE) {
+      Prediction next = prediction.orElseThrow();
+      long earliestMs = next.atMs() - next.errorMs();
+      if (nowMs >= earliestMs - times.leadMs()) {
+        ahead = Math.max(ahead, recurrence.level(false));
+      }
+      if (nowMs >= earliestMs - times.roundTripMs()) {
+        soon = Math.max(ahead, recurrence.level(false));
+      }
+      hold = Math.max(soon, quiet.max());
+    }
+    if (!isReleaseWorthwhile(confidence)) {
+      hold = Math.max(hold, recentLevel(nowMs));
+    }
+    hold = Math.max(hold, initialHold(wanted, present, nowMs));
+    OptionalLong nextPeakAtMs =
+        prediction.map(next -> OptionalLong.of(next.atMs())).orElse(OptionalLong.empty());
+    return new PoolForecast(wanted, ahead, soon, hold, nextPeakAtMs, confidence);
+  }
+
+  /**
+   * Returns whether the idle time that is saved until the next peak outweighs the risk of being
+   * late because the peak comes earlier than predicted.
+   */
+  private boolean isReleaseWorthwhile(double confidence) {
+    if (confidence < MIN_CONFIDENCE) {
+      return false;
+    }
+    Prediction next = recurrence.prediction().orElseThrow();
+    long savedMs =
+        next.atMs() - next.errorMs() - times.roundTripMs() - detector.last().orElseThrow().endMs();
+    return confidence * savedMs >= (1 - confidence) * SHORTAGE_WEIGHT * times.leadMs();
+  }
+
+  /** Returns the most that was needed in the recent past, by this owner or an earlier one. */
+  private int recentLevel(long nowMs) {
+    int level = recent.max();
+    Optional<Peak> last = detector.last();
+    if (last.isPresent() && nowMs - last.get().endMs() <= times.reactiveHoldMs()) {
+      level = Math.max(level, last.get().level());
+    }
+    return level;
+  }
+
+  /** Returns how many instances a pool without history holds. */
+  private int initialHold(int wanted, int present, long nowMs) {
+    if (nowMs <= keepAllUntilMs) {
+      return present;
+    }
+    boolean isObserved = hasSeenBatchDemand && nowMs - sinceMs > times.reactiveHoldMs();
+    if (!isInitial || isObserved || initialInstances <= wanted) {
+      isInitial = false;
+      return 0;
+    }
+    double halvings =
+        (double) (nowMs - keepAllUntilMs) / (HALVING_ROUND_TRIPS * times.roundTripMs());
+    return wanted + (int) Math.ceil((initialInstances - wanted) * Math.pow(0.5, halvings) - 0.5);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -55,6 +55,7 @@
   private final OwnerTenure tenure;
   private final JobStore jobs;
   private final Meters meters;
+  private final DemandState demandState;
   private final FleetPlanner planner;
   private final long registryWriteIntervalMs;
   private final Map<Long, Long> seenEpochMs = new HashMap<>();
@@ -89,15 +90,18 @@
     this.tenure = tenure;
     this.jobs = jobs;
     this.meters = meters;
-    this.planner = new FleetPlanner(settings.moveMs(), settings.maintenanceMs());
+    this.demandState = new DemandState(settings, jobs, clock, earlierOwner.isPresent(), meters);
+    this.planner =
+        new FleetPlanner(settings.moveMs(), settings.maintenanceMs(), demandState.forecaster());
     this.registryWriteIntervalMs = settings.registryWriteIntervalMs();
     this.guard = new OrderGuard(clock.nowMs(), earlierOwner);
     this.nextToken = tenure.term() << ORDER_NUMBER_BITS;
   }
 
-  /** Restores the state of waves that earlier owners have stored. */
-  void restore(List<WaveRecord> waves) {
-    for (WaveRecord wave : waves) {
+  /** Restores the waves and the learnt demand that earlier owners have stored. */
+  void restore(JobStore.Contents contents) {
+    demandState.restore(contents.states());
+    for (WaveRecord wave : contents.waves()) {
       seenEpochMs.put(wave.number(), wave.seenEpochMs());
       startedByEarlierOwners.put(wave.number(), wave.startedMachines());
     }
@@ -136,8 +140,12 @@
     plan.orders().forEach(this::send);
     if (nowMs - poolsLoggedAtMs >= LOG_POOLS_EVERY_MS) {
       poolsLoggedAtMs = nowMs;
-      Logger.info("machines: event=pools {}", planner.describePools());
+      Logger.info(
+          "machines: event=pools {} {}",
+          planner.describePools(),
+          demandState.forecaster().describe(nowMs));
     }
+    demandState.store(nowMs);
     reportWaves();
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -200,7 +200,7 @@
                 scheduler.restoreFinal(progress, nowMs);
               }
             });
-    machineController.ifPresent(controller -> controller.restore(contents.waves()));
+    machineController.ifPresent(controller -> controller.restore(contents));
     isLoaded = true;
     Logger.info(
         "owner: event=loaded term={} jobs={} progress={} workers={}",
--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -10,6 +10,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import org.laburnumarch.internal.forecast.PoolForecast;
+import org.laburnumarch.internal.forecast.PoolForecaster;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.ServiceConfig;
 import org.laburnumarch.internal.schedule.WorkerLoad;
@@ -84,13 +87,13 @@
 
   private final long moveMs;
   private final long maintenanceMs;
+  private final PoolForecaster forecaster;
   private final Map<Long, WaveProgress> waves = new LinkedHashMap<>();
   private final Map<String, PendingOperation> pendingOperations = new LinkedHashMap<>();
 
   /** Instances whose move or maintenance has been accepted and is not known to be over. */
   private final Map<String, Unavailability> unavailable = new HashMap<>();
 
-  private final DemandHistory demandHistory = new DemandHistory();
   private final Map<String, Long> surplusSinceMs = new HashMap<>();
   private final Set<String> impossibleOrders = new HashSet<>();
   private Map<String, Machine> machines = Map.of();
@@ -110,10 +113,12 @@
    *
    * @param moveMs time that a move takes
    * @param maintenanceMs time that maintenance takes
+   * @param forecaster decides how many instances pools hold, and receives what they want
    */
-  public FleetPlanner(long moveMs, long maintenanceMs) {
+  public FleetPlanner(long moveMs, long maintenanceMs, PoolForecaster forecaster) {
     this.moveMs = moveMs;
     this.maintenanceMs = maintenanceMs;
+    this.forecaster = forecaster;
   }
 
   /**
@@ -357,14 +362,15 @@
                         * DRAIN_AND_MAINTENANCE_MS
                         / remainingTimeMs));
     remaining.sort(
-        Comparator.comparingDouble(machine -> disruption(machine, config, demands, loads)));
+        Comparator.comparingDouble(
+            machine -> InstanceCosts.disruption(machine, config, demands, loads)));
     int freeSlots = progress.wave.atOnce() - inProgress;
     int usedSlots = inProgress;
     for (Machine machine : remaining) {
       if (freeSlots <= 0) {
         return;
       }
-      boolean hasLowDisruption = disruption(machine, config, demands, loads) < 1;
+      boolean hasLowDisruption = InstanceCosts.disruption(machine, config, demands, loads) < 1;
       if (hasLowDisruption || usedSlots < needed) {
         pendingOperations.put(
             machine.name(),
@@ -375,28 +381,6 @@
     }
   }
 
-  /**
-   * Estimates how much running work is disrupted by the maintenance of an instance. Maintenance may
-   * start at any time if the result is below 1, and otherwise only as fast as the wave's deadline
-   * requires.
-   */
-  private static double disruption(
-      Machine machine,
-      FleetConfig config,
-      Map<String, PoolDemand> demands,
-      Map<String, WorkerLoad> loads) {
-    boolean isSpare = config.service(machine.pool()).map(ServiceConfig::isSpare).orElse(false);
-    WorkerLoad load = loads.get(machine.workerId());
-    if (isSpare || load == null) {
-      return 0;
-    }
-    double demandedWorkers = demands.getOrDefault(machine.pool(), PoolDemand.NONE).batchWorkers();
-    if (load.isEmpty()) {
-      return 0.1 + demandedWorkers / 10;
-    }
-    return 0.5 + load.reservedFraction() + demandedWorkers + load.shortRuns() / 10.0;
-  }
-
   private void planMoves(
       FleetConfig config,
       Map<String, PoolDemand> demands,
@@ -413,25 +397,34 @@
     }
     Map<String, Integer> wanted = wantedSizes(config, demands);
     Map<String, Integer> projected = projectedSizes(outOfServiceDataCentres);
+    Map<String, PoolForecast> forecasts = new TreeMap<>();
     wanted.forEach(
-        (pool, size) -> demandHistory.recordNeed(pool, size, hasDemand(demands, pool), nowMs));
+        (pool, size) ->
+            forecasts.put(
+                pool,
+                forecaster.update(
+                    pool,
+                    size,
+                    demands.getOrDefault(pool, PoolDemand.NONE).batchWorkers() > 0,
+                    projected.getOrDefault(pool, 0),
+                    nowMs)));
     poolSizes = "wanted=" + wanted + " present=" + projected;
-    List<String> poolsByShortage = new ArrayList<>(wanted.keySet());
-    poolsByShortage.sort(
-        Comparator.comparingInt(
-            pool -> projected.getOrDefault(pool, 0) - wanted.getOrDefault(pool, 0)));
-    for (String pool : poolsByShortage) {
-      int shortage = wanted.get(pool) - projected.getOrDefault(pool, 0);
-      for (int i = 0; i < shortage; i++) {
-        Optional<Machine> source =
-            chooseSource(pool, spare.get(), wanted, projected, loads, outOfServiceDataCentres);
-        if (source.isEmpty()) {
-          break;
+    // What is wanted now goes before what is expected, which takes nothing that other pools hold.
+    for (PoolShortage.Kind kind : PoolShortage.Kind.values()) {
+      Map<String, Integer> missing = kind.missing(forecasts, projected);
+      for (String pool : PoolShortage.largestFirst(missing)) {
+        for (int i = 0; i < missing.get(pool); i++) {
+          Optional<Machine> source =
+              chooseSource(
+                  pool, spare.get(), kind, forecasts, projected, loads, outOfServiceDataCentres);
+          if (source.isEmpty()) {
+            break;
+          }
+          addMove(source.get(), pool, projected, nowMs);
         }
-        addMove(source.get(), pool, projected, nowMs);
       }
     }
-    returnSurplus(spare.get(), wanted, projected, loads, nowMs);
+    returnSurplus(spare.get(), forecasts, projected, loads, nowMs);
   }
 
   private Map<String, Integer> wantedSizes(FleetConfig config, Map<String, PoolDemand> demands) {
@@ -450,10 +443,6 @@
     return wanted;
   }
 
-  private static boolean hasDemand(Map<String, PoolDemand> demands, String pool) {
-    return demands.getOrDefault(pool, PoolDemand.NONE).batchWorkers() > 0;
-  }
-
   /** Counts a pool's instances that are in maintenance or are drained for it. */
   private int countInMaintenance(String pool) {
     int count = 0;
@@ -493,7 +482,8 @@
   private Optional<Machine> chooseSource(
       String pool,
       String spare,
-      Map<String, Integer> wanted,
+      PoolShortage.Kind kind,
+      Map<String, PoolForecast> forecasts,
       Map<String, Integer> projected,
       Map<String, WorkerLoad> loads,
       Set<String> outOfServiceDataCentres) {
@@ -507,13 +497,16 @@
         continue;
       }
       boolean isSpare = machine.pool().equals(spare);
-      boolean isSurplus =
-          projected.getOrDefault(machine.pool(), 0) > wanted.getOrDefault(machine.pool(), 0);
-      if (!isSpare && !isSurplus) {
+      Optional<PoolForecast> donor = Optional.ofNullable(forecasts.get(machine.pool()));
+      int size = projected.getOrDefault(machine.pool(), 0);
+      if (!isSpare && size <= donor.map(kind::protectedSize).orElse(0)) {
         continue;
       }
       WorkerLoad load = loads.get(machine.workerId());
-      double cost = isSpare || load == null ? 0 : drainCost(load);
+      double cost = isSpare || load == null ? 0 : InstanceCosts.drainCost(load);
+      if (!isSpare && size <= donor.map(PoolForecast::soon).orElse(0)) {
+        cost += InstanceCosts.NEEDED_SOON;
+      }
       if (cost < bestCost) {
         best = machine;
         bestCost = cost;
@@ -522,11 +515,6 @@
     return bestCost <= 2 ? Optional.ofNullable(best) : Optional.empty();
   }
 
-  /** Estimates the time in seconds to drain a worker without losing work. */
-  private static double drainCost(WorkerLoad load) {
-    return 0.1 + load.longRunningRuns() * 1.5 + Math.min(1, load.shortRuns()) * 1.0;
-  }
-
   private boolean isAvailable(Machine machine) {
     return machine.state() == Machine.State.UP
         && !pendingOperations.containsKey(machine.name())
@@ -541,15 +529,13 @@
 
   private void returnSurplus(
       String spare,
-      Map<String, Integer> wanted,
+      Map<String, PoolForecast> forecasts,
       Map<String, Integer> projected,
       Map<String, WorkerLoad> loads,
       long nowMs) {
-    for (Map.Entry<String, Integer> entry : wanted.entrySet()) {
+    for (Map.Entry<String, PoolForecast> entry : forecasts.entrySet()) {
       String pool = entry.getKey();
-      int size = projected.getOrDefault(pool, 0);
-      int surplus =
-          size - Math.max(entry.getValue(), demandHistory.instancesToKeep(pool, size, nowMs));
+      int surplus = projected.getOrDefault(pool, 0) - entry.getValue().hold();
       if (surplus <= 0) {
         surplusSinceMs.remove(pool);
         continue;
@@ -568,7 +554,12 @@
                       machine -> loads.get(machine.workerId()).reservedFraction()))
               .limit(surplus)
               .toList();
-      leaving.forEach(machine -> addMove(machine, spare, projected, nowMs));
+      for (Machine machine : leaving) {
+        String next = PoolShortage.nextPool(forecasts, projected).orElse(spare);
+        boolean isImpossible =
+            impossibleOrders.contains(orderKey(new MachineOrder.Move(machine.name(), next)));
+        addMove(machine, isImpossible ? spare : next, projected, nowMs);
+      }
     }
   }
 }
--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -28,6 +28,7 @@
     INTERNAL + "fleet..",
     INTERNAL + "task..",
     INTERNAL + "hash..",
+    INTERNAL + "forecast..",
   };
 
   private static final JavaClasses PRODUCTION =
