--- a/src/main/java/org/laburnumarch/internal/forecast/DemandForecaster.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/DemandForecaster.java
@@ -25,7 +25,10 @@
   private final Map<String, PoolState> pools = new TreeMap<>();
   private final Map<String, PoolForecast> forecasts = new TreeMap<>();
   private Map<String, LearntDemand.Pool> restored = Map.of();
+
+  /** First predictions that were right, and all predictions that were wrong, in all pools. */
   private HitRecord firstPredictions = HitRecord.NONE;
+
   private long keepAllUntilMs;
   private long changes;
 
@@ -102,9 +105,10 @@
 
   private PoolState create(String pool, int present, long nowMs) {
     LearntDemand.Pool learnt = restored.get(pool);
+    boolean isKnown = learnt != null && !learnt.peaks().isEmpty();
     long keepUntilMs = Math.max(keepAllUntilMs, nowMs + times.roundTripMs());
-    PoolState state = new PoolState(times, learnt == null ? present : 0, keepUntilMs, nowMs);
-    if (learnt != null) {
+    PoolState state = new PoolState(times, isKnown ? 0 : present, keepUntilMs, nowMs);
+    if (isKnown) {
       state.restore(learnt.peaks(), learnt.errorsMs(), learnt.record());
     }
     return state;
--- a/src/main/java/org/laburnumarch/internal/forecast/LearntDemand.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/LearntDemand.java
@@ -17,7 +17,7 @@
 /**
  * What has been learnt of the demand for all pools, as it is stored. Unknown fields are ignored.
  *
- * @param firstPredictions how often the first prediction in a pool was right
+ * @param firstPredictions first predictions that were right, and all that were wrong
  * @param pools what is known by pool
  */
 record LearntDemand(HitRecord firstPredictions, Map<String, Pool> pools) {
