--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -30,6 +30,7 @@
     INTERNAL + "task..",
     INTERNAL + "hash..",
     INTERNAL + "pacing..",
+    INTERNAL + "forecast..",
   };
 
   private static final JavaClasses PRODUCTION =
