--- a/src/main/java/org/laburnumarch/internal/lead/InstanceSize.java
+++ b/src/main/java/org/laburnumarch/internal/lead/InstanceSize.java
@@ -30,10 +30,19 @@
    * @param known the sizes of all known instances
    */
   public long claimDelayMs(Collection<InstanceSize> known) {
+    return Math.round(MAX_CLAIM_DELAY_MS * (1 - shareOf(known)));
+  }
+
+  /**
+   * Returns this instance's part of the largest one's resources, by the scarcer resource, from 0 to
+   * 1.
+   *
+   * @param known the sizes of all known instances
+   */
+  public double shareOf(Collection<InstanceSize> known) {
     double largestCores = known.stream().mapToDouble(InstanceSize::cores).max().orElse(cores);
     double largestMbps = known.stream().mapToDouble(InstanceSize::linkMbps).max().orElse(linkMbps);
-    double share = Math.min(share(cores, largestCores), share(linkMbps, largestMbps));
-    return Math.round(MAX_CLAIM_DELAY_MS * (1 - share));
+    return Math.min(share(cores, largestCores), share(linkMbps, largestMbps));
   }
 
   private static double share(double own, double largest) {
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
@@ -16,6 +16,8 @@
  * @param renewalNumber number of the renewal within the term
  * @param isReleased whether the holder has released the ownership
  * @param claimedEpochMs when it was claimed, in Unix milliseconds
+ * @param successor name of the process to which a released ownership has been offered and that has
+ *     accepted it; otherwise empty
  */
 public record OwnerRecord(
     long term,
@@ -24,10 +26,23 @@
     int port,
     long renewalNumber,
     boolean isReleased,
-    long claimedEpochMs) {
+    long claimedEpochMs,
+    String successor) {
 
   private static final int FORMAT = 1;
 
+  /** Creates a record that names no successor. */
+  public OwnerRecord(
+      long term,
+      String holder,
+      String host,
+      int port,
+      long renewalNumber,
+      boolean isReleased,
+      long claimedEpochMs) {
+    this(term, holder, host, port, renewalNumber, isReleased, claimedEpochMs, "");
+  }
+
   /** Encodes the record. */
   public byte[] encode() {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -38,7 +53,8 @@
           .packInt(port)
           .packLong(renewalNumber)
           .packBoolean(isReleased)
-          .packLong(claimedEpochMs);
+          .packLong(claimedEpochMs)
+          .packString(successor);
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -46,7 +62,7 @@
   }
 
   /**
-   * Decodes a record.
+   * Decodes a record. One of an earlier version names no successor; earlier versions ignore it.
    *
    * @throws IOException if the bytes are not a record of a known format
    */
@@ -63,7 +79,8 @@
           in.unpackInt(),
           in.unpackLong(),
           in.unpackBoolean(),
-          in.unpackLong());
+          in.unpackLong(),
+          in.hasNext() ? in.unpackString() : "");
     }
   }
 
@@ -74,6 +91,21 @@
 
   /** Returns the record that releases this ownership. */
   public OwnerRecord released() {
-    return new OwnerRecord(term, holder, host, port, renewalNumber + 1, true, claimedEpochMs);
+    return releasedTo("");
+  }
+
+  /**
+   * Returns the record that releases this ownership to one process.
+   *
+   * @param chosen name of the process that has accepted it; empty for any
+   */
+  public OwnerRecord releasedTo(String chosen) {
+    return new OwnerRecord(
+        term, holder, host, port, renewalNumber + 1, true, claimedEpochMs, chosen);
+  }
+
+  /** Returns whether this ownership is released to another process than the given one. */
+  public boolean isReservedForOtherThan(String process) {
+    return isReleased && !successor.isEmpty() && !successor.equals(process);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -152,6 +152,19 @@
     silentSinceMs = nowMs;
   }
 
+  /**
+   * Records that the owner has stopped and released the ownership.
+   *
+   * @param record the record that releases it
+   * @param newEndOffset end offset of the log after that record; -1 if it may not be stored
+   */
+  public void onReleased(OwnerRecord record, long newEndOffset, long nowMs) {
+    onOwnerProcessTerminated();
+    if (newEndOffset >= 0) {
+      onRead(Optional.of(record), newEndOffset, nowMs);
+    }
+  }
+
   /** Returns the newest known record; empty if there is none. */
   public Optional<OwnerRecord> newest() {
     return newest;
