Add link messages for a planned handover of the ownership

Daemons have no way to tell the owner that they could take the ownership over, and a build closes a connection on which it gets an unknown type.

The heartbeat gets a last field that asks for states; earlier builds ignore it and never report, so they get none of the new messages. State report, offer, reply and release are MessagePack maps in which unknown fields are ignored, and unknown types are ignored from now on. Nothing sends them yet.

--- a/src/main/java/org/laburnumarch/internal/link/LinkClient.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkClient.java
@@ -22,6 +22,7 @@
 import org.laburnumarch.internal.link.LinkMessage.Announcement;
 import org.laburnumarch.internal.link.LinkMessage.Call;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
+import org.laburnumarch.internal.link.LinkMessage.HandoverMessage;
 import org.laburnumarch.internal.link.LinkMessage.Heartbeat;
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
 import org.laburnumarch.internal.link.LinkMessage.RecordsRequest;
@@ -45,6 +46,9 @@
     /** The other daemon has sent one of the operators' records. */
     void onOperatorRecord(OperatorRecord stored);
 
+    /** The other daemon has sent a message of the handover of the ownership. */
+    default void onHandoverMessage(HandoverMessage message) {}
+
     /**
      * The connection could not be established or has ended.
      *
@@ -157,6 +161,13 @@
     }
   }
 
+  /** Sends a message of the handover; the other daemon must have shown that it knows them. */
+  public void send(HandoverMessage message) {
+    if (isConnected()) {
+      Future<?> unused = channel.writeAndFlush(message);
+    }
+  }
+
   private void complete(long id, JobReply reply) {
     CompletableFuture<JobReply> result = openCalls.remove(id);
     if (result != null) {
@@ -207,6 +218,8 @@
         listener.onHeartbeat(heartbeat);
       } else if (message instanceof OperatorRecord stored) {
         listener.onOperatorRecord(stored);
+      } else if (message instanceof HandoverMessage handover) {
+        listener.onHandoverMessage(handover);
       }
     }
 
--- a/src/main/java/org/laburnumarch/internal/link/LinkCodec.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkCodec.java
@@ -11,6 +11,7 @@
 import org.laburnumarch.internal.link.LinkMessage.Announcement;
 import org.laburnumarch.internal.link.LinkMessage.Call;
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
+import org.laburnumarch.internal.link.LinkMessage.HandoverMessage;
 import org.laburnumarch.internal.link.LinkMessage.Heartbeat;
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
 import org.laburnumarch.internal.link.LinkMessage.RecordsRequest;
@@ -71,7 +72,8 @@
             .packLong(heartbeat.renewalNumber())
             .packLong(heartbeat.renewalAgeMs())
             .packLong(heartbeat.configVersion())
-            .packLong(heartbeat.configAgeMs());
+            .packLong(heartbeat.configAgeMs())
+            .packBoolean(heartbeat.isSeekingSuccessor());
       } else if (message instanceof Announcement announcement) {
         packer
             .packInt(ANNOUNCEMENT)
@@ -84,6 +86,8 @@
             .packLong(stored.offset())
             .packBinaryHeader(stored.value().length)
             .writePayload(stored.value());
+      } else if (message instanceof HandoverMessage handover) {
+        HandoverCodec.encode(handover, packer);
       } else {
         packer.packInt(RECORDS_REQUEST);
       }
@@ -98,6 +102,11 @@
     in.readBytes(bytes);
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       int type = unpacker.unpackInt();
+      if (type > ANNOUNCEMENT) {
+        // Messages of later versions are ignored.
+        HandoverCodec.decode(type, unpacker).ifPresent(out::add);
+        return;
+      }
       out.add(
           switch (type) {
             case CALL ->
@@ -122,7 +131,8 @@
                     unpacker.unpackLong(),
                     unpacker.unpackLong(),
                     unpacker.unpackLong(),
-                    unpacker.unpackLong());
+                    unpacker.unpackLong(),
+                    unpacker.hasNext() && unpacker.unpackBoolean());
             case OPERATOR_RECORD -> {
               String key = unpacker.unpackString();
               long offset = unpacker.unpackLong();
--- a/src/main/java/org/laburnumarch/internal/link/LinkMessage.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkMessage.java
@@ -1,5 +1,7 @@
 package org.laburnumarch.internal.link;
 
+import org.laburnumarch.internal.lead.DaemonState;
+
 /** A message between two daemons. */
 public sealed interface LinkMessage {
 
@@ -35,6 +37,8 @@
    * @param configVersion version of the configuration that it applies
    * @param configAgeMs time since it last confirmed that no newer configuration exists, in
    *     milliseconds
+   * @param isSeekingSuccessor whether the receiver should report its state, since the sender may
+   *     offer it the ownership
    */
   record Heartbeat(
       String holder,
@@ -42,8 +46,21 @@
       long renewalNumber,
       long renewalAgeMs,
       long configVersion,
-      long configAgeMs)
-      implements LinkMessage {}
+      long configAgeMs,
+      boolean isSeekingSuccessor)
+      implements LinkMessage {
+
+    /** Creates a heartbeat of a daemon that seeks no successor. */
+    public Heartbeat(
+        String holder,
+        long term,
+        long renewalNumber,
+        long renewalAgeMs,
+        long configVersion,
+        long configAgeMs) {
+      this(holder, term, renewalNumber, renewalAgeMs, configVersion, configAgeMs, false);
+    }
+  }
 
   /**
    * Announces that the sender owns the fleet. Reaches daemons that cannot read the store.
@@ -66,6 +83,43 @@
   @SuppressWarnings("ArrayRecordComponent")
   record OperatorRecord(String key, byte[] value, long offset) implements LinkMessage {}
 
+  /** A message of the planned handover of the ownership. */
+  sealed interface HandoverMessage extends LinkMessage {}
+
+  /** Reports the state of a daemon to an owner that seeks a successor. */
+  record StateReport(DaemonState state) implements HandoverMessage {}
+
+  /**
+   * Offers the ownership to the receiver.
+   *
+   * @param term number of the ownership
+   * @param number number of the offer in this ownership; the reply has the same
+   */
+  record Offer(long term, long number) implements HandoverMessage {}
+
+  /**
+   * The reply to an offer.
+   *
+   * @param number number of the offer
+   * @param cause why it is not accepted; empty if it is accepted
+   */
+  record OfferReply(long number, String cause) implements HandoverMessage {
+
+    /** Returns whether the offer is accepted. */
+    public boolean isAccepted() {
+      return cause.isEmpty();
+    }
+  }
+
+  /**
+   * The sender has stopped giving orders and has released the ownership to the receiver.
+   *
+   * @param record the encoded record that releases it
+   * @param endOffset end offset of the ownership log after that record; -1 if it may not be stored
+   */
+  @SuppressWarnings("ArrayRecordComponent")
+  record Released(byte[] record, long endOffset) implements HandoverMessage {}
+
   /** The kind of a call. */
   enum CallKind {
     SUBMIT,
--- a/src/main/java/org/laburnumarch/internal/link/LinkServer.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkServer.java
@@ -19,8 +19,10 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Future;
+import java.util.function.Consumer;
 import org.laburnumarch.internal.link.LinkMessage.Announcement;
 import org.laburnumarch.internal.link.LinkMessage.Call;
+import org.laburnumarch.internal.link.LinkMessage.HandoverMessage;
 import org.laburnumarch.internal.link.LinkMessage.Heartbeat;
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
 import org.laburnumarch.internal.link.LinkMessage.RecordsRequest;
@@ -46,6 +48,13 @@
      */
     void onAnnouncement(byte[] record);
 
+    /**
+     * Another daemon has sent a message of the handover of the ownership.
+     *
+     * @param reply sends messages to that daemon
+     */
+    default void onHandoverMessage(HandoverMessage message, Consumer<HandoverMessage> reply) {}
+
     /** Returns the operators' records that this daemon knows. */
     List<OperatorRecord> operatorRecords();
   }
@@ -125,6 +134,12 @@
       } else if (message instanceof Announcement announcement) {
         service.onAnnouncement(announcement.record());
         Future<?> unused = context.writeAndFlush(service.heartbeat());
+      } else if (message instanceof HandoverMessage handover) {
+        service.onHandoverMessage(
+            handover,
+            reply -> {
+              Future<?> unused = context.writeAndFlush(reply);
+            });
       } else if (message instanceof RecordsRequest) {
         for (OperatorRecord stored : service.operatorRecords()) {
           Future<?> unused = context.write(stored);
