Hand the ownership over to a chosen daemon

HandoverOffers carries out what HandoverPolicy decides: it offers the ownership, stops all orders once the offer is accepted, appends a release that names the successor, and tells it the end of the log. The successor (HandoverCandidate) claims at once by the conditional append. Daemons probe the store and report only while the owner seeks a successor.

--- a/src/main/java/org/laburnumarch/internal/node/DaemonDirectory.java
+++ b/src/main/java/org/laburnumarch/internal/node/DaemonDirectory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletionStage;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.InstanceSize;
 import org.laburnumarch.internal.platform.NodeSettings;
@@ -12,6 +13,7 @@
 import org.laburnumarch.internal.platform.StoreClient.KeyedValue;
 import org.laburnumarch.internal.platform.StoreClient.NewestPage;
 import org.laburnumarch.internal.platform.StoreClient.StoreRecord;
+import org.laburnumarch.internal.platform.StoreClient.WriteResult;
 import org.tinylog.Logger;
 
 /**
@@ -67,13 +69,7 @@
     if (isClosed) {
       return;
     }
-    DaemonRecord record = new DaemonRecord(settings.ip(), settings.linkPort(), ownSize);
-    store
-        .append(
-            StoreClient.DAEMON_LOG,
-            List.of(new KeyedValue(settings.name(), Optional.of(record.encode()))),
-            OptionalLong.empty(),
-            Optional.empty())
+    writeOwnRecord()
         .whenComplete(
             (result, failure) -> {
               if (failure != null) {
@@ -82,6 +78,16 @@
             });
   }
 
+  /** Writes this daemon's record once. */
+  CompletionStage<WriteResult> writeOwnRecord() {
+    DaemonRecord record = new DaemonRecord(settings.ip(), settings.linkPort(), ownSize);
+    return store.append(
+        StoreClient.DAEMON_LOG,
+        List.of(new KeyedValue(settings.name(), Optional.of(record.encode()))),
+        OptionalLong.empty(),
+        Optional.empty());
+  }
+
   /** Reads the sizes again; retries until it succeeds. */
   void refresh() {
     if (isClosed || isReading) {
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.laburnumarch.internal.http.EventLoopThread;
+import org.laburnumarch.internal.lead.ClaimCause;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.lead.OwnerWatch;
@@ -36,8 +37,32 @@
     void onOwnerChanged(OwnerRecord owner);
   }
 
+  /** Receives the result of a planned release. */
+  interface ReleaseListener {
+
+    /**
+     * The ownership has been released.
+     *
+     * @param record the record that releases it
+     * @param newEndOffset end offset of the log after the record; -1 if it may not be stored
+     */
+    void onReleased(OwnerRecord record, long newEndOffset);
+  }
+
   private static final String OWNER_KEY = "owner";
 
+  /** Pause before a release is tried again that has to wait for a renewal under way. */
+  private static final long RELEASE_RETRY_MS = 5;
+
+  /**
+   * Time after which a planned release does not wait for the store any more; a slow store answers
+   * within 240 ms.
+   */
+  private static final long RELEASE_TIMEOUT_MS = 300;
+
+  /** Time for which a released ownership is left to the daemon to which it was released. */
+  private static final long RESERVED_MS = 400;
+
   /** Time between two reads of the log while the owner's heartbeats are missing. */
   private static final long READ_EVERY_MS = 150;
 
@@ -61,6 +86,9 @@
   private boolean isClosed;
   private boolean isCandidate = true;
 
+  /** Local time until which this daemon claims without a delay what was released to it. */
+  private long chosenUntilMs = Long.MIN_VALUE / 2;
+
   /**
    * Creates an election that does nothing until {@link #start}.
    *
@@ -198,7 +226,11 @@
         .filter(record -> before.map(old -> old.term() != record.term()).orElse(true))
         .ifPresent(listener::onOwnerChanged);
     // If the response to a claim of this process was lost, it claims again under a new term.
-    boolean isOwn = watch.newest().map(record -> record.holder().equals(holder)).orElse(false);
+    boolean isOwn =
+        watch
+            .newest()
+            .map(record -> record.holder().equals(holder) && !record.isReleased())
+            .orElse(false);
     if (isCandidate && !isWriting && (isOwn || shouldClaim(nowMs))) {
       claim(nowMs);
     } else {
@@ -207,8 +239,15 @@
   }
 
   private boolean shouldClaim(long nowMs) {
+    if (nowMs < chosenUntilMs) {
+      return watch.shouldClaim(nowMs, 0);
+    }
+    long reservedMs =
+        watch.newest().map(record -> record.isReservedForOtherThan(holder)).orElse(false)
+            ? RESERVED_MS
+            : 0;
     OptionalLong delayMs = claimDelayMs.get();
-    return delayMs.isPresent() && watch.shouldClaim(nowMs, delayMs.getAsLong());
+    return delayMs.isPresent() && watch.shouldClaim(nowMs, reservedMs + delayMs.getAsLong());
   }
 
   private void readOwnerAgain() {
@@ -252,7 +291,11 @@
     lastRenewalAttemptMs = sentAtMs;
     OwnerTenure gained = new OwnerTenure(claim, sentAtMs);
     tenure = Optional.of(gained);
-    Logger.info("owner: event=gained term={} holder={}", claim.term(), holder);
+    Logger.info(
+        "owner: event=gained term={} holder={} why={}",
+        claim.term(),
+        holder,
+        ClaimCause.of(earlier, holder));
     listener.onOwnershipGained(gained, earlier);
   }
 
@@ -310,6 +353,76 @@
     }
   }
 
+  /** Makes this daemon claim no more. */
+  void withdrawCandidacy() {
+    isCandidate = false;
+  }
+
+  /** Claims at once an ownership that its holder has released to this daemon. */
+  void claimReleased(OwnerRecord released, long newEndOffset) {
+    long nowMs = clock.nowMs();
+    boolean isOutdated = watch.newest().map(known -> known.term() > released.term()).orElse(false);
+    if (!isCandidate || isClosed || isOutdated || tenure.isPresent()) {
+      return;
+    }
+    chosenUntilMs = nowMs + RELEASE_TIMEOUT_MS + RESERVED_MS;
+    watch.onReleased(released, newEndOffset, nowMs);
+    if (newEndOffset >= 0 && !isWriting) {
+      claim(nowMs);
+    } else if (!isReading) {
+      readOwner();
+    }
+  }
+
+  /**
+   * Stores that the ownership is released to another daemon, after a renewal under way has ended.
+   *
+   * @param stopOrders run right before the release; from then on the ownership is given up, also if
+   *     the store does not answer
+   * @param onFailed run if a renewal under way did not end in time; the ownership is kept
+   */
+  void releaseTo(
+      String successor, Runnable stopOrders, ReleaseListener onReleased, Runnable onFailed) {
+    awaitRelease(successor, stopOrders, onReleased, onFailed, clock.nowMs() + RELEASE_TIMEOUT_MS);
+  }
+
+  private void awaitRelease(
+      String successor,
+      Runnable stopOrders,
+      ReleaseListener onReleased,
+      Runnable onFailed,
+      long deadlineMs) {
+    if (isClosed || tenure.isEmpty()) {
+      return;
+    }
+    if (!isWriting) {
+      stopOrders.run();
+      storeRelease(tenure.get(), tenure.get().newest().releasedTo(successor), onReleased);
+    } else if (clock.nowMs() >= deadlineMs) {
+      onFailed.run();
+    } else {
+      loop.schedule(
+          RELEASE_RETRY_MS,
+          () -> awaitRelease(successor, stopOrders, onReleased, onFailed, deadlineMs));
+    }
+  }
+
+  private void storeRelease(OwnerTenure held, OwnerRecord released, ReleaseListener onReleased) {
+    Consumer<Long> finish =
+        newEndOffset -> {
+          if (tenure.equals(Optional.of(held))) {
+            onReleased.onReleased(released, newEndOffset);
+            lose("handed over to " + released.successor());
+          }
+        };
+    write(
+        released,
+        endOffset,
+        result ->
+            finish.accept(result.outcome() == WriteOutcome.STORED ? result.endOffset() : -1L));
+    loop.schedule(RELEASE_TIMEOUT_MS, () -> finish.accept(-1L));
+  }
+
   /**
    * Stores that the ownership is released, so that another daemon can claim at once. This daemon
    * does not claim again.
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -7,14 +7,18 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.laburnumarch.internal.http.EventLoopThread;
+import org.laburnumarch.internal.lead.ClaimCause;
+import org.laburnumarch.internal.lead.InstanceSize;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.link.JobReply;
 import org.laburnumarch.internal.link.JobReply.Code;
 import org.laburnumarch.internal.link.LinkClient;
 import org.laburnumarch.internal.link.LinkMessage.Call;
+import org.laburnumarch.internal.link.LinkMessage.HandoverMessage;
 import org.laburnumarch.internal.link.LinkMessage.Heartbeat;
 import org.laburnumarch.internal.link.LinkMessage.OperatorRecord;
 import org.laburnumarch.internal.link.LinkServer;
@@ -51,6 +55,8 @@
   private final OperatorWatch operators;
   private final DaemonDirectory daemons;
   private final Election election;
+  private final HandoverCandidate candidate;
+  private final HandoverOffers offers;
   private final JobRouter router;
   private final LinkServer linkServer;
   private final HttpServerContext callers;
@@ -63,6 +69,7 @@
   private long ownerRenewalAgeMs;
   private long linkHeardAtMs;
   private long recordsRequestedAtMs;
+  private long heartbeatDueAtMs;
   private boolean isStopping;
   private boolean isClosed;
 
@@ -90,6 +97,9 @@
             settings.linkPort(),
             daemons::claimDelayMs,
             new ElectionListener());
+    InstanceSize size = new InstanceSize(settings.cpuShare(), settings.linkMbps());
+    this.candidate = new HandoverCandidate(store, clock, daemons, size, holder, election);
+    this.offers = new HandoverOffers(loop, clock, size, election, meters, new HandoverReleaser());
     this.linkServer =
         new LinkServer(
             new InetSocketAddress(settings.ip(), settings.linkPort()),
@@ -130,6 +140,7 @@
     operators.start();
     election.start();
     daemons.start();
+    heartbeatDueAtMs = clock.nowMs();
     heartbeat();
   }
 
@@ -157,16 +168,22 @@
         tenure.map(held -> held.newest().renewalNumber()).orElse(0L),
         tenure.map(held -> held.renewalAgeMs(nowMs)).orElse(0L),
         operators.config().version(),
-        operators.configAgeMs());
+        operators.configAgeMs(),
+        offers.isSeeking());
   }
 
   private void heartbeat() {
     if (isClosed) {
       return;
     }
+    long nowMs = clock.nowMs();
     try {
-      keepLinks(clock.nowMs());
+      candidate.onTimer(nowMs - heartbeatDueAtMs);
+      owner.flatMap(Owner::takeLoadSample).ifPresent(offers::onSample);
+      keepLinks(nowMs);
+      offers.decide();
     } finally {
+      heartbeatDueAtMs = nowMs + HEARTBEAT_EVERY_MS;
       loop.schedule(HEARTBEAT_EVERY_MS, this::heartbeat);
     }
   }
@@ -191,6 +208,12 @@
     router.useLink(link);
   }
 
+  private void closeOwner() {
+    owner.ifPresent(Owner::close);
+    owner = Optional.empty();
+    router.useOwner(owner);
+  }
+
   private void dropLink() {
     link.ifPresent(LinkClient::close);
     link = Optional.empty();
@@ -198,8 +221,8 @@
   }
 
   /**
-   * Shuts down gracefully: releases the ownership, and completes after open connections have been
-   * served a little longer. The daemon must still be closed afterwards.
+   * Shuts down gracefully: hands over or releases the ownership, and completes after open
+   * connections have been served a little longer. The daemon must still be closed afterwards.
    */
   public CompletionStage<Void> stop() {
     CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -207,22 +230,23 @@
         () -> {
           Logger.info("node: event=stopping");
           isStopping = true;
-          election.release(
-              () ->
-                  loop.execute(
-                      () -> {
-                        election.stepDown("shutdown");
-                        loop.schedule(
-                            LINGER_MS,
-                            () -> {
-                              Logger.info("node: event=stopped");
-                              stopped.complete(null);
-                            });
-                      }));
+          candidate.onStopping();
+          election.withdrawCandidacy();
+          offers.stop(() -> election.release(() -> loop.execute(() -> linger(stopped))));
         });
     return stopped;
   }
 
+  private void linger(CompletableFuture<Void> stopped) {
+    election.stepDown("shutdown");
+    loop.schedule(
+        LINGER_MS,
+        () -> {
+          Logger.info("node: event=stopped");
+          stopped.complete(null);
+        });
+  }
+
   /** Closes everything at once. */
   @Override
   public void close() {
@@ -242,6 +266,8 @@
     @Override
     public void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier) {
       meters.count("ownerships_total", "gained");
+      meters.count("ownership_causes_total", ClaimCause.of(earlier, holder).name());
+      offers.onGained();
       dropLink();
       owner.ifPresent(Owner::close);
       Owner created =
@@ -258,6 +284,7 @@
       owner = Optional.of(created);
       router.useOwner(owner);
       created.start();
+      earlier.filter(candidate::hasStopped).ifPresent(created::onEarlierOwnerStopped);
       announcer.ifPresent(Announcer::close);
       Announcer started =
           new Announcer(
@@ -279,11 +306,10 @@
     public void onOwnershipLost() {
       meters.count("ownerships_total", "lost");
       announcer.ifPresent(Announcer::close);
+      offers.onLost();
       // Other daemons can claim at once when they learn that this one has stepped down.
       linkServer.broadcast(ownHeartbeat());
-      owner.ifPresent(Owner::close);
-      owner = Optional.empty();
-      router.useOwner(owner);
+      closeOwner();
     }
 
     @Override
@@ -324,6 +350,7 @@
       election.onHeartbeat(heartbeat);
       ownerRenewalAgeMs = heartbeat.term() == 0 ? Long.MAX_VALUE : heartbeat.renewalAgeMs();
       operators.onOwnerConfirmed(heartbeat.configVersion(), heartbeat.configAgeMs());
+      candidate.onHeartbeat(heartbeat, client::send);
       boolean isBehind = heartbeat.configVersion() > operators.config().version();
       if (isBehind && nowMs - recordsRequestedAtMs > LINK_SILENCE_MS) {
         recordsRequestedAtMs = nowMs;
@@ -336,6 +363,11 @@
       operators.onRecordFromOwner(stored);
     }
 
+    @Override
+    public void onHandoverMessage(HandoverMessage message) {
+      candidate.onMessage(message, client::send);
+    }
+
     @Override
     public void onClosed(boolean isUnreachable) {
       if (isClosed || link.isEmpty() || link.get() != client) {
@@ -352,6 +384,18 @@
     }
   }
 
+  private final class HandoverReleaser implements HandoverOffers.Releaser {
+    @Override
+    public void sendHeartbeat() {
+      linkServer.broadcast(ownHeartbeat());
+    }
+
+    @Override
+    public void stopOrders() {
+      closeOwner();
+    }
+  }
+
   private final class LinkService implements LinkServer.Service {
     @Override
     public CompletionStage<JobReply> call(Call call) {
@@ -377,6 +421,11 @@
       }
     }
 
+    @Override
+    public void onHandoverMessage(HandoverMessage message, Consumer<HandoverMessage> reply) {
+      offers.onMessage(message, reply);
+    }
+
     @Override
     public List<OperatorRecord> operatorRecords() {
       return operators.export();
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -13,6 +13,7 @@
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
+import org.laburnumarch.internal.lead.LoadSample;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.link.JobReply;
@@ -171,6 +172,11 @@
     scheduleRound();
   }
 
+  /** Returns the measurements of the last second, once. */
+  Optional<LoadSample> takeLoadSample() {
+    return load.takeSample();
+  }
+
   void start() {
     operators.onChange(onOperatorChange);
     meters.registerGauge("live_jobs", scheduler::liveJobCount);
--- a/src/main/java/org/laburnumarch/internal/node/OwnerLoad.java
+++ b/src/main/java/org/laburnumarch/internal/node/OwnerLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import org.laburnumarch.internal.lead.LoadSample;
 
 /**
  * Measures what limits the owner, for one line of the log a second. An owner without enough
@@ -18,6 +19,7 @@
   private int replies;
   private long replyTimeSumMs;
   private int unanswered;
+  private Optional<LoadSample> sample = Optional.empty();
 
   OwnerLoad(long nowMs) {
     this.reportAtMs = nowMs + REPORT_EVERY_MS;
@@ -58,6 +60,10 @@
             replies,
             replies == 0 ? 0 : replyTimeSumMs / replies,
             unanswered);
+    sample =
+        Optional.of(
+            new LoadSample(
+                replies, replies == 0 ? 0 : replyTimeSumMs / replies, unanswered, maxTimerDelayMs));
     reportAtMs = nowMs + REPORT_EVERY_MS;
     rounds = 0;
     maxTimerDelayMs = 0;
@@ -66,4 +72,11 @@
     unanswered = 0;
     return Optional.of(line);
   }
+
+  /** Returns the measurements of the last report, once. */
+  Optional<LoadSample> takeSample() {
+    Optional<LoadSample> taken = sample;
+    sample = Optional.empty();
+    return taken;
+  }
 }
