Tell callers that a call was never sent when the link ends

A submission that was written to no connection was reported as possibly accepted when the link ended: every open call ended as UNDECIDED, so its caller could get 504 although no owner had seen the job.

A call whose bytes have not all been written when the connection closes now ends as UNAVAILABLE: the receiver drops a part of a frame. The router sends it again, and the caller gets 503 at worst.

--- a/src/main/java/org/laburnumarch/internal/link/LinkClient.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -58,6 +59,14 @@
     void onClosed(boolean isUnreachable);
   }
 
+  /**
+   * A call without a reply.
+   *
+   * @param result completed with the reply
+   * @param written done when the whole call has been written to the connection
+   */
+  private record OpenCall(CompletableFuture<JobReply> result, ChannelFuture written) {}
+
   private static final int CONNECT_TIMEOUT_MS = 500;
 
   /** Time after which a caller should retry while there is no connection. */
@@ -66,7 +75,7 @@
   private final InetSocketAddress address;
   private final EventLoopGroup group;
   private final Listener listener;
-  private final Map<Long, CompletableFuture<JobReply>> openCalls = new HashMap<>();
+  private final Map<Long, OpenCall> openCalls = new HashMap<>();
   private Channel channel;
   private long nextId = 1;
   private boolean isClosed;
@@ -134,8 +143,8 @@
     }
     long id = nextId++;
     CompletableFuture<JobReply> result = new CompletableFuture<>();
-    openCalls.put(id, result);
-    Future<?> unused = channel.writeAndFlush(new Call(id, kind, queue, jobId, payload));
+    ChannelFuture written = channel.writeAndFlush(new Call(id, kind, queue, jobId, payload));
+    openCalls.put(id, new OpenCall(result, written));
     var timeout =
         channel
             .eventLoop()
@@ -169,9 +178,9 @@
   }
 
   private void complete(long id, JobReply reply) {
-    CompletableFuture<JobReply> result = openCalls.remove(id);
-    if (result != null) {
-      result.complete(reply);
+    OpenCall call = openCalls.remove(id);
+    if (call != null) {
+      call.result().complete(reply);
     }
   }
 
@@ -180,18 +189,30 @@
       return;
     }
     isClosed = true;
-    Map<Long, CompletableFuture<JobReply>> lost = Map.copyOf(openCalls);
+    Map<Long, OpenCall> lost = Map.copyOf(openCalls);
     openCalls.clear();
-    lost.values().forEach(call -> call.complete(JobReply.of(JobReply.Code.UNDECIDED)));
+    lost.values().forEach(call -> call.result().complete(replyAfterClose(call)));
     listener.onClosed(isUnreachable);
   }
 
+  /**
+   * Returns the reply to a call whose connection has ended. The receiver drops a part of a call.
+   */
+  private static JobReply replyAfterClose(OpenCall call) {
+    return call.written().isSuccess()
+        ? JobReply.of(JobReply.Code.UNDECIDED)
+        : JobReply.refuse(JobReply.Code.UNAVAILABLE, RETRY_AFTER_MS);
+  }
+
   /** Returns whether the connection has ended; it is not established again. */
   public boolean isClosed() {
     return isClosed;
   }
 
-  /** Closes the connection; open calls end as {@link JobReply.Code#UNDECIDED}. */
+  /**
+   * Closes the connection; open calls end as {@link JobReply.Code#UNDECIDED}, or as {@link
+   * JobReply.Code#UNAVAILABLE} if they have not been sent.
+   */
   @Override
   public void close() {
     if (channel != null) {
