Refuse submissions that were in no write when an owner stops

An owner that stepped down told the callers of all its open submissions that the jobs may be stored, also of those that it had sent to the store in no write, so that a caller could get 504 for a job that surely does not run.

Those submissions now end as not stored; they are sent again to the next owner, and get 503 at worst. JobStoreTest covers both kinds.

--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -480,10 +480,14 @@
     flush();
   }
 
-  /** Stops writing. Pending submissions are cancelled: whether they will be stored is unknown. */
+  /**
+   * Stops writing. Submissions in a write are cancelled: whether they will be stored is unknown.
+   * Those that were in no write are certainly not stored.
+   */
   @Override
   public void close() {
     isClosed = true;
+    List.copyOf(pendingSubmissions).forEach(this::refuse);
     List.copyOf(pendingResults.values()).forEach(result -> result.cancel(false));
     pendingResults.clear();
     pendingSubmissions.clear();
--- a/src/test/java/org/laburnumarch/internal/node/JobStoreTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/JobStoreTest.java
@@ -189,6 +189,21 @@
         .satisfies(it -> assertThat(it.value().orElseThrow()).containsExactly(2));
   }
 
+  /**
+   * Guards against a submission that was in no write of an owner that hands over and is reported as
+   * possibly stored.
+   */
+  @Test
+  void shouldTellWhatWasInNoWriteWhenClosed() {
+    CompletableFuture<WriteResult> unanswered = new CompletableFuture<>();
+    when(store.append(any(), any(), any(), any())).thenReturn(unanswered);
+    CompletableFuture<SubmissionResult> written = submit("written", 10);
+    CompletableFuture<SubmissionResult> waiting = submit("waiting", 10);
+    jobs.close();
+    assertThat(written).isCancelled();
+    assertThat(waiting).isCompletedWithValue(SubmissionResult.NOT_STORED);
+  }
+
   /** Guards against an unexpected error after which nothing is ever written again. */
   @Test
   void shouldReportAnUnexpectedError() {
