Bound the loss of a limited owner and simulate rolling restarts

An owner that had been limited for a minute without a larger daemon would have offered the ownership up to ten seconds after its replies were quick again. The loss now stops at twice the cost of a move.

HandoverPolicyTest simulates the restart of eight daemons in random order, 1.5 to 5.5 s apart: at most 4 moves in each of 50 simulations.

--- a/src/main/java/org/laburnumarch/internal/lead/HandoverPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/lead/HandoverPolicy.java
@@ -127,7 +127,7 @@
     boolean isTimerLate = sample.maxTimerDelayMs() > LATE_TIMER_MS;
     processorLossMs =
         isTimerLate
-            ? processorLossMs + Math.min(1_000, sample.maxTimerDelayMs() - LATE_TIMER_MS)
+            ? bounded(processorLossMs + Math.min(1_000, sample.maxTimerDelayMs() - LATE_TIMER_MS))
             : processorLossMs / 2;
     if (orders < MIN_ORDERS) {
       linkLossMs /= 2;
@@ -140,7 +140,14 @@
       minReplyMs = Math.min(minReplyMs, sample.meanReplyMs());
     }
     linkLossMs =
-        isLate && !isTimerLate ? linkLossMs + lossMs(sample, orders, limitMs) : linkLossMs / 2;
+        isLate && !isTimerLate
+            ? bounded(linkLossMs + lossMs(sample, orders, limitMs))
+            : linkLossMs / 2;
+  }
+
+  /** Bounds a loss, so that it is forgotten soon after the owner is no longer limited. */
+  private static double bounded(double lossMs) {
+    return Math.min(2 * MOVE_COST_MS, lossMs);
   }
 
   private long lateLimitMs() {
--- a/src/test/java/org/laburnumarch/internal/lead/HandoverPolicyTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/HandoverPolicyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -125,6 +126,39 @@
     }
   }
 
+  /** Guards against a takeover for each daemon that is stopped in a rolling restart. */
+  @RepeatedTest(50)
+  void shouldMoveSeldomInARollingRestart() {
+    long seed = new Random().nextLong();
+    Random random = new Random(seed);
+    long spacingMs = 1_500L + random.nextInt(4_000);
+    List<String> order = new ArrayList<>(List.of("a", "b", "c", "d", "e", "f", "g", "h"));
+    Collections.shuffle(order, random);
+    Map<String, Long> startedAtMs = new HashMap<>();
+    order.forEach(holder -> startedAtMs.put(holder, (long) random.nextInt(1_000)));
+    String owner = "a";
+    int moves = 0;
+    long nowMs = 100_000;
+    for (String stopped : order) {
+      nowMs += spacingMs;
+      if (stopped.equals(owner)) {
+        HandoverPolicy stopping = new HandoverPolicy(LARGE, 0);
+        stopping.onStopping();
+        for (Map.Entry<String, Long> other : startedAtMs.entrySet()) {
+          long uptimeMs = nowMs - other.getValue();
+          if (!other.getKey().equals(stopped)) {
+            stopping.onState(
+                new DaemonState(other.getKey(), LARGE, false, uptimeMs, 4, 4, 5), nowMs);
+          }
+        }
+        owner = stopping.decide(nowMs).orElseThrow().successor();
+        moves++;
+      }
+      startedAtMs.put(stopped, nowMs + 1_000);
+    }
+    assertThat(moves).as("seed %d", seed).isBetween(1, 4);
+  }
+
   /**
    * Simulates chains of owners with random sizes, loads and faults of the other daemons. Guards
    * against an ownership that returns to a daemon, or moves to one that cannot own the fleet.
