Divide a full pool between teams by use and agreed jobs

Callers of a team that kept to its weight waited behind another team's flood once their jobs had found no token on arrival; a job of one task counted like a job of a hundred, and a team with less than half a job a second never got a token. All of it was forgotten at a takeover. The cause is TeamTokenBuckets, which compared jobs with the weight once, on arrival.

The new package internal.share orders the waiting work of a pool between teams while not all of it has room: agreed jobs first, then the teams with the least use against their weight, by the scarcest resource and over time. It reuses TeamVirtualTimes of the earlier task code, which moves there. Credits and debts go on to the next owner in the record `shares`. Steps of a team at its upper limit, and equal needs that found no worker, no longer end a round of starts: the order by team puts them in a row, and work behind them that had room would have waited.

Measured in PoolSharesTest: a team that waits throughout gets at least 80% of its share of each 20 s. With the usual order in place of the new one, 3 of its 5 tests and 1 of 4 in ShareOrderTest fail. The tests of schedule, share, node, UrgentStartTest and ArchitectureTest pass (115).

--- a/src/main/java/org/laburnumarch/internal/job/Resources.java
+++ b/src/main/java/org/laburnumarch/internal/job/Resources.java
@@ -22,6 +22,11 @@
     return new Resources(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, gpus - other.gpus);
   }
 
+  /** Returns this amount a number of times. */
+  public Resources times(int count) {
+    return new Resources(cpuMillis * count, memoryMb * count, gpus * count);
+  }
+
   /** Returns whether {@code other} fits into these amounts. */
   public boolean holds(Resources other) {
     return other.cpuMillis <= cpuMillis && other.memoryMb <= memoryMb && other.gpus <= gpus;
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -76,6 +76,7 @@
   private final JobStore jobs;
   private final OwnerLoad load;
   private final WorkerDriver driver;
+  private final ShareKeeper shareKeeper;
   private final Optional<MachineController> machineController;
   private final Runnable onOperatorChange = this::applyOperatorRecords;
   private final List<PendingCancellation> pendingCancellations = new ArrayList<>();
@@ -124,6 +125,7 @@
             settings.maxWriteBytes(),
             meters,
             new StoreCallbacks());
+    this.shareKeeper = new ShareKeeper(scheduler.shares(), jobs, meters);
     this.load = new OwnerLoad(clock.nowMs());
     this.driver =
         new WorkerDriver(
@@ -201,6 +203,7 @@
               }
             });
     machineController.ifPresent(controller -> controller.restore(contents.waves()));
+    shareKeeper.restore(contents.states(), nowMs, epochMs);
     isLoaded = true;
     Logger.info(
         "owner: event=loaded term={} jobs={} progress={} workers={}",
@@ -268,6 +271,7 @@
       meters.recordDuration("decision_seconds", clock.nowMs() - nowMs);
     }
     driver.renewLeases();
+    shareKeeper.runRound(nowMs, clock.epochMs());
     if (nowMs - finishedRemovedAtMs > REMOVE_FINISHED_EVERY_MS) {
       finishedRemovedAtMs = nowMs;
       jobs.deleteProgress(scheduler.removeFinishedJobs(nowMs));
--- a/src/main/java/org/laburnumarch/internal/schedule/CandidateRanking.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CandidateRanking.java
@@ -16,8 +16,6 @@
     LONG_RUNNING,
     /** Can meet its objective. */
     IN_TIME,
-    /** Can meet its objective, but its team has exceeded its share. */
-    OVER_SHARE,
     /** Can no longer meet its objective. */
     LATE
   }
@@ -67,7 +65,7 @@
             : job.submittedAtMs;
     double deadlineAtMs = originMs + queue.stretch() * chainMs + queue.latencyTargetMs();
     boolean isInTime = nowMs + remainingMs <= deadlineAtMs + LATENESS_TOLERANCE * chainMs;
-    Rank rank = isInTime ? (job.isOverShare ? Rank.OVER_SHARE : Rank.IN_TIME) : Rank.LATE;
+    Rank rank = isInTime ? Rank.IN_TIME : Rank.LATE;
     return new Candidate(step, queue, rank, job.hasStarted, deadlineAtMs);
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -58,8 +58,8 @@
    */
   long lastBatchNumber;
 
-  /** Whether the team had exceeded its share of jobs when this one was accepted. */
-  boolean isOverShare;
+  /** Whether the job is within the agreement with its team, so that it goes before other work. */
+  boolean isAgreed;
 
   Job(JobSpec spec, long submittedAtMs, boolean isInherited) {
     this.spec = spec;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -16,6 +16,7 @@
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.pool.PoolDemand;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
+import org.laburnumarch.internal.share.TeamShares;
 
 /**
  * Makes all decisions of the owner about jobs and workers. Not thread-safe and without I/O.
@@ -38,7 +39,8 @@
   private final FirstReportWindow firstReports = new FirstReportWindow();
   private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
   private final Tickets adviceTickets = new Tickets();
-  private final TeamTokenBuckets teamBuckets = new TeamTokenBuckets();
+  private final TeamShares shares = new TeamShares();
+  private final ShareOrder shareOrder = new ShareOrder(shares);
   private final CandidateRanking ranking = new CandidateRanking(runTimeEstimator);
   private final DemandEstimator demandEstimator = new DemandEstimator(ranking, runTimeEstimator);
   private final StragglerDetector stragglerDetector = new StragglerDetector(runTimeEstimator);
@@ -72,6 +74,12 @@
   /** Replaces the configuration. */
   public void configure(FleetConfig newConfig) {
     this.config = newConfig;
+    shares.configure(newConfig);
+  }
+
+  /** Returns the teams' shares of the pools. */
+  public TeamShares shares() {
+    return shares;
   }
 
   /** Replaces the set of data centres that are out of service; nothing starts there. */
@@ -141,6 +149,7 @@
   public void restore(JobSpec spec, Optional<JobProgress> progress, long nowMs, long epochMs) {
     long ageMs = Math.max(0, epochMs - spec.submittedEpochMs());
     Job job = new Job(spec, nowMs - ageMs, true);
+    job.isAgreed = shares.tryTakeCredit(spec.team(), nowMs - ageMs);
     progress.ifPresent(stored -> job.restore(stored, epochMs));
     // Workers may report before the first decision, and the reported runs must find their tasks.
     if (!job.status.isFinal()) {
@@ -183,7 +192,7 @@
   /** Accepts a job whose record has been stored. */
   public void accept(JobSpec spec, long nowMs) {
     Job job = new Job(spec, nowMs, false);
-    job.isOverShare = !teamBuckets.tryTakeToken(config.team(spec.team()), nowMs);
+    job.isAgreed = shares.tryTakeCredit(spec.team(), nowMs);
     add(job);
     recordArrival(job, nowMs);
   }
@@ -576,7 +585,8 @@
           List<Worker> pool = workers.pool(service);
           Placement placement =
               new Placement(pool, outOfServiceDataCentres, settings.remoteSlowdownFactor(), nowMs);
-          new StartRound(context, placement).startCandidates(candidates, pool);
+          List<Candidate> ordered = shareOrder.order(service, candidates, pool, nowMs);
+          new StartRound(context, placement).startCandidates(ordered, pool);
         });
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -1,10 +1,13 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
 
 /** Starts waiting tasks on the workers of one pool, in one pass over the ranked candidates. */
@@ -15,9 +18,29 @@
    */
   private static final int RUN_BITS_PER_TERM = 12;
 
-  /** Number of steps in one round that found no worker, after which the pool counts as full. */
+  /**
+   * Number of steps in one round that found no worker, after which the pool counts as full. Steps
+   * that need the same as one before count once: the order between teams puts many of them in a
+   * row, and they must not keep smaller ones behind them from free capacity.
+   */
   private static final int MAX_MISSES = 24;
 
+  /** What a step needs of a worker, if nothing but free capacity decides where it may run. */
+  private record Shape(Resources reserved, Resources need, String requiredLabel) {
+
+    static Optional<Shape> of(Candidate candidate) {
+      StepSpec spec = candidate.step().spec;
+      boolean isPlain =
+          !spec.isGang()
+              && !spec.isLongRunning()
+              && spec.maxPerWorker() == 0
+              && candidate.queue().advice().isEmpty();
+      return isPlain
+          ? Optional.of(new Shape(spec.reserved(), spec.need(), spec.requiredLabel()))
+          : Optional.empty();
+    }
+  }
+
   /**
    * State shared by all rounds of one decision.
    *
@@ -50,11 +73,17 @@
 
   void startCandidates(List<Candidate> candidates, List<Worker> pool) {
     int misses = 0;
+    Set<Shape> missed = new HashSet<>();
     for (Candidate candidate : candidates) {
       if (misses >= MAX_MISSES) {
         return;
       }
       Step step = candidate.step();
+      Optional<Shape> shape = Shape.of(candidate);
+      int together = step.spec.isGang() ? step.tasks.size() : 1;
+      if (shape.filter(missed::contains).isPresent() || !isWithinTeamLimit(step, together)) {
+        continue;
+      }
       boolean needsTicket = candidate.queue().advice().isPresent();
       Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
       if (needsTicket && stepTickets.isEmpty()) {
@@ -65,7 +94,10 @@
           step.spec.isGang()
               ? startGang(step, stepTickets, needsTicket)
               : startTasks(candidate, stepTickets, needsTicket);
-      misses += isPlaced ? 0 : 1;
+      if (!isPlaced) {
+        misses++;
+        shape.ifPresent(missed::add);
+      }
     }
   }
 
@@ -81,6 +113,7 @@
         .ifPresent(context.queries()::add);
   }
 
+  /** Starts tasks of a step; returns false if one found no worker. */
   private boolean startTasks(
       Candidate candidate, Map<String, String> stepTickets, boolean needsTicket) {
     for (Task task : candidate.step().tasks) {
@@ -88,7 +121,7 @@
         continue;
       }
       if (!isWithinTeamLimit(candidate.step(), 1)) {
-        return false;
+        return true;
       }
       Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
       if (worker.isEmpty() && task.needsIsolation()) {
@@ -137,9 +170,7 @@
   }
 
   private boolean isWithinTeamLimit(Step step, int tasks) {
-    Resources need = step.spec.need();
-    Resources all =
-        new Resources(need.cpuMillis() * tasks, need.memoryMb() * tasks, need.gpus() * tasks);
+    Resources all = step.spec.need().times(tasks);
     String team = step.job.spec.team();
     return context
         .teamUsage()
--- a/src/main/java/org/laburnumarch/internal/task/TeamOrder.java
+++ b/src/main/java/org/laburnumarch/internal/task/TeamOrder.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import org.laburnumarch.internal.share.TeamVirtualTimes;
 import org.laburnumarch.internal.state.ControlState;
 import org.laburnumarch.internal.state.TaskEntry;
 import org.laburnumarch.internal.text.TeamSpec;
--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -95,7 +95,11 @@
   class PlatformDecisions {
 
     private final String[] packages = {
-      INTERNAL + "job..", INTERNAL + "schedule..", INTERNAL + "pool..", INTERNAL + "lead..",
+      INTERNAL + "job..",
+      INTERNAL + "schedule..",
+      INTERNAL + "pool..",
+      INTERNAL + "lead..",
+      INTERNAL + "share..",
     };
 
     @Test
