Refuse jobs that would be worthless, and invite their callers

In a flood, all jobs were accepted and waited until most of them were worth nothing to their callers. The owner now asks admission before a job is stored: if the pool is full, and even with halved run times the work ahead keeps the job from being done before three times its objective, the caller gets 429 with Retry-After. Refused callers return in the order of their first refusals, spread over the room of the pool by the teams' shares; the next invitations go on to a later owner in the record `shares`. Long-running, timed and known jobs are never refused, nor any while the pool has room or is not fully known.

--- a/src/main/java/org/laburnumarch/internal/node/JobStore.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobStore.java
@@ -236,6 +236,11 @@
     }
   }
 
+  /** Returns whether a job is being stored. */
+  boolean isPending(String jobId) {
+    return pendingResults.containsKey(jobId);
+  }
+
   /** Stores a job; a second call with the same id gets the result of the first. */
   CompletionStage<SubmissionResult> submit(JobSpec job) {
     CompletableFuture<SubmissionResult> known = pendingResults.get(job.id());
--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.laburnumarch.internal.lead.OwnerRecord;
@@ -108,6 +109,11 @@
     guard.onEarlierOwnerStopped();
   }
 
+  /** Returns how many instances a pool has or will have soon; empty if that is not known yet. */
+  OptionalInt projectedSize(String pool) {
+    return planner.projectedSize(pool);
+  }
+
   void runRound(long nowMs) {
     OrderGuard.Permission permission = guard.permission(nowMs, tenure.renewalAgeMs(nowMs));
     if (isClosed
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -76,6 +77,7 @@
   private final JobStore jobs;
   private final OwnerLoad load;
   private final WorkerDriver driver;
+  private final AdmissionControl admission;
   private final ShareKeeper shareKeeper;
   private final Optional<MachineController> machineController;
   private final Runnable onOperatorChange = this::applyOperatorRecords;
@@ -125,7 +127,8 @@
             settings.maxWriteBytes(),
             meters,
             new StoreCallbacks());
-    this.shareKeeper = new ShareKeeper(scheduler.shares(), jobs, meters);
+    this.admission = new AdmissionControl(scheduler, this::projectedSize, meters);
+    this.shareKeeper = new ShareKeeper(scheduler.shares(), admission, jobs, meters);
     this.load = new OwnerLoad(clock.nowMs());
     this.driver =
         new WorkerDriver(
@@ -145,6 +148,13 @@
             .map(address -> createMachineController(settings, address, loop, store, earlier));
   }
 
+  /** Returns the size that a pool has or will have soon; 0 if no instances are moved to it. */
+  private OptionalInt projectedSize(String service) {
+    return machineController
+        .map(controller -> controller.projectedSize(service))
+        .orElse(OptionalInt.of(0));
+  }
+
   private MachineController createMachineController(
       NodeSettings settings,
       InetSocketAddress address,
@@ -314,6 +324,13 @@
     if (scheduler.hasJob(job.id())) {
       return CompletableFuture.completedStage(JobReply.of(Code.OK));
     }
+    Optional<JobReply> refusal =
+        jobs.isPending(job.id())
+            ? Optional.empty()
+            : admission.refusal(job, clock.nowMs(), clock.epochMs());
+    if (refusal.isPresent()) {
+      return CompletableFuture.completedStage(refusal.get());
+    }
     return jobs.submit(job)
         .handle(
             (submissionResult, failure) -> {
--- a/src/main/java/org/laburnumarch/internal/node/ShareKeeper.java
+++ b/src/main/java/org/laburnumarch/internal/node/ShareKeeper.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.laburnumarch.internal.metrics.Meters;
 import org.laburnumarch.internal.share.PoolShares;
+import org.laburnumarch.internal.share.SharesRecord;
 import org.laburnumarch.internal.share.TeamShares;
 import org.tinylog.Logger;
 
@@ -23,6 +24,7 @@
   private static final long REPORT_EVERY_MS = 2_000;
 
   private final TeamShares shares;
+  private final AdmissionControl admission;
   private final JobStore jobs;
   private final Meters meters;
 
@@ -32,8 +34,9 @@
   private long reportedAtMs = Long.MIN_VALUE / 2;
   private boolean wasFull;
 
-  ShareKeeper(TeamShares shares, JobStore jobs, Meters meters) {
+  ShareKeeper(TeamShares shares, AdmissionControl admission, JobStore jobs, Meters meters) {
     this.shares = shares;
+    this.admission = admission;
     this.jobs = jobs;
     this.meters = meters;
   }
@@ -45,7 +48,9 @@
       return;
     }
     try {
-      shares.restore(stored, nowMs, epochMs);
+      SharesRecord decoded = SharesRecord.decode(stored);
+      shares.restore(decoded, nowMs, epochMs);
+      admission.restore(decoded.invitationBytes(), nowMs, epochMs);
       Logger.info("shares: event=restored bytes={}", stored.length);
     } catch (IOException e) {
       Logger.warn("shares: event=unreadable bytes={} cause={}", stored.length, e.getMessage());
@@ -54,14 +59,16 @@
 
   /** Stores and reports the shares if it is time for it. */
   void runRound(long nowMs, long epochMs) {
-    Map<String, PoolShares> full = shares.fullPools();
+    Map<String, PoolShares> full = shares.fullPools(nowMs);
     wasFull |= !full.isEmpty();
     if (!wasFull || nowMs - reportedAtMs < REPORT_EVERY_MS) {
       return;
     }
     reportedAtMs = nowMs;
     wasFull = !full.isEmpty();
-    jobs.storeState(new OwnerState(STATE_NAME, shares.record(nowMs, epochMs).encode()));
+    jobs.storeState(
+        new OwnerState(
+            STATE_NAME, shares.record(admission.record(nowMs, epochMs), nowMs, epochMs).encode()));
     new TreeMap<>(full).forEach((service, pool) -> report(service, pool, nowMs));
   }
 
--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.ServiceConfig;
@@ -470,6 +471,13 @@
     return count;
   }
 
+  /** Returns the size of a pool after all pending operations; empty before the first list. */
+  public OptionalInt projectedSize(String pool) {
+    return machines.isEmpty()
+        ? OptionalInt.empty()
+        : OptionalInt.of(projectedSizes(Set.of()).getOrDefault(pool, 0));
+  }
+
   /** Counts instances per pool as they will be once all pending operations are done. */
   private Map<String, Integer> projectedSizes(Set<String> outOfServiceDataCentres) {
     Map<String, Integer> sizes = new HashMap<>();
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -7,7 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Function;
+import org.laburnumarch.internal.admission.Submission;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
@@ -44,6 +47,8 @@
   private final CandidateRanking ranking = new CandidateRanking(runTimeEstimator);
   private final DemandEstimator demandEstimator = new DemandEstimator(ranking, runTimeEstimator);
   private final StragglerDetector stragglerDetector = new StragglerDetector(runTimeEstimator);
+  private final AdmissionView admissionView =
+      new AdmissionView(liveJobs.values(), ranking, runTimeEstimator, shares);
   private long slownessDecayedAtMs;
   private final RunTracker runTracker;
   private FleetConfig config = FleetConfig.EMPTY;
@@ -77,6 +82,20 @@
     shares.configure(newConfig);
   }
 
+  /**
+   * Returns what admission needs to know of a new job; empty if it has to be accepted.
+   *
+   * @param projectedSize the number of workers that a pool has or will have soon; empty if unknown
+   */
+  public Optional<Submission> submission(
+      JobSpec spec, Function<String, OptionalInt> projectedSize, long nowMs, long epochMs) {
+    List<Worker> pool =
+        config.queue(spec.queue()).map(queue -> workers.pool(queue.service())).orElse(List.of());
+    return takeoverGuard.isBlocked(pool, ownershipProvenAtMs)
+        ? Optional.empty()
+        : admissionView.submission(spec, config, pool, projectedSize, nowMs, epochMs);
+  }
+
   /** Returns the teams' shares of the pools. */
   public TeamShares shares() {
     return shares;
--- a/src/main/java/org/laburnumarch/internal/share/PoolShares.java
+++ b/src/main/java/org/laburnumarch/internal/share/PoolShares.java
@@ -30,7 +30,7 @@
    * Debt up to which agreed work goes in the usual order. Work beyond it goes after other agreed
    * work: the agreement counts jobs, and a team may send very large ones.
    */
-  static final double MAX_AGREED_DEBT_MS = 2_000;
+  public static final double MAX_AGREED_DEBT_MS = 2_000;
 
   /** Longest time for which the state of the last update counts; rounds are at most 50 ms apart. */
   private static final long MAX_CHARGED_MS = 200;
@@ -179,8 +179,8 @@
   }
 
   /** Returns whether not all waiting work had room at the last update. */
-  public boolean isFull() {
-    return isFull;
+  public boolean isFull(long nowMs) {
+    return isFull && nowMs - updatedAtMs <= MAX_CHARGED_MS;
   }
 
   /** Returns the part of the pool that each team used at the last update. */
--- a/src/main/java/org/laburnumarch/internal/share/SharesRecord.java
+++ b/src/main/java/org/laburnumarch/internal/share/SharesRecord.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -17,13 +18,18 @@
  * @param atEpochMs when it was recorded, in Unix milliseconds
  * @param credits unused credit of each team, in jobs
  * @param debtsMs debts of the teams, by service and team
+ * @param invitations the invitations of refused callers, as admission encodes them
  */
 public record SharesRecord(
-    long atEpochMs, Map<String, Double> credits, Map<String, Map<String, Double>> debtsMs) {
+    long atEpochMs,
+    Map<String, Double> credits,
+    Map<String, Map<String, Double>> debtsMs,
+    ByteBuffer invitations) {
 
   private static final String AT = "atEpochMs";
   private static final String CREDITS = "credits";
   private static final String DEBTS = "debts";
+  private static final String INVITATIONS = "invitations";
 
   /** Largest number of entries of each map, which keeps the record under its size limit. */
   private static final int MAX_ENTRIES = 100;
@@ -31,19 +37,32 @@
   /** Encodes the record; of very many teams, only those with the highest values are kept. */
   public byte[] encode() {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      out.packMapHeader(3).packString(AT).packLong(atEpochMs).packString(CREDITS);
+      out.packMapHeader(4).packString(AT).packLong(atEpochMs).packString(CREDITS);
       packHighest(out, credits, MAX_ENTRIES);
       out.packString(DEBTS).packMapHeader(debtsMs.size());
       for (Map.Entry<String, Map<String, Double>> pool : debtsMs.entrySet()) {
         out.packString(pool.getKey());
         packHighest(out, pool.getValue(), MAX_ENTRIES / Math.max(1, debtsMs.size()));
       }
+      out.packString(INVITATIONS).packBinaryHeader(invitations.remaining());
+      out.addPayload(bytes(invitations));
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
+  private static byte[] bytes(ByteBuffer buffer) {
+    byte[] bytes = new byte[buffer.remaining()];
+    buffer.duplicate().get(bytes);
+    return bytes;
+  }
+
+  /** Returns the encoded invitations. */
+  public byte[] invitationBytes() {
+    return bytes(invitations);
+  }
+
   private static void packHighest(MessageBufferPacker out, Map<String, Double> values, int limit)
       throws IOException {
     List<Map.Entry<String, Double>> highest =
@@ -64,6 +83,7 @@
    */
   public static SharesRecord decode(byte[] bytes) throws IOException {
     long atEpochMs = 0;
+    byte[] invitations = {};
     Map<String, Double> credits = new HashMap<>();
     Map<String, Map<String, Double>> debts = new HashMap<>();
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
@@ -78,13 +98,14 @@
               debts.put(in.unpackString(), unpackValues(in));
             }
           }
+          case INVITATIONS -> invitations = in.readPayload(in.unpackBinaryHeader());
           default -> in.skipValue();
         }
       }
     } catch (MessagePackException e) {
       throw new IOException("unreadable record of the shares", e);
     }
-    return new SharesRecord(atEpochMs, credits, debts);
+    return new SharesRecord(atEpochMs, credits, debts, ByteBuffer.wrap(invitations));
   }
 
   private static Map<String, Double> unpackValues(MessageUnpacker in) throws IOException {
--- a/src/main/java/org/laburnumarch/internal/share/TeamShares.java
+++ b/src/main/java/org/laburnumarch/internal/share/TeamShares.java
@@ -1,6 +1,6 @@
 package org.laburnumarch.internal.share;
 
-import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
 import org.laburnumarch.internal.job.FleetConfig;
@@ -41,26 +41,26 @@
   }
 
   /** Returns the pools of which not all waiting work had room in the last round, by service. */
-  public Map<String, PoolShares> fullPools() {
+  public Map<String, PoolShares> fullPools(long nowMs) {
     Map<String, PoolShares> full = new HashMap<>(pools);
-    full.values().removeIf(pool -> !pool.isFull());
+    full.values().removeIf(pool -> !pool.isFull(nowMs));
     return full;
   }
 
-  /** Returns the record from which a later owner continues. */
-  public SharesRecord record(long nowMs, long epochMs) {
+  /**
+   * Returns the record from which a later owner continues.
+   *
+   * @param invitations the encoded invitations of refused callers
+   */
+  public SharesRecord record(byte[] invitations, long nowMs, long epochMs) {
     Map<String, Map<String, Double>> debts = new HashMap<>();
     pools.forEach((service, pool) -> debts.put(service, pool.debts()));
-    return new SharesRecord(epochMs, credits.all(weights, nowMs), debts);
+    return new SharesRecord(
+        epochMs, credits.all(weights, nowMs), debts, ByteBuffer.wrap(invitations));
   }
 
-  /**
-   * Continues from the record of an earlier owner.
-   *
-   * @throws IOException if the record cannot be read; nothing has changed then
-   */
-  public void restore(byte[] encoded, long nowMs, long epochMs) throws IOException {
-    SharesRecord stored = SharesRecord.decode(encoded);
+  /** Continues from the record of an earlier owner. */
+  public void restore(SharesRecord stored, long nowMs, long epochMs) {
     long ageMs = Math.max(0, epochMs - stored.atEpochMs());
     credits.restore(stored.credits(), nowMs - ageMs);
     stored.debtsMs().forEach((service, debts) -> pool(service).restore(debts, ageMs));
--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -28,6 +28,8 @@
     INTERNAL + "fleet..",
     INTERNAL + "task..",
     INTERNAL + "hash..",
+    INTERNAL + "share..",
+    INTERNAL + "admission..",
   };
 
   private static final JavaClasses PRODUCTION =
@@ -100,6 +102,7 @@
       INTERNAL + "pool..",
       INTERNAL + "lead..",
       INTERNAL + "share..",
+      INTERNAL + "admission..",
     };
 
     @Test
--- a/src/test/java/org/laburnumarch/internal/share/PoolSharesTest.java
+++ b/src/test/java/org/laburnumarch/internal/share/PoolSharesTest.java
@@ -194,11 +194,14 @@
     first.pool("p").restore(Map.of("a", 500.0, "b", 0.0), 0);
     TeamShares second = new TeamShares();
     second.configure(config);
-    second.restore(first.record(0, 1_000_000).encode(), 50, 1_000_100);
+    byte[] encoded = first.record(new byte[] {7}, 0, 1_000_000).encode();
+    SharesRecord record = SharesRecord.decode(encoded);
+    second.restore(record, 50, 1_000_100);
+    assertThat(record.invitationBytes()).containsExactly(7);
     assertThat(second.tryTakeCredit("a", 3_000)).isFalse();
     assertThat(second.tryTakeCredit("a", 4_000)).isTrue();
     assertThat(second.pool("p").debts()).containsEntry("a", 400.0);
-    assertThatThrownBy(() -> second.restore(new byte[] {1, 2}, 0, 0))
+    assertThatThrownBy(() -> SharesRecord.decode(new byte[] {1, 2}))
         .isInstanceOf(IOException.class);
   }
 }
