Leave work out of admission that can never be ahead

A backlog of jobs that no worker of the pool can run, or of a team at its upper limit, counted as ahead of every new job, and jobs that no worker can run could be refused. Both are left out, and such jobs are accepted as before. Ordering a long queue compared all teams for each step; a queue by rank does it once for the team that changed. A record of shares that is longer than the store takes is not written, where it would have ended the owner.

--- a/src/main/java/org/laburnumarch/internal/admission/Admission.java
+++ b/src/main/java/org/laburnumarch/internal/admission/Admission.java
@@ -32,7 +32,7 @@
   private static final long MAX_WAIT_MS = 60_000;
 
   /** Largest encoded length of the invitations; the record holds the shares, too. */
-  private static final int MAX_RECORD_BYTES = 10_000;
+  private static final int MAX_RECORD_BYTES = 8_000;
 
   /** Largest encoded length of one invitation. */
   private static final int MAX_INVITATION_BYTES = 200;
--- a/src/main/java/org/laburnumarch/internal/admission/ReturnCalendar.java
+++ b/src/main/java/org/laburnumarch/internal/admission/ReturnCalendar.java
@@ -49,6 +49,8 @@
   /** Slots that each caller's job occupies. */
   private final Map<String, Map<Long, Double>> occupied = new HashMap<>();
 
+  private long removeAtMs = Long.MIN_VALUE;
+
   /** Last time given to a new caller of each team. */
   private final Map<String, Long> lastInvitedAtMs = new HashMap<>();
 
@@ -141,6 +143,10 @@
   }
 
   private void removePast(long nowMs) {
+    if (nowMs < removeAtMs) {
+      return;
+    }
+    removeAtMs = nowMs + SLOT_MS;
     slots.headMap(slot(nowMs)).clear();
     List<String> past = new ArrayList<>();
     invitations.forEach(
--- a/src/main/java/org/laburnumarch/internal/node/ShareKeeper.java
+++ b/src/main/java/org/laburnumarch/internal/node/ShareKeeper.java
@@ -66,9 +66,12 @@
     }
     reportedAtMs = nowMs;
     wasFull = !full.isEmpty();
-    jobs.storeState(
-        new OwnerState(
-            STATE_NAME, shares.record(admission.record(nowMs, epochMs), nowMs, epochMs).encode()));
+    byte[] record = shares.record(admission.record(nowMs, epochMs), nowMs, epochMs).encode();
+    if (record.length <= OwnerState.MAX_BYTES) {
+      jobs.storeState(new OwnerState(STATE_NAME, record));
+    } else {
+      Logger.warn("shares: event=too-long bytes={}", record.length);
+    }
     new TreeMap<>(full).forEach((service, pool) -> report(service, pool, nowMs));
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/AdmissionView.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/AdmissionView.java
@@ -26,23 +26,29 @@
   /** Time for which the summary of a pool is used; at full load, several jobs arrive in it. */
   private static final long BACKLOG_VALIDITY_MS = 50;
 
+  /** A team that may not use this much more is at its limit, and its work waits for its own. */
+  private static final Resources ONE_CORE = new Resources(1_000, 1_000, 0);
+
   private record Summary(long atMs, PoolBacklog backlog) {}
 
   private final Collection<Job> liveJobs;
   private final CandidateRanking ranking;
   private final RunTimeEstimator runTimeEstimator;
   private final TeamShares shares;
+  private final TeamUsage teamUsage;
   private final Map<String, Summary> summaries = new HashMap<>();
 
   AdmissionView(
       Collection<Job> liveJobs,
       CandidateRanking ranking,
       RunTimeEstimator runTimeEstimator,
-      TeamShares shares) {
+      TeamShares shares,
+      TeamUsage teamUsage) {
     this.liveJobs = liveJobs;
     this.ranking = ranking;
     this.runTimeEstimator = runTimeEstimator;
     this.shares = shares;
+    this.teamUsage = teamUsage;
   }
 
   /**
@@ -86,6 +92,9 @@
     Job job = new Job(spec, nowMs, false);
     job.addDueOccurrences(epochMs);
     List<Step> steps = job.occurrences.firstEntry().getValue();
+    if (steps.stream().anyMatch(step -> !canRun(step, pool))) {
+      return Optional.empty();
+    }
     double chainMs = ranking.chainMs(steps, queue.get(), false);
     double objectiveMs = queue.get().stretch() * chainMs + queue.get().latencyTargetMs();
     Work work = Work.NONE;
@@ -131,15 +140,16 @@
       Optional<QueueConfig> queue = config.queue(job.spec.queue());
       if (job.status.isFinal()
           || job.spec.isLongRunning()
+          || !teamUsage.allows(config, job.spec.team(), ONE_CORE, Resources.NONE)
           || queue.isEmpty()
           || !queue.get().service().equals(service)) {
         continue;
       }
       for (List<Step> steps : job.occurrences.values()) {
-        // Steps that cannot start yet are left out: a new job may well go before them.
+        // Steps that cannot start are left out: a new job may well go before them.
         Work work = Work.NONE;
         for (Step step : steps) {
-          if (!step.isDone() && Job.areDependenciesDone(step, steps)) {
+          if (!step.isDone() && Job.areDependenciesDone(step, steps) && canRun(step, pool)) {
             work = work.plus(unstartedWork(step, queue.get()));
             longestTaskMs =
                 Math.max(longestTaskMs, runTimeEstimator.expectedMs(queue.get().name(), step.spec));
@@ -163,6 +173,17 @@
     return new PoolBacklog(room, running, longestTaskMs, waiting, shares.pool(service).debts());
   }
 
+  /** Returns whether any worker of a pool is large enough for a task and has its label. */
+  private static boolean canRun(Step step, List<Worker> pool) {
+    String label = step.spec.requiredLabel();
+    return pool.stream()
+        .map(worker -> worker.listing)
+        .anyMatch(
+            listing ->
+                listing.capacity().holds(step.spec.need())
+                    && (label.isEmpty() || listing.labels().contains(label)));
+  }
+
   private Work unstartedWork(Step step, QueueConfig queue) {
     int count = 0;
     for (Task task : step.tasks) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -48,7 +48,7 @@
   private final DemandEstimator demandEstimator = new DemandEstimator(ranking, runTimeEstimator);
   private final StragglerDetector stragglerDetector = new StragglerDetector(runTimeEstimator);
   private final AdmissionView admissionView =
-      new AdmissionView(liveJobs.values(), ranking, runTimeEstimator, shares);
+      new AdmissionView(liveJobs.values(), ranking, runTimeEstimator, shares, teamUsage);
   private long slownessDecayedAtMs;
   private final RunTracker runTracker;
   private FleetConfig config = FleetConfig.EMPTY;
--- a/src/main/java/org/laburnumarch/internal/share/PoolShares.java
+++ b/src/main/java/org/laburnumarch/internal/share/PoolShares.java
@@ -3,11 +3,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
 
 /**
  * Divides one pool between teams by weight, for demand of several times what the pool holds and for
@@ -41,6 +44,7 @@
     private final Deque<Integer> agreed = new ArrayDeque<>();
     private final Deque<Integer> beyond = new ArrayDeque<>();
     private final List<WaitingWork<T>> all;
+    private double rankMs;
 
     TeamLine(String team, List<WaitingWork<T>> all) {
       this.team = team;
@@ -67,16 +71,18 @@
       return all.get(isAgreed() ? agreed.removeFirst() : beyond.removeFirst());
     }
 
-    boolean goesBefore(TeamLine<T> other) {
-      if (isAgreed() != other.isAgreed()) {
-        return isAgreed();
-      }
-      double own = isAgreed() ? excessMs(team) : nextVirtualMs(team);
-      double others = isAgreed() ? excessMs(other.team) : nextVirtualMs(other.team);
-      return own == others ? position() < other.position() : own < others;
+    /** Computes anew where the line stands, after a change of what its team uses. */
+    void updateRank() {
+      rankMs = isAgreed() ? excessMs(team) : nextVirtualMs(team);
     }
   }
 
+  /** Order of the lines of one urgency class; ranks must not change while a line is queued. */
+  private static final Comparator<TeamLine<?>> BY_RANK =
+      Comparator.<TeamLine<?>, Boolean>comparing(line -> !line.isAgreed())
+          .thenComparingDouble(line -> line.rankMs)
+          .thenComparingInt(line -> line.position());
+
   private final TeamVirtualTimes virtualTimes = new TeamVirtualTimes();
   private final Map<String, Double> usedFractions = new HashMap<>();
 
@@ -155,25 +161,26 @@
         lines.computeIfAbsent(team, name -> new TeamLine<>(name, usual)).add(to);
         to++;
       }
-      orderClass(new ArrayList<>(lines.values()), ordered);
+      orderClass(lines.values(), ordered);
       from = to;
     }
     return ordered;
   }
 
-  private <T> void orderClass(List<TeamLine<T>> lines, List<T> ordered) {
-    while (!lines.isEmpty()) {
-      TeamLine<T> first = lines.get(0);
-      for (TeamLine<T> line : lines) {
-        if (line.goesBefore(first)) {
-          first = line;
-        }
-      }
+  private <T> void orderClass(Collection<TeamLine<T>> lines, List<T> ordered) {
+    Queue<TeamLine<T>> queue = new PriorityQueue<>(lines.size(), BY_RANK);
+    for (TeamLine<T> line : lines) {
+      line.updateRank();
+      queue.add(line);
+    }
+    while (!queue.isEmpty()) {
+      TeamLine<T> first = queue.remove();
       WaitingWork<T> next = first.remove();
       ordered.add(next.work());
       plannedFractions.merge(next.team(), next.poolFraction(), Double::sum);
-      if (first.isEmpty()) {
-        lines.remove(first);
+      if (!first.isEmpty()) {
+        first.updateRank();
+        queue.add(first);
       }
     }
   }
