--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -78,6 +79,8 @@
   private final JobStore jobs;
   private final OwnerLoad load;
   private final WorkerDriver driver;
+  private final AdmissionControl admission;
+  private final ShareKeeper shareKeeper;
   private final Optional<MachineController> machineController;
   private final Runnable onOperatorChange = this::applyOperatorRecords;
   private final List<PendingCancellation> pendingCancellations = new ArrayList<>();
@@ -127,6 +130,8 @@
             settings.maxWriteBytes(),
             meters,
             new StoreCallbacks());
+    this.admission = new AdmissionControl(scheduler, this::projectedSize, meters);
+    this.shareKeeper = new ShareKeeper(scheduler.shares(), admission, jobs, meters);
     this.load = new OwnerLoad(clock.nowMs());
     this.driver =
         new WorkerDriver(
@@ -146,6 +151,13 @@
             .map(address -> createMachineController(settings, address, loop, store, earlier));
   }
 
+  /** Returns the size that a pool has or will have soon; 0 if no instances are moved to it. */
+  private OptionalInt projectedSize(String service) {
+    return machineController
+        .map(controller -> controller.projectedSize(service))
+        .orElse(OptionalInt.of(0));
+  }
+
   private MachineController createMachineController(
       NodeSettings settings,
       InetSocketAddress address,
@@ -210,6 +222,7 @@
               }
             });
     machineController.ifPresent(controller -> controller.restore(contents));
+    shareKeeper.restore(contents.states(), nowMs, epochMs);
     isLoaded = true;
     Logger.info(
         "owner: event=loaded term={} jobs={} progress={} workers={}",
@@ -277,6 +290,7 @@
       meters.recordDuration("decision_seconds", clock.nowMs() - nowMs);
     }
     driver.renewLeases();
+    shareKeeper.runRound(nowMs, clock.epochMs());
     if (nowMs - finishedRemovedAtMs > REMOVE_FINISHED_EVERY_MS) {
       finishedRemovedAtMs = nowMs;
       jobs.deleteProgress(scheduler.removeFinishedJobs(nowMs));
@@ -320,6 +334,13 @@
     if (scheduler.hasJob(job.id())) {
       return CompletableFuture.completedStage(JobReply.of(Code.OK));
     }
+    Optional<JobReply> refusal =
+        jobs.isPending(job.id())
+            ? Optional.empty()
+            : admission.refusal(job, clock.nowMs(), clock.epochMs());
+    if (refusal.isPresent()) {
+      return CompletableFuture.completedStage(refusal.get());
+    }
     return jobs.submit(job)
         .handle(
             (submissionResult, failure) -> {
--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import org.laburnumarch.internal.forecast.PoolForecast;
@@ -459,6 +460,13 @@
     return count;
   }
 
+  /** Returns the size of a pool after all pending operations; empty before the first list. */
+  public OptionalInt projectedSize(String pool) {
+    return machines.isEmpty()
+        ? OptionalInt.empty()
+        : OptionalInt.of(projectedSizes(Set.of()).getOrDefault(pool, 0));
+  }
+
   /** Counts instances per pool as they will be once all pending operations are done. */
   private Map<String, Integer> projectedSizes(Set<String> outOfServiceDataCentres) {
     Map<String, Integer> sizes = new HashMap<>();
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -7,7 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Function;
+import org.laburnumarch.internal.admission.Submission;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
@@ -18,6 +21,7 @@
 import org.laburnumarch.internal.pool.PoolDemand;
 import org.laburnumarch.internal.runtime.RunTimes;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
+import org.laburnumarch.internal.share.TeamShares;
 
 /**
  * Makes all decisions of the owner about jobs and workers. Not thread-safe and without I/O.
@@ -40,10 +44,13 @@
   private final FirstReportWindow firstReports = new FirstReportWindow();
   private final RunTimes runTimes = new RunTimes();
   private final Tickets adviceTickets = new Tickets();
-  private final TeamTokenBuckets teamBuckets = new TeamTokenBuckets();
+  private final TeamShares shares = new TeamShares();
+  private final ShareOrder shareOrder = new ShareOrder(shares);
   private final CandidateRanking ranking = new CandidateRanking(runTimes);
   private final DemandEstimator demandEstimator = new DemandEstimator(ranking, runTimes);
   private final StragglerDetector stragglerDetector;
+  private final AdmissionView admissionView =
+      new AdmissionView(liveJobs.values(), ranking, runTimes, shares, teamUsage);
   private long slownessDecayedAtMs;
   private final RunTracker runTracker;
   private FleetConfig config = FleetConfig.EMPTY;
@@ -81,6 +88,26 @@
   /** Replaces the configuration. */
   public void configure(FleetConfig newConfig) {
     this.config = newConfig;
+    shares.configure(newConfig);
+  }
+
+  /**
+   * Returns what admission needs to know of a new job; empty if it has to be accepted.
+   *
+   * @param projectedSize the number of workers that a pool has or will have soon; empty if unknown
+   */
+  public Optional<Submission> submission(
+      JobSpec spec, Function<String, OptionalInt> projectedSize, long nowMs, long epochMs) {
+    List<Worker> pool =
+        config.queue(spec.queue()).map(queue -> workers.pool(queue.service())).orElse(List.of());
+    return takeoverGuard.isBlocked(pool, ownershipProvenAtMs)
+        ? Optional.empty()
+        : admissionView.submission(spec, config, pool, projectedSize, nowMs, epochMs);
+  }
+
+  /** Returns the teams' shares of the pools. */
+  public TeamShares shares() {
+    return shares;
   }
 
   /** Sets the limits on the start orders that may be sent. */
@@ -155,6 +182,7 @@
   public void restore(JobSpec spec, Optional<JobProgress> progress, long nowMs, long epochMs) {
     long ageMs = Math.max(0, epochMs - spec.submittedEpochMs());
     Job job = new Job(spec, nowMs - ageMs, true);
+    job.isAgreed = shares.tryTakeCredit(spec.team(), nowMs - ageMs);
     progress.ifPresent(stored -> job.restore(stored, epochMs));
     // Workers may report before the first decision, and the reported runs must find their tasks.
     if (!job.status.isFinal()) {
@@ -197,7 +225,7 @@
   /** Accepts a job whose record has been stored. */
   public void accept(JobSpec spec, long nowMs) {
     Job job = new Job(spec, nowMs, false);
-    job.isOverShare = !teamBuckets.tryTakeToken(config.team(spec.team()), nowMs);
+    job.isAgreed = shares.tryTakeCredit(spec.team(), nowMs);
     add(job);
     recordArrival(job, nowMs);
   }
@@ -599,7 +627,10 @@
           List<Worker> pool = workers.pool(service);
           Placement placement =
               new Placement(pool, outOfServiceDataCentres, settings.remoteSlowdownFactor(), nowMs);
-          sequence.add(new StartRound(context, placement), pool, candidates);
+          sequence.add(
+              new StartRound(context, placement),
+              pool,
+              shareOrder.order(service, candidates, pool, nowMs));
         });
     sequence.run(budget);
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -1,10 +1,13 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
 
 /** Starts waiting tasks on the workers of one pool, in the order in which candidates are passed. */
@@ -15,9 +18,29 @@
    */
   private static final int RUN_BITS_PER_TERM = 12;
 
-  /** Number of steps in one round that found no worker, after which the pool counts as full. */
+  /**
+   * Number of steps in one round that found no worker, after which the pool counts as full. Steps
+   * that need the same as one before count once: the order between teams puts many of them in a
+   * row, and they must not keep smaller ones behind them from free capacity.
+   */
   private static final int MAX_MISSES = 24;
 
+  /** What a step needs of a worker, if nothing but free capacity decides where it may run. */
+  private record Shape(Resources reserved, Resources need, String requiredLabel) {
+
+    static Optional<Shape> of(Candidate candidate) {
+      StepSpec spec = candidate.step().spec;
+      boolean isPlain =
+          !spec.isGang()
+              && !spec.isLongRunning()
+              && spec.maxPerWorker() == 0
+              && candidate.queue().advice().isEmpty();
+      return isPlain
+          ? Optional.of(new Shape(spec.reserved(), spec.need(), spec.requiredLabel()))
+          : Optional.empty();
+    }
+  }
+
   /**
    * State shared by all rounds of one decision.
    *
@@ -43,6 +66,7 @@
   private final Context context;
   private final Placement placement;
   private final long nowMs;
+  private final Set<Shape> missed = new HashSet<>();
   private int misses;
 
   StartRound(Context context, Placement placement) {
@@ -58,6 +82,11 @@
 
   void startCandidate(Candidate candidate, List<Worker> pool) {
     Step step = candidate.step();
+    Optional<Shape> shape = Shape.of(candidate);
+    int together = step.spec.isGang() ? step.tasks.size() : 1;
+    if (shape.filter(missed::contains).isPresent() || !isWithinTeamLimit(step, together)) {
+      return;
+    }
     boolean needsTicket = candidate.queue().advice().isPresent();
     Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
     if (needsTicket && stepTickets.isEmpty()) {
@@ -68,7 +97,10 @@
         step.spec.isGang()
             ? startGang(step, stepTickets, needsTicket)
             : startTasks(candidate, stepTickets, needsTicket);
-    misses += isPlaced ? 0 : 1;
+    if (!isPlaced) {
+      misses++;
+      shape.ifPresent(missed::add);
+    }
   }
 
   private void requestTickets(Candidate candidate, List<Worker> pool) {
@@ -83,6 +115,7 @@
         .ifPresent(context.queries()::add);
   }
 
+  /** Starts tasks of a step; returns false if one found no worker. */
   private boolean startTasks(
       Candidate candidate, Map<String, String> stepTickets, boolean needsTicket) {
     for (Task task : candidate.step().tasks) {
@@ -90,7 +123,7 @@
         continue;
       }
       if (!isWithinTeamLimit(candidate.step(), 1)) {
-        return false;
+        return true;
       }
       Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
       if (worker.isEmpty() && task.needsIsolation(nowMs)) {
@@ -144,9 +177,7 @@
   }
 
   private boolean isWithinTeamLimit(Step step, int tasks) {
-    Resources need = step.spec.need();
-    Resources all =
-        new Resources(need.cpuMillis() * tasks, need.memoryMb() * tasks, need.gpus() * tasks);
+    Resources all = step.spec.need().times(tasks);
     String team = step.job.spec.team();
     return context
         .teamUsage()
--- a/src/test/java/org/laburnumarch/ArchitectureTest.java
+++ b/src/test/java/org/laburnumarch/ArchitectureTest.java
@@ -31,6 +31,8 @@
     INTERNAL + "hash..",
     INTERNAL + "pacing..",
     INTERNAL + "forecast..",
+    INTERNAL + "share..",
+    INTERNAL + "admission..",
   };
 
   private static final JavaClasses PRODUCTION =
@@ -103,6 +105,8 @@
       INTERNAL + "runtime..",
       INTERNAL + "pool..",
       INTERNAL + "lead..",
+      INTERNAL + "share..",
+      INTERNAL + "admission..",
     };
 
     @Test
