Keep silent and slow workers from using up the limit of the link

Starts to silent workers counted as in flight for 400 ms, the starts to a silent rack failed together and outnumbered the replies of 10 ms, and a few slow replies could be the median of a short window.

A start is now counted until one that was sent 100 ms later has been answered, missing replies are compared over 400 ms, and the delay is the lower quartile over at least 16 workers.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -191,7 +191,7 @@
     Optional<WorkerClient> client = client(order.workerId());
     long sentAtMs = clock.nowMs();
     if (order instanceof Order.Start) {
-      pacer.onStartSent(order.workerId());
+      pacer.onStartSent(order.workerId(), sentAtMs);
     }
     if (client.isEmpty()) {
       onReply(order, sentAtMs, new OrderReply(Outcome.UNREACHABLE, -1));
--- a/src/main/java/org/laburnumarch/internal/pacing/LinkLimit.java
+++ b/src/main/java/org/laburnumarch/internal/pacing/LinkLimit.java
@@ -55,15 +55,34 @@
   /** Share of the limit that must have been in flight for the limit to rise. */
   private static final double USED_SHARE = 0.5;
 
+  /**
+   * Fewest workers whose replies say something about the link and not about one worker. A fleet
+   * with fewer workers is bounded by the limits of its workers.
+   */
+  private static final int MIN_WORKERS = 3;
+
+  /** Workers with replies after which no more are awaited; fewer could all be slow ones. */
+  private static final int ENOUGH_WORKERS = 16;
+
   private static final long MIN_WINDOW_MS = 10;
   private static final long MAX_WINDOW_MS = 100;
 
   private final long timeoutMs;
   private final MinimumReplyTime minimum = new MinimumReplyTime();
-  private final ReplyWindow window = new ReplyWindow();
+
+  /** Replies of about a round trip, which show the delay. */
+  private final ReplyWindow replies = new ReplyWindow();
+
+  /**
+   * Outcomes of a whole time limit. Starts to a silent rack fail together, and in a shorter time
+   * they may outnumber the workers that replied.
+   */
+  private final ReplyWindow outcomes = new ReplyWindow();
+
   private double limit;
-  private long medianMs;
-  private long windowEndsAtMs;
+  private long delayMs;
+  private long repliesEndAtMs;
+  private long outcomesEndAtMs;
 
   /**
    * Creates the limit of a new owner.
@@ -82,8 +101,8 @@
     return (int) limit;
   }
 
-  long medianMs() {
-    return medianMs;
+  long delayMs() {
+    return delayMs;
   }
 
   long minimumMs() {
@@ -92,10 +111,10 @@
 
   /** Returns how far replies are from their minimum to the target, from 0 to 1; 0 if near it. */
   double pressure() {
-    if (medianMs <= nearMs()) {
+    if (delayMs <= nearMs()) {
       return 0;
     }
-    return Math.min(1, (double) (medianMs - minimum.get()) / (targetMs() - minimum.get()));
+    return Math.min(1, (double) (delayMs - minimum.get()) / (targetMs() - minimum.get()));
   }
 
   private double nearMs() {
@@ -108,32 +127,47 @@
   }
 
   void onSent(int startsInFlight) {
-    window.onInFlight(startsInFlight);
+    replies.onInFlight(startsInFlight);
+    outcomes.onInFlight(startsInFlight);
   }
 
   /** Records a reply; returns why the limit has fallen, if it has. */
   Cut onAnswered(String workerId, long replyMs, int startsInFlight, long nowMs) {
-    window.onAnswered(workerId, replyMs);
+    replies.onAnswered(workerId, replyMs);
+    outcomes.onAnswered(workerId, replyMs);
     boolean isMinimumOld = minimum.add(replyMs, nowMs);
-    if (isMinimumOld && medianMs > nearMs()) {
+    if (isMinimumOld && delayMs > nearMs()) {
       limit = Math.max(MIN_LIMIT, limit * PROBE_CUT);
-      endWindow(startsInFlight, nowMs);
+      endReplies(startsInFlight, nowMs);
       return Cut.PROBE;
     }
-    if (window.peakInFlight() >= limit * USED_SHARE) {
+    if (replies.peakInFlight() >= limit * USED_SHARE) {
       rise(replyMs);
     }
-    return adjust(startsInFlight, nowMs);
+    boolean isWindowOver =
+        nowMs >= repliesEndAtMs + timeoutMs
+            || (nowMs >= repliesEndAtMs && replies.workers() >= ENOUGH_WORKERS);
+    return isWindowOver ? adjustToDelay(startsInFlight, nowMs) : Cut.NONE;
   }
 
   /** Records that a start got no reply in time; returns why the limit has fallen, if it has. */
   Cut onMissing(String workerId, int startsInFlight, long nowMs) {
-    window.onMissing(workerId);
-    return adjust(startsInFlight, nowMs);
+    outcomes.onMissing(workerId);
+    if (nowMs < outcomesEndAtMs) {
+      return Cut.NONE;
+    }
+    Cut cut = Cut.NONE;
+    if (outcomes.workers() >= MIN_WORKERS && outcomes.isMostlyMissing()) {
+      cut = Cut.MISSING;
+      cutTo(MAX_CUT, outcomes.peakInFlight());
+    }
+    outcomesEndAtMs = nowMs + timeoutMs;
+    outcomes.clear(startsInFlight);
+    return cut;
   }
 
   private void rise(long replyMs) {
-    if (Math.max(replyMs, medianMs) <= nearMs()) {
+    if (Math.max(replyMs, delayMs) <= nearMs()) {
       limit += 1;
     } else if (replyMs <= targetMs()) {
       // Adds the square root of the limit in a round trip.
@@ -142,31 +176,26 @@
     limit = Math.min(MAX_LIMIT, limit);
   }
 
-  private Cut adjust(int startsInFlight, long nowMs) {
-    if (nowMs < windowEndsAtMs) {
-      return Cut.NONE;
-    }
+  private Cut adjustToDelay(int startsInFlight, long nowMs) {
     Cut cut = Cut.NONE;
-    if (window.isSufficient()) {
-      // A limit that is far above what is in flight would need several cuts to take effect.
-      double used = Math.min(limit, Math.max(MIN_LIMIT, window.peakInFlight()));
-      if (window.isMostlyMissing()) {
-        cut = Cut.MISSING;
-        limit = Math.max(MIN_LIMIT, used * MAX_CUT);
-      } else {
-        medianMs = window.medianMs();
-        if (medianMs > targetMs()) {
-          cut = Cut.DELAY;
-          limit = Math.max(MIN_LIMIT, used * Math.max(MAX_CUT, targetMs() / medianMs));
-        }
+    if (replies.workers() >= MIN_WORKERS) {
+      delayMs = replies.lowerQuartileMs();
+      if (delayMs > targetMs()) {
+        cut = Cut.DELAY;
+        cutTo(Math.max(MAX_CUT, targetMs() / delayMs), replies.peakInFlight());
       }
     }
-    endWindow(startsInFlight, nowMs);
+    endReplies(startsInFlight, nowMs);
     return cut;
   }
 
-  private void endWindow(int startsInFlight, long nowMs) {
-    windowEndsAtMs = nowMs + Math.max(MIN_WINDOW_MS, Math.min(MAX_WINDOW_MS, medianMs));
-    window.clear(startsInFlight);
+  /** Cuts what was in use: a limit far above it would need several cuts to take effect. */
+  private void cutTo(double fraction, int peakInFlight) {
+    limit = Math.max(MIN_LIMIT, Math.min(limit, peakInFlight) * fraction);
+  }
+
+  private void endReplies(int startsInFlight, long nowMs) {
+    repliesEndAtMs = nowMs + Math.max(MIN_WINDOW_MS, Math.min(MAX_WINDOW_MS, delayMs));
+    replies.clear(startsInFlight);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/pacing/OrderPacer.java
+++ b/src/main/java/org/laburnumarch/internal/pacing/OrderPacer.java
@@ -25,10 +25,16 @@
   /** Time without replies after which the last reply times say nothing about the link any more. */
   private static final long PRESSURE_VALID_MS = 1_000;
 
+  /**
+   * Share of the time limit of an order by which a later one must have been sent to overtake it.
+   */
+  private static final double OVERTAKEN_SHARE = 0.25;
+
   private static final long LOG_INTERVAL_MS = 1_000;
 
   private final long timeoutMs;
   private final LinkLimit link;
+  private final LinkOccupancy occupancy;
   private final Map<String, WorkerLimit> workers = new HashMap<>();
   private int inFlight;
   private long lastReplyAtMs;
@@ -46,12 +52,13 @@
    */
   public OrderPacer(double linkMbps, long timeoutMs) {
     this.timeoutMs = timeoutMs;
+    this.occupancy = new LinkOccupancy((long) (timeoutMs * OVERTAKEN_SHARE));
     this.link = new LinkLimit(linkMbps * BYTES_PER_MS_PER_MBPS, START_BYTES, timeoutMs);
   }
 
   @Override
   public int startsAllowed(long nowMs) {
-    return Math.max(0, link.get() - inFlight);
+    return Math.max(0, link.get() - occupancy.count());
   }
 
   @Override
@@ -90,10 +97,11 @@
   }
 
   /** Records that a start is sent. */
-  public void onStartSent(String workerId) {
+  public void onStartSent(String workerId, long nowMs) {
     inFlight++;
     workers.computeIfAbsent(workerId, id -> new WorkerLimit(timeoutMs)).onSent();
-    link.onSent(inFlight);
+    occupancy.onSent(nowMs);
+    link.onSent(occupancy.count());
   }
 
   /**
@@ -107,14 +115,15 @@
       String workerId, long sentAtMs, boolean isAnswered, long nowMs) {
     long replyMs = nowMs - sentAtMs;
     inFlight--;
+    occupancy.onSettled(sentAtMs, isAnswered);
     WorkerLimit worker = workers.computeIfAbsent(workerId, id -> new WorkerLimit(timeoutMs));
     LinkLimit.Cut cut = LinkLimit.Cut.NONE;
     if (isAnswered) {
       lastReplyAtMs = nowMs;
-      cut = link.onAnswered(workerId, replyMs, inFlight, nowMs);
-      worker.onAnswered(replyMs, link.medianMs(), nowMs);
+      cut = link.onAnswered(workerId, replyMs, occupancy.count(), nowMs);
+      worker.onAnswered(replyMs, link.delayMs(), nowMs);
     } else if (replyMs >= timeoutMs) {
-      cut = link.onMissing(workerId, inFlight, nowMs);
+      cut = link.onMissing(workerId, occupancy.count(), nowMs);
       worker.onMissing(nowMs);
     }
     worker.onSettled();
@@ -140,7 +149,7 @@
         "start_limit=%d starts_in_flight=%d link_reply_ms=%d min_reply_ms=%d",
         link.get(),
         inFlight,
-        link.medianMs(),
+        link.delayMs(),
         link.minimumMs());
   }
 
--- a/src/main/java/org/laburnumarch/internal/pacing/ReplyWindow.java
+++ b/src/main/java/org/laburnumarch/internal/pacing/ReplyWindow.java
@@ -6,17 +6,11 @@
 import java.util.Set;
 
 /**
- * The replies and missing replies of about one round trip. Each worker counts once, by its fastest
- * reply, so that a few slow or silent workers do not hide how fast the link is.
+ * The replies and missing replies of some time. Each worker counts once, by its fastest reply, so
+ * that a few slow or silent workers do not hide how fast the link is.
  */
 final class ReplyWindow {
 
-  /**
-   * Fewest workers whose replies say something about the link and not about one worker. A fleet
-   * with fewer workers is bounded by the limits of its workers.
-   */
-  private static final int MIN_WORKERS = 3;
-
   private final Map<String, Long> fastestMs = new HashMap<>();
   private final Set<String> missing = new HashSet<>();
   private int peakInFlight;
@@ -38,10 +32,10 @@
     return peakInFlight;
   }
 
-  /** Returns whether there are results of enough workers. */
-  boolean isSufficient() {
+  /** Returns the number of workers with a reply or a missing reply. */
+  int workers() {
     missing.removeAll(fastestMs.keySet());
-    return fastestMs.size() + missing.size() >= MIN_WORKERS;
+    return fastestMs.size() + missing.size();
   }
 
   /** Returns whether more than half of the workers with a result have only missing replies. */
@@ -50,10 +44,13 @@
     return missing.size() > fastestMs.size();
   }
 
-  /** Returns the median of the workers' fastest replies, in milliseconds; 0 without replies. */
-  long medianMs() {
+  /**
+   * Returns the reply time that a quarter of the workers do not exceed, in milliseconds; 0 without
+   * replies. A full link delays all replies, and slow workers only their own.
+   */
+  long lowerQuartileMs() {
     long[] sorted = fastestMs.values().stream().mapToLong(Long::longValue).sorted().toArray();
-    return sorted.length == 0 ? 0 : sorted[sorted.length / 2];
+    return sorted.length == 0 ? 0 : sorted[sorted.length / 4];
   }
 
   /** Begins the next window. */
