Wait for the log lines of a handover in its test

HandoverTest failed in 1 of 8 runs of the stop: it read the log of the successor when the store had the claim, but the successor had not got the answer yet. It now waits for each line up to the time limit of the test.

--- a/src/test/java/org/laburnumarch/internal/soak/HandoverTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/HandoverTest.java
@@ -98,8 +98,14 @@
     assertThat(isOwner.call()).as("%s owns term %d, but: %s", daemon, term, owner()).isTrue();
   }
 
-  private String log(int daemon) throws IOException {
-    return Files.readString(directory.resolve("daemon-" + daemon + ".log"));
+  /** Waits for a line in a daemon's log, which is written after the store has answered. */
+  private void awaitLog(int daemon, String text) throws Exception {
+    Path file = directory.resolve("daemon-" + daemon + ".log");
+    long endMs = System.currentTimeMillis() + TIMEOUT_MS;
+    while (!Files.readString(file).contains(text) && System.currentTimeMillis() < endMs) {
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    assertThat(Files.readString(file)).contains(text);
   }
 
   /** Guards against a stop that leaves the ownership to whichever daemon claims first. */
@@ -114,8 +120,8 @@
     TimeUnit.SECONDS.sleep(6);
     loop.execute(() -> fleet.daemons().get(0).terminate());
     awaitOwner("daemon-2", 2);
-    assertThat(log(0)).contains("reason=STOPPING outcome=released");
-    assertThat(log(2)).contains("why=OFFERED");
+    awaitLog(0, "reason=STOPPING outcome=released");
+    awaitLog(2, "why=OFFERED");
     assertThat(loop.call(checker::breaches)).isEmpty();
   }
 
@@ -136,7 +142,7 @@
     awaitOwner("daemon-2", 2);
     TimeUnit.SECONDS.sleep(6);
     assertThat(owner().term()).as("the ownership does not move back").isEqualTo(2);
-    assertThat(log(0)).contains("reason=LINK outcome=released");
+    awaitLog(0, "reason=LINK outcome=released");
     assertThat(loop.call(checker::breaches)).isEmpty();
   }
 }
