Count starts that are held back as a loss of a limited owner

Once the starts in flight are limited by the times of their replies, an owner on a small link has quick replies and holds back what the link cannot carry, so that nothing would show that it is limited. The part of the rounds with starts held back now counts like late replies.

--- a/src/main/java/org/laburnumarch/internal/lead/HandoverPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/lead/HandoverPolicy.java
@@ -135,7 +135,8 @@
     }
     long limitMs = lateLimitMs();
     // Workers that do not respond leave orders unanswered without making other replies late.
-    boolean isLate = sample.replies() == 0 || sample.meanReplyMs() > limitMs;
+    boolean isLate =
+        sample.replies() == 0 || sample.meanReplyMs() > limitMs || sample.heldShare() > 0;
     if (sample.replies() >= MIN_ORDERS) {
       minReplyMs = Math.min(minReplyMs, sample.meanReplyMs());
     }
@@ -161,7 +162,7 @@
   private static double lossMs(LoadSample sample, int orders, long limitMs) {
     double unanswered = (double) sample.unanswered() / orders;
     double delay = Math.max(0, sample.meanReplyMs() - limitMs) / (double) ORDER_TIMEOUT_MS;
-    return 1_000 * Math.min(1, unanswered + delay);
+    return 1_000 * Math.min(1, Math.max(sample.heldShare(), unanswered + delay));
   }
 
   /** Records the state that another daemon has reported. */
--- a/src/main/java/org/laburnumarch/internal/node/OwnerLoad.java
+++ b/src/main/java/org/laburnumarch/internal/node/OwnerLoad.java
@@ -15,6 +15,7 @@
 
   private long reportAtMs;
   private int rounds;
+  private int heldRounds;
   private long maxTimerDelayMs;
   private int replies;
   private long replyTimeSumMs;
@@ -30,6 +31,11 @@
     rounds++;
   }
 
+  /** Records that starts were held back in the last round because the link takes no more. */
+  void onStartsHeld() {
+    heldRounds++;
+  }
+
   /** Records by how much a timer ran late. */
   void onTimer(long delayMs) {
     maxTimerDelayMs = Math.max(maxTimerDelayMs, delayMs);
@@ -63,9 +69,14 @@
     sample =
         Optional.of(
             new LoadSample(
-                replies, replies == 0 ? 0 : replyTimeSumMs / replies, unanswered, maxTimerDelayMs));
+                replies,
+                replies == 0 ? 0 : replyTimeSumMs / replies,
+                unanswered,
+                maxTimerDelayMs,
+                Math.min(1, heldRounds / Math.max(1.0, rounds))));
     reportAtMs = nowMs + REPORT_EVERY_MS;
     rounds = 0;
+    heldRounds = 0;
     maxTimerDelayMs = 0;
     replies = 0;
     replyTimeSumMs = 0;
--- a/src/test/java/org/laburnumarch/internal/lead/HandoverPolicyTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/HandoverPolicyTest.java
@@ -20,10 +20,10 @@
 /** Tests to whom an owner offers the ownership, and that it does not oscillate. */
 class HandoverPolicyTest {
 
-  private static final LoadSample QUICK = new LoadSample(500, 4, 0, 5);
-  private static final LoadSample SLOW_LINK = new LoadSample(300, 320, 600, 10);
-  private static final LoadSample DEAD_WORKERS = new LoadSample(300, 5, 200, 10);
-  private static final LoadSample SLOW_PROCESSOR = new LoadSample(300, 90, 20, 900);
+  private static final LoadSample QUICK = new LoadSample(500, 4, 0, 5, 0);
+  private static final LoadSample SLOW_LINK = new LoadSample(300, 320, 600, 10, 0);
+  private static final LoadSample DEAD_WORKERS = new LoadSample(300, 5, 200, 10, 0);
+  private static final LoadSample SLOW_PROCESSOR = new LoadSample(300, 90, 20, 900, 0);
   private static final InstanceSize SMALL = new InstanceSize(0.36, 7);
   private static final InstanceSize LARGE = new InstanceSize(1.2, 140);
 
@@ -61,6 +61,13 @@
           .contains(new Offer("large", Reason.PROCESSOR));
     }
 
+    /** Guards against an owner whose replies are quick only because it holds back most starts. */
+    @Test
+    void shouldOfferIfStartsAreHeldBack() {
+      LoadSample held = new LoadSample(200, 20, 0, 10, 0.9);
+      assertThat(after(held, 3, able("large", LARGE))).contains(new Offer("large", Reason.LINK));
+    }
+
     /** Guards against a move for workers that do not respond, which no other owner would mend. */
     @Test
     void shouldNotMoveForWorkersThatDoNotRespond() {
