Do not renew an ownership that is being released

If the store failed a planned release at once, the owner could renew until its time limit, although it had stopped all orders, and the successor then read an ownership that looked held.

--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -86,6 +86,9 @@
   private boolean isClosed;
   private boolean isCandidate = true;
 
+  /** Whether orders have stopped for a planned release, so that the ownership is not renewed. */
+  private boolean isReleasing;
+
   /** Local time until which this daemon claims without a delay what was released to it. */
   private long chosenUntilMs = Long.MIN_VALUE / 2;
 
@@ -145,7 +148,9 @@
     if (tenure.isPresent()) {
       if (!tenure.get().hasAuthority(nowMs)) {
         lose("no renewal was stored in time");
-      } else if (!isWriting && nowMs - lastRenewalAttemptMs >= renewalIntervalMs(nowMs)) {
+      } else if (!isWriting
+          && !isReleasing
+          && nowMs - lastRenewalAttemptMs >= renewalIntervalMs(nowMs)) {
         renew(nowMs);
       }
     } else if (watch.shouldRead(nowMs) && !isReading) {
@@ -342,6 +347,7 @@
     OwnerTenure held = tenure.orElseThrow();
     Logger.warn("owner: event=lost term={} cause=\"{}\"", held.term(), cause);
     held.onLost();
+    isReleasing = false;
     tenure = Optional.empty();
     listener.onOwnershipLost();
   }
@@ -408,6 +414,7 @@
   }
 
   private void storeRelease(OwnerTenure held, OwnerRecord released, ReleaseListener onReleased) {
+    isReleasing = true;
     Consumer<Long> finish =
         newEndOffset -> {
           if (tenure.equals(Optional.of(held))) {
