Ignore small rises of demand when peaks are learnt

A rise counts now only if it reaches a quarter of the usual level, and what is wanted between peaks is kept.

--- a/src/main/java/org/laburnumarch/internal/forecast/PeakDetector.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/PeakDetector.java
@@ -14,6 +14,12 @@
   /** Smallest rise in instances that counts as a peak. */
   private static final double MIN_RISE = 2;
 
+  /**
+   * Part of the usual level of peaks by which the demand must rise. Otherwise, single jobs between
+   * the peaks are taken for peaks, and no prediction comes true.
+   */
+  static final double MIN_LEVEL_FRACTION = 0.25;
+
   /** A peak has ended when the demand is below this fraction of its height above the base. */
   private static final double END_FRACTION = 0.4;
 
@@ -74,8 +80,9 @@
    * Records the demand.
    *
    * @param demand wanted instances, averaged so that single samples don't matter
+   * @param usualLevel level of the peaks that matter, as far as it is known
    */
-  Event update(double demand, long nowMs) {
+  Event update(double demand, double usualLevel, long nowMs) {
     if (base < 0) {
       base = demand;
       first = demand;
@@ -83,7 +90,10 @@
     }
     long elapsedMs = nowMs - updatedAtMs;
     updatedAtMs = nowMs;
-    return isInPeak ? duringPeak(demand, nowMs) : outsidePeak(demand, elapsedMs, nowMs);
+    return isInPeak
+        ? duringPeak(demand, nowMs)
+        : outsidePeak(
+            demand, Math.max(MIN_RISE, MIN_LEVEL_FRACTION * usualLevel), elapsedMs, nowMs);
   }
 
   private Event duringPeak(double demand, long nowMs) {
@@ -105,8 +115,8 @@
     return Event.NONE;
   }
 
-  private Event outsidePeak(double demand, long elapsedMs, long nowMs) {
-    if (demand > base + Math.max(MIN_RISE, RISE_FRACTION * base)) {
+  private Event outsidePeak(double demand, double minRise, long elapsedMs, long nowMs) {
+    if (demand > base + Math.max(minRise, RISE_FRACTION * base)) {
       isInPeak = true;
       hasFallen = true;
       if (last.isPresent() && nowMs - last.get().endMs() < mergeGapMs) {
@@ -116,7 +126,7 @@
       last = Optional.of(new Peak(nowMs, nowMs, (int) Math.ceil(demand), true));
       return Event.BEGUN;
     }
-    if (!hasFallen && first > demand + Math.max(MIN_RISE, RISE_FRACTION * demand)) {
+    if (!hasFallen && first > demand + Math.max(minRise, RISE_FRACTION * demand)) {
       // The demand was high from the beginning, so a peak was under way.
       hasFallen = true;
       last = Optional.of(new Peak(firstAtMs, nowMs, (int) Math.ceil(first), false));
--- a/src/main/java/org/laburnumarch/internal/forecast/PoolState.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/PoolState.java
@@ -1,5 +1,7 @@
 package org.laburnumarch.internal.forecast;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -28,13 +30,24 @@
   /** Number of round trips in which the instances of a pool without history are halved. */
   private static final int HALVING_ROUND_TRIPS = 2;
 
+  /** Time after which a rise is recognised as a peak at the latest, as demand is averaged. */
+  private static final long DETECTION_MS = 1_000;
+
+  /** Time after a peak for which its level is the usual one. Afterwards, smaller peaks count. */
+  private static final long USUAL_LEVEL_MS = 120_000;
+
   private final MoveTimes times;
   private final PeakDetector detector;
   private final Recurrence recurrence = new Recurrence();
   private final RecentDemand recent;
 
-  /** Demand since the end of the last peak. */
-  private RecentDemand quiet;
+  private record Sample(long atMs, int wanted) {}
+
+  /** Demand outside peaks. */
+  private final RecentDemand quiet;
+
+  /** Demand that may turn out to be the beginning of a peak. */
+  private final Deque<Sample> undecided = new ArrayDeque<>();
 
   private final long sinceMs;
   private final long keepAllUntilMs;
@@ -52,7 +65,7 @@
     this.times = times;
     this.detector = new PeakDetector(times.roundTripMs());
     this.recent = new RecentDemand(times.reactiveHoldMs());
-    this.quiet = new RecentDemand(times.roundTripMs());
+    this.quiet = new RecentDemand(times.reactiveHoldMs());
     this.initialInstances = initialInstances;
     this.keepAllUntilMs = keepAllUntilMs;
     this.sinceMs = nowMs;
@@ -78,14 +91,12 @@
   Optional<Boolean> update(int wanted, boolean hasBatchDemand, long nowMs) {
     hasSeenBatchDemand |= hasBatchDemand;
     double average = recent.record(wanted, nowMs);
-    quiet.record(wanted, nowMs);
     Optional<Boolean> outcome = Optional.empty();
-    long lastEndMs = detector.last().map(Peak::endMs).orElse(nowMs);
-    switch (detector.update(average, nowMs)) {
+    long lastEndMs = detector.last().map(Peak::endMs).orElse(0L);
+    switch (detector.update(average, usualLevel(nowMs), nowMs)) {
       case BEGUN -> outcome = recurrence.onBegun(detector.last().orElseThrow());
       case ENDED -> {
-        recurrence.onChanged(detector.last().orElseThrow());
-        quiet = new RecentDemand(times.roundTripMs());
+        recurrence.onEnded(detector.last().orElseThrow());
       }
       case LEVEL_CHANGED -> recurrence.removeLast();
       case RESUMED -> {
@@ -99,9 +110,23 @@
         }
       }
     }
+    recordOutsidePeaks(wanted, lastEndMs, nowMs);
     return outcome;
   }
 
+  private void recordOutsidePeaks(int wanted, long lastEndMs, long nowMs) {
+    if (detector.isInPeak()) {
+      undecided.clear();
+    } else if (nowMs - lastEndMs > times.leadMs() / 2) {
+      // Before, the demand may still fall after a peak.
+      undecided.addLast(new Sample(nowMs, wanted));
+    }
+    while (!undecided.isEmpty() && nowMs - undecided.peekFirst().atMs() > DETECTION_MS) {
+      Sample sample = undecided.removeFirst();
+      quiet.record(sample.wanted(), sample.atMs());
+    }
+  }
+
   /**
    * Returns the forecast.
    *
@@ -152,6 +177,16 @@
     return confidence * savedMs >= (1 - confidence) * SHORTAGE_WEIGHT * times.leadMs();
   }
 
+  /**
+   * Returns the level of the peaks that matter: that of the last ones, or half of the size that the
+   * pool was given.
+   */
+  private double usualLevel(long nowMs) {
+    Optional<Peak> last = detector.last();
+    boolean isRecent = last.isPresent() && nowMs - last.get().endMs() <= USUAL_LEVEL_MS;
+    return Math.max(initialInstances / 2.0, isRecent ? recurrence.level(false) : 0);
+  }
+
   /** Returns the most that was needed in the recent past, by this owner or an earlier one. */
   private int recentLevel(long nowMs) {
     int level = recent.max();
--- a/src/main/java/org/laburnumarch/internal/forecast/Recurrence.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/Recurrence.java
@@ -106,11 +106,19 @@
     return outcome;
   }
 
-  /** Replaces the newest peak by its current state. */
-  void onChanged(Peak peak) {
+  /**
+   * Replaces the newest peak by its state at its end. Earlier rises that were much smaller were no
+   * peaks; what was predicted from them is forgotten.
+   */
+  void onEnded(Peak peak) {
     if (!peaks.isEmpty() && peaks.peekLast().startMs() == peak.startMs()) {
       peaks.removeLast();
     }
+    double minLevel = PeakDetector.MIN_LEVEL_FRACTION * peak.level();
+    if (peaks.removeIf(earlier -> earlier.level() < minLevel)) {
+      record = HitRecord.NONE;
+      errorsMs.clear();
+    }
     peaks.addLast(peak);
     predict();
   }
--- a/src/test/java/org/laburnumarch/internal/forecast/PoolSimulationTest.java
+++ b/src/test/java/org/laburnumarch/internal/forecast/PoolSimulationTest.java
@@ -143,6 +143,22 @@
       assertThat(drifting.learnt().heldS()).isLessThan(0.85 * drifting.old().heldS());
     }
 
+    /** Guards against single jobs between the peaks that are taken for peaks. */
+    @Test
+    void shouldFollowPeaksAmongSingleJobs() {
+      Demand peaks = alternating(4, 16_000, 12, 0.05, 0);
+      Demand jobs = aperiodic(3_000, 190_000);
+      Comparison result =
+          compare(
+              "single jobs between peaks",
+              40,
+              (pool, atMs) -> Math.max(peaks.workers(pool, atMs), jobs.workers(pool, atMs) / 9),
+              32_000,
+              190_000);
+      assertThat(result.learnt().shortS()).isLessThan(0.01 * 4 * MEAN * 158);
+      assertThat(result.learnt().heldS()).isLessThan(0.85 * result.old().heldS());
+    }
+
     /** Guards against acting on a recurrence that is not there or has ended. */
     @Test
     void shouldBeNoWorseWithoutARecurrence() {
