Tell the handover policy that pacing holds starts back

An owner whose link limits it sends fewer starts since they are paced, so late and missing replies alone no longer show the policy that the link is the limit.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -165,6 +165,7 @@
     decisions.queries().forEach(this::requestAdvice);
     if (pacer.pollStartsHeld()) {
       meters.count("held_start_rounds_total", "link");
+      load.onStartsHeld();
     }
     pacer.report(clock.nowMs()).ifPresent(line -> Logger.info("owner: event=pacing {}", line));
   }
