--- a/src/main/java/org/laburnumarch/internal/node/RunTimesKeeper.java
+++ b/src/main/java/org/laburnumarch/internal/node/RunTimesKeeper.java
@@ -62,7 +62,7 @@
   }
 
   private void showCalibration(long nowMs) {
-    boolean isLogged = nowMs >= logAtMs;
+    boolean isLogged = nowMs >= logAtMs && !runTimes.calibrations().isEmpty();
     if (isLogged) {
       logAtMs = nowMs + LOG_EVERY_MS;
     }
