Keep suspects apart from each other after the wait for isolation

After 1.5 s a suspect starts beside other runs, but for 1.5 s more not beside another new suspect; after 3 s in all it starts anywhere.

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -135,9 +135,9 @@
     isOfNextIncarnation = false;
   }
 
-  /** Returns whether the run is isolated until a report shows that it has survived its start. */
+  /** Returns whether a suspect's run is awaited to show that it has survived its start. */
   boolean isSurvivalUnknown(long nowMs) {
-    return isIsolated
+    return task.isSuspect
         && !hasSurvivedStart
         && phase == Phase.RUNNING
         && nowMs - orderedAtMs >= RunTracker.START_SURVIVAL_MS;
--- a/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
@@ -21,17 +21,16 @@
   static final long MAX_ISOLATION_WAIT_MS = 1_500;
 
   /**
-   * The same after two crashes. Starting beside other suspects again could give up a task that has
-   * crashed no worker.
+   * Time after that for which a suspect still waits for a worker without another new suspect, so
+   * that suspects are not blamed together again.
    */
-  private static final long MAX_REPEATED_ISOLATION_WAIT_MS = 4_000;
+  static final long MAX_SEPARATION_WAIT_MS = 1_500;
 
   /**
    * Age of a run at the loss of its worker up to which it may have caused the crash by being
-   * started. Longer than the time after which a run counts as survived, because the loss is noticed
-   * with a delay.
+   * started.
    */
-  private static final long NEW_RUN_MS = 500;
+  private static final long NEW_RUN_MS = RunTracker.START_SURVIVAL_MS;
 
   /** Crashes after which a task is given up if it may have caused the last one. */
   private static final int MAX_CRASHES = 3;
@@ -87,13 +86,6 @@
     changes.add(job);
   }
 
-  /** Returns how long a task may wait for a worker without other new runs. */
-  static long maxIsolationWaitMs(Task task) {
-    return task.crashes < CRASHES_FOR_PROOF
-        ? MAX_ISOLATION_WAIT_MS
-        : MAX_REPEATED_ISOLATION_WAIT_MS;
-  }
-
   /** Records that a worker still reports a run a while after its start. */
   void onStartSurvived(Attempt attempt) {
     Task task = attempt.task;
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -58,6 +58,7 @@
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
   Optional<Worker> choose(Task task, Map<String, String> tickets, boolean needsTicket) {
     boolean needsIsolation = task.needsIsolation(nowMs);
+    boolean needsSeparation = task.needsSeparation(nowMs) && !task.step.spec.isLongRunning();
     if (needsIsolation && !mayIsolateAnother()) {
       return Optional.empty();
     }
@@ -67,6 +68,7 @@
       if (heldWorkers.contains(worker)
           || worker.ordersInFlight >= worker.maxOrdersInFlight
           || (needsIsolation && worker.newRunCount() > 0)
+          || (needsSeparation && worker.hasNewSuspect())
           || !worker.freeCapacity().holds(task.step.spec.reserved())
           || !mayRun(worker, task.step)
           || (needsTicket && !tickets.containsKey(worker.id))) {
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -128,7 +128,7 @@
       Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
       if (worker.isEmpty() && task.needsIsolation(nowMs)) {
         task.isolationDeadlineAtMs =
-            Math.min(task.isolationDeadlineAtMs, nowMs + CrashTracker.maxIsolationWaitMs(task));
+            Math.min(task.isolationDeadlineAtMs, nowMs + CrashTracker.MAX_ISOLATION_WAIT_MS);
         if (placement.mayIsolateAnother()) {
           placement.holdWorkerForSuspect(task);
         }
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -62,6 +62,11 @@
         && !step.spec.isLongRunning();
   }
 
+  /** Returns whether the next run must start on a worker without another new suspect. */
+  boolean needsSeparation(long nowMs) {
+    return isSuspect && nowMs - CrashTracker.MAX_SEPARATION_WAIT_MS < isolationDeadlineAtMs;
+  }
+
   /** Returns whether the task's own state allows a new run, regardless of workers and limits. */
   boolean isStartable(long nowMs) {
     return !isDone && attempt == null && notBeforeMs <= nowMs;
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -160,6 +160,12 @@
     return count;
   }
 
+  /** Returns whether any run that may crash the worker by being started belongs to a suspect. */
+  boolean hasNewSuspect() {
+    return attempts.values().stream()
+        .anyMatch(attempt -> attempt.task.isSuspect && !attempt.hasSurvivedStart);
+  }
+
   Resources freeCapacity() {
     return listing.capacity().minus(reserved);
   }
