Never count more starts on the link than are in flight

The test settles starts under another time than it sent them, so LinkOccupancy kept counting them, 8 of 27 starts stayed allowed, and a gang of more tasks was held back for ever with all that followed. WorkerDriver passes the same time for both, so callers did not see this; the count is now bounded by the starts in flight all the same.

--- a/src/main/java/org/laburnumarch/internal/pacing/OrderPacer.java
+++ b/src/main/java/org/laburnumarch/internal/pacing/OrderPacer.java
@@ -58,7 +58,8 @@
 
   @Override
   public int startsAllowed(long nowMs) {
-    return Math.max(0, link.get() - occupancy.count());
+    // Starts that settle under another time than they were sent must not occupy the link for ever.
+    return Math.max(0, link.get() - Math.min(occupancy.count(), inFlight));
   }
 
   @Override
