Leave the order of late work to the urgency

Suspected: shares divided late work between the teams too, and put that above the jobs that had begun, so more jobs were done in part at the same time and each of them later.

Late work of all teams now keeps its usual order behind all work that can be in time, as before shares came.

--- a/src/main/java/org/laburnumarch/internal/schedule/ShareOrder.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/ShareOrder.java
@@ -20,9 +20,6 @@
  */
 final class ShareOrder {
 
-  /** Distance between the urgency classes of work in time and of late work; above any priority. */
-  private static final long LATE_CLASS = 1L << 32;
-
   private final TeamShares shares;
 
   ShareOrder(TeamShares shares) {
@@ -81,26 +78,34 @@
       long nowMs) {
     List<Candidate> ordered = new ArrayList<>(sorted.size());
     List<WaitingWork<Candidate>> waiting = new ArrayList<>(sorted.size());
+    // Late jobs of all teams are finished in the usual order, those that have begun first: dividing
+    // the pool between more of them at a time makes each of them later.
+    List<Candidate> late = new ArrayList<>();
     for (int i = 0; i < sorted.size(); i++) {
       Candidate candidate = sorted.get(i);
       if (candidate.rank() == Rank.LONG_RUNNING) {
         ordered.add(candidate);
         continue;
       }
+      if (candidate.rank() == Rank.LATE) {
+        late.add(candidate);
+        continue;
+      }
       Job job = candidate.step().job;
-      if (!job.isAgreed && candidate.rank() == Rank.IN_TIME) {
+      if (!job.isAgreed) {
         job.isAgreed = shares.tryTakeCredit(job.spec.team(), nowMs);
       }
       waiting.add(
           new WaitingWork<>(
               candidate,
               job.spec.team(),
-              (candidate.rank() == Rank.LATE ? LATE_CLASS : 0) + candidate.queue().priority(),
+              candidate.queue().priority(),
               job.isAgreed,
               fraction(needs.get(i), capacity),
               job.submittedAtMs));
     }
     ordered.addAll(poolShares.order(waiting));
+    ordered.addAll(late);
     return ordered;
   }
 
