Act on a forecast of demand only after a prediction came true

Two like peaks sufficed to release instances, and a pool without history gave away instances before its first peak.

A prediction is acted on after one has come true, and a pool without history keeps what it has for the reactive window, counted from its first demand.

--- a/src/main/java/org/laburnumarch/internal/forecast/DemandForecaster.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/DemandForecaster.java
@@ -106,8 +106,9 @@
   private PoolState create(String pool, int present, long nowMs) {
     LearntDemand.Pool learnt = restored.get(pool);
     boolean isKnown = learnt != null && !learnt.peaks().isEmpty();
-    long keepUntilMs = Math.max(keepAllUntilMs, nowMs + times.roundTripMs());
-    PoolState state = new PoolState(times, isKnown ? 0 : present, keepUntilMs, nowMs);
+    long keepMs = isKnown ? times.roundTripMs() : times.reactiveHoldMs();
+    long keepUntilMs = Math.max(keepAllUntilMs, nowMs + keepMs);
+    PoolState state = new PoolState(times, isKnown ? 0 : present, keepUntilMs);
     if (isKnown) {
       state.restore(learnt.peaks(), learnt.errorsMs(), learnt.record());
     }
--- a/src/main/java/org/laburnumarch/internal/forecast/PoolState.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/PoolState.java
@@ -12,14 +12,18 @@
  *
  * <p>With a confident recurrence, a pool holds its peak's level from a round trip before the next
  * peak until the peak is overdue, and what it wants otherwise. Without, it holds the most that it
- * needed in the recent past. A pool without history holds what it has for a round trip, and then a
- * part that halves every two round trips: the pool is late by at most one lead time at its first
- * peak, and a pool that is never used is not held for the whole day.
+ * needed in the recent past. A pool without history holds what it has for that time, counted from
+ * its first demand, so that it is not late at its first peak. If no demand comes for that time, it
+ * holds a part that halves every two round trips, so that a pool that is never used is not held for
+ * the whole day.
  */
 final class PoolState {
 
-  /** Confidence from which instances are moved to a pool before its next peak. */
-  private static final double MIN_CONFIDENCE = 0.62;
+  /**
+   * Confidence from which a prediction is acted on. Two like peaks alone do not reach it; one
+   * prediction that came true does. Acting on two peaks made pools late at the third.
+   */
+  private static final double MIN_CONFIDENCE = 0.75;
 
   /**
    * Idle instance-seconds that one instance-second of missing capacity counts for. Work that waits
@@ -49,11 +53,12 @@
   /** Demand that may turn out to be the beginning of a peak. */
   private final Deque<Sample> undecided = new ArrayDeque<>();
 
-  private final long sinceMs;
   private final long keepAllUntilMs;
   private final int initialInstances;
   private boolean isInitial = true;
-  private boolean hasSeenBatchDemand;
+
+  /** When short tasks first wanted instances; -1 if they have not. */
+  private long firstBatchDemandAtMs = -1;
 
   /**
    * Creates a state without history.
@@ -61,14 +66,13 @@
    * @param initialInstances what the pool has now
    * @param keepAllUntilMs time until which all instances are kept
    */
-  PoolState(MoveTimes times, int initialInstances, long keepAllUntilMs, long nowMs) {
+  PoolState(MoveTimes times, int initialInstances, long keepAllUntilMs) {
     this.times = times;
     this.detector = new PeakDetector(times.roundTripMs());
     this.recent = new RecentDemand(times.reactiveHoldMs());
     this.quiet = new RecentDemand(times.reactiveHoldMs());
     this.initialInstances = initialInstances;
     this.keepAllUntilMs = keepAllUntilMs;
-    this.sinceMs = nowMs;
   }
 
   /** Continues with what an earlier owner has learnt. */
@@ -89,7 +93,9 @@
    * @param hasBatchDemand whether short tasks want any instances
    */
   Optional<Boolean> update(int wanted, boolean hasBatchDemand, long nowMs) {
-    hasSeenBatchDemand |= hasBatchDemand;
+    if (hasBatchDemand && firstBatchDemandAtMs < 0) {
+      firstBatchDemandAtMs = nowMs;
+    }
     double average = recent.record(wanted, nowMs);
     Optional<Boolean> outcome = Optional.empty();
     long lastEndMs = detector.last().map(Peak::endMs).orElse(0L);
@@ -202,11 +208,15 @@
     if (nowMs <= keepAllUntilMs) {
       return present;
     }
-    boolean isObserved = hasSeenBatchDemand && nowMs - sinceMs > times.reactiveHoldMs();
+    boolean hasDemand = firstBatchDemandAtMs >= 0;
+    boolean isObserved = hasDemand && nowMs - firstBatchDemandAtMs > times.reactiveHoldMs();
     if (!isInitial || isObserved || initialInstances <= wanted) {
       isInitial = false;
       return 0;
     }
+    if (hasDemand) {
+      return present;
+    }
     double halvings =
         (double) (nowMs - keepAllUntilMs) / (HALVING_ROUND_TRIPS * times.roundTripMs());
     return wanted + (int) Math.ceil((initialInstances - wanted) * Math.pow(0.5, halvings) - 0.5);
