Go on acting on a forecast until its confidence is clearly lower

With one threshold of 0.75 a pool with jittering peaks released instances and stopped acting in the same pause, so that it was late: short 283 instead of 92 instance-seconds (PoolSimulationTest, 20% jitter). It now goes on until the confidence is below 0.62; the pool and forecast tests pass.

--- a/src/main/java/org/laburnumarch/internal/forecast/PoolState.java
+++ b/src/main/java/org/laburnumarch/internal/forecast/PoolState.java
@@ -23,7 +23,13 @@
    * Confidence from which a prediction is acted on. Two like peaks alone do not reach it; one
    * prediction that came true does. Acting on two peaks made pools late at the third.
    */
-  private static final double MIN_CONFIDENCE = 0.75;
+  private static final double MIN_CONFIDENCE_TO_BEGIN = 0.75;
+
+  /**
+   * Confidence below which predictions are no longer acted on. Lower than the other one, because a
+   * pool that has released instances is late at its next peak if it stops acting in between.
+   */
+  private static final double MIN_CONFIDENCE = 0.62;
 
   /**
    * Idle instance-seconds that one instance-second of missing capacity counts for. Work that waits
@@ -57,6 +63,9 @@
   private final int initialInstances;
   private boolean isInitial = true;
 
+  /** Whether predictions are acted on. */
+  private boolean isActing;
+
   /** When short tasks first wanted instances; -1 if they have not. */
   private long firstBatchDemandAtMs = -1;
 
@@ -140,6 +149,7 @@
    */
   PoolForecast forecast(int wanted, int present, double prior, long nowMs) {
     double confidence = recurrence.confidence(prior);
+    isActing = confidence >= (isActing ? MIN_CONFIDENCE : MIN_CONFIDENCE_TO_BEGIN);
     Optional<Prediction> prediction = recurrence.prediction();
     int ahead = wanted;
     int soon = wanted;
@@ -147,9 +157,9 @@
     if (detector.isInPeak()) {
       hold = Math.max(hold, detector.last().orElseThrow().level());
     }
-    if (confidence >= MIN_CONFIDENCE && detector.isInPeak()) {
+    if (isActing && detector.isInPeak()) {
       hold = Math.max(hold, recurrence.level(true));
-    } else if (confidence >= MIN_CONFIDENCE) {
+    } else if (isActing) {
       Prediction next = prediction.orElseThrow();
       long earliestMs = next.atMs() - next.errorMs();
       if (nowMs >= earliestMs - times.leadMs()) {
@@ -174,7 +184,7 @@
    * late because the peak comes earlier than predicted.
    */
   private boolean isReleaseWorthwhile(double confidence) {
-    if (confidence < MIN_CONFIDENCE) {
+    if (!isActing) {
       return false;
     }
     Prediction next = recurrence.prediction().orElseThrow();
