Report the work that waits after a takeover, and for which workers

What callers saw: accepted work stood still after planned handovers, and the log did not say why. Cause: nothing told work that waits for unreported workers from work that lost the comparison for room. Change: once a second the owner logs, for each pool with such work, the tasks that wait, the workers that have not reported, how many of these refuse connections, and when the wait ends; a gauge counts the tasks.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -30,6 +30,7 @@
 import org.laburnumarch.internal.schedule.JobChanges;
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.SchedulerSettings;
+import org.laburnumarch.internal.schedule.TakeoverWait;
 import org.laburnumarch.internal.schedule.WorkerListing;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 import org.tinylog.Logger;
@@ -88,6 +89,7 @@
   private boolean isEnrolling;
   private boolean isRoundScheduled;
   private boolean isClosed;
+  private int takeoverHeldTasks;
   private long finishedRemovedAtMs;
   private long nextTickAtMs;
 
@@ -194,6 +196,7 @@
   void start() {
     operators.onChange(onOperatorChange);
     meters.registerGauge("live_jobs", scheduler::liveJobCount);
+    meters.registerGauge("takeover_held_tasks", () -> takeoverHeldTasks);
     meters.registerGauge("known_workers", () -> scheduler.workerIds().size());
     applyOperatorRecords();
     jobs.open().thenAccept(this::onLoaded);
@@ -252,7 +255,11 @@
       long nowMs = clock.nowMs();
       load.onTimer(nowMs - nextTickAtMs);
       load.report(nowMs, scheduler.liveJobCount())
-          .ifPresent(line -> Logger.info("owner: event=load {} {}", line, driver.pacingSummary()));
+          .ifPresent(
+              line -> {
+                Logger.info("owner: event=load {} {}", line, driver.pacingSummary());
+                reportTakeoverWaits(nowMs);
+              });
       runRound();
     } finally {
       nextTickAtMs = clock.nowMs() + TICK_MS;
@@ -260,6 +267,20 @@
     }
   }
 
+  private void reportTakeoverWaits(long nowMs) {
+    List<TakeoverWait> waits = scheduler.takeoverWaits();
+    takeoverHeldTasks = waits.stream().mapToInt(TakeoverWait::tasks).sum();
+    for (TakeoverWait wait : waits) {
+      Logger.info(
+          "owner: event=takeover-wait pool={} tasks={} unreported={} gone={} remaining_ms={}",
+          wait.service(),
+          wait.tasks(),
+          wait.unreportedWorkers(),
+          wait.goneWorkers(),
+          wait.overAtMs() - nowMs);
+    }
+  }
+
   /** Schedules a round shortly, unless one is scheduled already. */
   private void scheduleRound() {
     if (isLoaded && !isRoundScheduled && !isClosed) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.laburnumarch.internal.admission.Submission;
 import org.laburnumarch.internal.job.FleetConfig;
@@ -144,6 +145,33 @@
     takeoverGuard.onEarlierOwnerStopped(earlierClaimedAtMs, nowMs);
   }
 
+  /** Returns the work that waits because of the takeover, for each pool that has any. */
+  public List<TakeoverWait> takeoverWaits() {
+    Map<String, Integer> tasks = new TreeMap<>();
+    for (Job job : liveJobs.values()) {
+      if (!job.isInherited || job.status.isFinal()) {
+        continue;
+      }
+      config
+          .queue(job.spec.queue())
+          .map(QueueConfig::service)
+          .filter(service -> takeoverGuard.isBlocked(workers.pool(service), ownershipProvenAtMs))
+          .ifPresent(
+              service ->
+                  tasks.merge(service, takeoverGuard.unreportedTasks(job).size(), Integer::sum));
+    }
+    List<TakeoverWait> waits = new ArrayList<>();
+    tasks.forEach(
+        (service, count) -> {
+          List<Worker> unreported =
+              workers.pool(service).stream().filter(worker -> !worker.isFenced).toList();
+          int gone = (int) unreported.stream().filter(worker -> worker.isGone).count();
+          waits.add(
+              new TakeoverWait(service, count, unreported.size(), gone, takeoverGuard.overAtMs()));
+        });
+    return waits;
+  }
+
   /** Adds a worker that an earlier owner may have given orders to. */
   public void restoreEnrolled(WorkerListing listing) {
     workers.addEnrolled(listing);
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -1,5 +1,6 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import org.laburnumarch.internal.job.Resources;
@@ -31,6 +32,11 @@
     return !hadEarlierOwner || nowMs > overAtMs;
   }
 
+  /** Returns the local time at which no run of an earlier owner can be going on any more. */
+  long overAtMs() {
+    return overAtMs;
+  }
+
   /**
    * Returns whether tasks of inherited jobs may still be running on workers of a pool that have not
    * reported.
@@ -45,6 +51,15 @@
    */
   Resources maxUnreportedUsage(Job job) {
     Resources sum = Resources.NONE;
+    for (Task task : unreportedTasks(job)) {
+      sum = sum.plus(task.step.spec.need());
+    }
+    return sum;
+  }
+
+  /** Returns the tasks that may have been started before the takeover and no worker reported. */
+  List<Task> unreportedTasks(Job job) {
+    List<Task> unreported = new ArrayList<>();
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
         if (step.isDone() || !Job.areDependenciesDone(step, steps)) {
@@ -52,12 +67,12 @@
         }
         for (Task task : step.tasks) {
           if (!task.isDone && task.attempt == null) {
-            sum = sum.plus(step.spec.need());
+            unreported.add(task);
           }
         }
       }
     }
-    return sum;
+    return unreported;
   }
 
   /**
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverWait.java
@@ -0,0 +1,13 @@
+package org.laburnumarch.internal.schedule;
+
+/**
+ * Work of one pool that waits after a takeover because an earlier owner may have left it running.
+ *
+ * @param service the pool's service
+ * @param tasks number of tasks that could start otherwise
+ * @param unreportedWorkers number of the pool's workers that have not reported to this owner
+ * @param goneWorkers number of these whose addresses refuse connections, or belong to others now
+ * @param overAtMs local time at which the wait ends at the latest
+ */
+public record TakeoverWait(
+    String service, int tasks, int unreportedWorkers, int goneWorkers, long overAtMs) {}
