Leave the locations of runs to the next owner on a planned handover

Cause: a successor forgot what its predecessor knew for sure. After each takeover all inherited work of a pool waited until every enrolled worker of the pool had reported, or 10.3 s from the claim of the owner before the last. Workers whose instances had moved never report, the enrolment named 50 workers of 35 instances, and each handover of a series began the wait anew. Change: an owner that hands over or stops first stops its orders and then stores, in a log of its own and fenced by its term, which tasks may be running on which workers, with the tasks whose ends only a worker lists, and what it had not resolved itself, with a deadline; then it releases the ownership, also when no daemon has accepted an offer. The successor holds back just these tasks, by name, and forgets workers that are not named and not listed. Without the record of just the owner before it, it waits as before, except for tasks that a report has shown since. Leases, fences and bounds are as they were. A release no longer races with a renewal. Tests: PlannedHandoverTest, ten handovers a second apart, workers that have left and others cut off; two of its tests fail when the locations are not handed over; 20 random series check that no task runs twice.

--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -383,18 +384,21 @@
   /**
    * Stores that the ownership is released to another daemon, after a renewal under way has ended.
    *
-   * @param stopOrders run right before the release; from then on the ownership is given up, also if
-   *     the store does not answer
+   * @param stopOrders run before the release, which follows when the stage completes; from then on
+   *     the ownership is given up, also if the store does not answer
    * @param onFailed run if a renewal under way did not end in time; the ownership is kept
    */
   void releaseTo(
-      String successor, Runnable stopOrders, ReleaseListener onReleased, Runnable onFailed) {
+      String successor,
+      Supplier<CompletionStage<Void>> stopOrders,
+      ReleaseListener onReleased,
+      Runnable onFailed) {
     awaitRelease(successor, stopOrders, onReleased, onFailed, clock.nowMs() + RELEASE_TIMEOUT_MS);
   }
 
   private void awaitRelease(
       String successor,
-      Runnable stopOrders,
+      Supplier<CompletionStage<Void>> stopOrders,
       ReleaseListener onReleased,
       Runnable onFailed,
       long deadlineMs) {
@@ -402,8 +406,13 @@
       return;
     }
     if (!isWriting) {
-      stopOrders.run();
-      storeRelease(tenure.get(), tenure.get().newest().releasedTo(successor), onReleased);
+      isReleasing = true;
+      OwnerTenure held = tenure.get();
+      stopOrders
+          .get()
+          .whenComplete(
+              EventLoopThread.logged(
+                  (result, failure) -> storeRelease(held, successor, onReleased)));
     } else if (clock.nowMs() >= deadlineMs) {
       onFailed.run();
     } else {
@@ -413,13 +422,16 @@
     }
   }
 
-  private void storeRelease(OwnerTenure held, OwnerRecord released, ReleaseListener onReleased) {
-    isReleasing = true;
+  private void storeRelease(OwnerTenure held, String successor, ReleaseListener onReleased) {
+    if (isClosed || !tenure.equals(Optional.of(held))) {
+      return;
+    }
+    OwnerRecord released = held.newest().releasedTo(successor);
     Consumer<Long> finish =
         newEndOffset -> {
           if (tenure.equals(Optional.of(held))) {
             onReleased.onReleased(released, newEndOffset);
-            lose("handed over to " + released.successor());
+            lose(successor.isEmpty() ? "released" : "handed over to " + successor);
           }
         };
     write(
@@ -433,21 +445,30 @@
   /**
    * Stores that the ownership is released, so that another daemon can claim at once. This daemon
    * does not claim again.
+   *
+   * @param stopOrders run before the release, which follows when the stage completes
+   * @param whenDone run when the release has been stored or given up
    */
-  void release(Runnable whenDone) {
+  void release(Supplier<CompletionStage<Void>> stopOrders, Runnable whenDone) {
     isCandidate = false;
     if (tenure.isEmpty()) {
       whenDone.run();
       return;
     }
-    OwnerRecord released = tenure.get().newest().released();
-    store
-        .append(
-            StoreClient.OWNERSHIP_LOG,
-            List.of(new KeyedValue(OWNER_KEY, Optional.of(released.encode()))),
-            OptionalLong.of(endOffset),
-            Optional.empty())
-        .whenComplete((result, failure) -> whenDone.run());
+    Optional<OwnerTenure> held = tenure;
+    releaseTo(
+        "",
+        () ->
+            stopOrders
+                .get()
+                .thenRun(
+                    () -> {
+                      if (!tenure.equals(held)) {
+                        whenDone.run();
+                      }
+                    }),
+        (record, newEndOffset) -> whenDone.run(),
+        () -> stopOrders.get().thenRun(whenDone));
   }
 
   private void write(OwnerRecord stored, long expectedEnd, Consumer<WriteResult> onResult) {
--- a/src/main/java/org/laburnumarch/internal/node/HandoverOffers.java
+++ b/src/main/java/org/laburnumarch/internal/node/HandoverOffers.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.HandoverPolicy;
@@ -42,8 +43,12 @@
     /** Sends a heartbeat to all daemons now. */
     void sendHeartbeat();
 
-    /** Stops all orders. */
-    void stopOrders();
+    /**
+     * Stops all orders.
+     *
+     * @return completes when the ownership can be released
+     */
+    CompletionStage<Void> stopOrders();
   }
 
   private record OpenOffer(long number, HandoverPolicy.Offer offer, long sentAtMs) {}
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -214,6 +214,14 @@
     router.useOwner(owner);
   }
 
+  /** Stops this daemon's owner, if it has one, and leaves its successor what it knows. */
+  private CompletionStage<Void> handOverOwner() {
+    Optional<Owner> handing = owner;
+    owner = Optional.empty();
+    router.useOwner(owner);
+    return handing.map(Owner::handOver).orElse(CompletableFuture.completedStage(null));
+  }
+
   private void dropLink() {
     link.ifPresent(LinkClient::close);
     link = Optional.empty();
@@ -232,7 +240,10 @@
           isStopping = true;
           candidate.onStopping();
           election.withdrawCandidacy();
-          offers.stop(() -> election.release(() -> loop.execute(() -> linger(stopped))));
+          offers.stop(
+              () ->
+                  election.release(
+                      Node.this::handOverOwner, () -> loop.execute(() -> linger(stopped))));
         });
     return stopped;
   }
@@ -391,8 +402,8 @@
     }
 
     @Override
-    public void stopOrders() {
-      closeOwner();
+    public CompletionStage<Void> stopOrders() {
+      return handOverOwner();
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -28,6 +28,7 @@
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.schedule.Decisions;
 import org.laburnumarch.internal.schedule.JobChanges;
+import org.laburnumarch.internal.schedule.RunLocations;
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.SchedulerSettings;
 import org.laburnumarch.internal.schedule.TakeoverWait;
@@ -78,6 +79,8 @@
   private final Scheduler scheduler;
   private final RunTimesKeeper runTimesKeeper;
   private final JobStore jobs;
+  private final HandoverLog handoverLog;
+  private final Optional<OwnerRecord> earlier;
   private final OwnerLoad load;
   private final WorkerDriver driver;
   private final AdmissionControl admission;
@@ -109,6 +112,8 @@
     this.operators = operators;
     this.meters = meters;
     this.listener = listener;
+    this.earlier = earlier;
+    this.handoverLog = new HandoverLog(store, loop, settings.maxRecordBytes());
     this.scheduler =
         new Scheduler(
             new SchedulerSettings(
@@ -199,10 +204,18 @@
     meters.registerGauge("takeover_held_tasks", () -> takeoverHeldTasks);
     meters.registerGauge("known_workers", () -> scheduler.workerIds().size());
     applyOperatorRecords();
-    jobs.open().thenAccept(this::onLoaded);
+    jobs.open()
+        .thenCompose(
+            contents -> readRunLocations().thenAccept(locations -> onLoaded(contents, locations)));
   }
 
-  private void onLoaded(JobStore.Contents contents) {
+  private CompletionStage<Optional<RunLocations>> readRunLocations() {
+    return earlier
+        .map(record -> handoverLog.read(record.term()))
+        .orElse(CompletableFuture.completedStage(Optional.empty()));
+  }
+
+  private void onLoaded(JobStore.Contents contents, Optional<RunLocations> locations) {
     if (isClosed) {
       return;
     }
@@ -224,15 +237,17 @@
                 scheduler.restoreFinal(progress, nowMs);
               }
             });
+    locations.ifPresent(left -> scheduler.restoreRunLocations(left, nowMs, epochMs));
     machineController.ifPresent(controller -> controller.restore(contents));
     shareKeeper.restore(contents.states(), nowMs, epochMs);
     isLoaded = true;
     Logger.info(
-        "owner: event=loaded term={} jobs={} progress={} workers={}",
+        "owner: event=loaded term={} jobs={} progress={} workers={} locations={}",
         tenure.term(),
         contents.jobs().size(),
         contents.progress().size(),
-        contents.enrolled().size());
+        contents.enrolled().size(),
+        locations.map(left -> left.workersByTask().size()).orElse(-1));
     driver.start();
     nextTickAtMs = nowMs;
     tick();
@@ -410,6 +425,19 @@
     }
   }
 
+  /**
+   * Stops scheduling and leaves to the next owner what it would otherwise have to wait for.
+   *
+   * @return completes when the ownership can be released
+   */
+  CompletionStage<Void> handOver() {
+    boolean isComplete = isLoaded && !isClosed;
+    close();
+    return isComplete
+        ? handoverLog.write(scheduler.runLocations(clock.epochMs()))
+        : CompletableFuture.completedStage(null);
+  }
+
   /** Stops scheduling. Orders in flight are not repeated. */
   @Override
   public void close() {
--- a/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
@@ -45,6 +45,9 @@
   /** Log of this system's daemons and their addresses. */
   public static final String DAEMON_LOG = "keyed.nodes";
 
+  /** Log of what an owner leaves to its successor. */
+  public static final String HANDOVER_LOG = "keyed.handover";
+
   /**
    * A write takes about 4 ms, and 50 times as long when the store is slow. A longer timeout would
    * delay the retry on a new connection when the open one no longer responds.
--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -61,10 +61,34 @@
   /** Whether the job is within the agreement with its team, so that it goes before other work. */
   boolean isAgreed;
 
+  /** Whether a run of an earlier owner may keep any task from being started. */
+  boolean mayHaveHeldTasks;
+
+  private EarlierRun initialEarlierRun;
+
   Job(JobSpec spec, long submittedAtMs, boolean isInherited) {
     this.spec = spec;
     this.submittedAtMs = submittedAtMs;
     this.isInherited = isInherited;
+    this.mayHaveHeldTasks = isInherited;
+    this.initialEarlierRun = isInherited ? EarlierRun.ANYWHERE : EarlierRun.NONE;
+  }
+
+  /** Returns where an earlier owner may have left a run of a task that nothing is known of. */
+  EarlierRun initialEarlierRun() {
+    return initialEarlierRun;
+  }
+
+  /**
+   * Sets where earlier owners may have left runs of all tasks, also of those that are due later.
+   */
+  void setEarlierRuns(EarlierRun earlierRun) {
+    initialEarlierRun = earlierRun;
+    for (List<Step> steps : occurrences.values()) {
+      for (Step step : steps) {
+        step.tasks.forEach(task -> task.earlierRun = earlierRun);
+      }
+    }
   }
 
   /** Adds the occurrences that have become due. */
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -79,6 +79,7 @@
             startDeadlineClockMs);
     attempt.isIsolated = task.needsIsolation(nowMs);
     task.attempt = attempt;
+    task.earlierRun = EarlierRun.NONE;
     task.lastRun = run;
     task.step.job.hasStarted = true;
     register(attempt);
@@ -194,7 +195,7 @@
     for (EndedTask ended : report.ended()) {
       seen.add(Worker.attemptKey(ended.taskName(), ended.run()));
       if (ended.number() > worker.lastEndNumber) {
-        worker.recordEnd(ended.number(), onEnd(worker, ended, requestedAtMs, nowMs));
+        worker.recordEnd(ended, onEnd(worker, ended, requestedAtMs, nowMs));
       }
     }
     List<Order> unknownRuns = new ArrayList<>();
@@ -319,6 +320,8 @@
             nowMs,
             worker.clockMs(nowMs));
     task.lastRun = Math.max(task.lastRun, running.run());
+    // An owner starts a task anew only after its last run has ended, so there is no other one.
+    task.earlierRun = EarlierRun.NONE;
     boolean isWanted = task.attempt == null && !task.isDone && !task.step.job.status.isFinal();
     if (isWanted) {
       task.attempt = attempt;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.laburnumarch.internal.admission.Submission;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.JobProgress;
@@ -18,6 +20,7 @@
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.QueueConfig;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.TaskKey;
 import org.laburnumarch.internal.pacing.StartLimits;
 import org.laburnumarch.internal.pool.PoolDemand;
 import org.laburnumarch.internal.runtime.RunTimes;
@@ -99,11 +102,16 @@
    */
   public Optional<Submission> submission(
       JobSpec spec, Function<String, OptionalInt> projectedSize, long nowMs, long epochMs) {
-    List<Worker> pool =
-        config.queue(spec.queue()).map(queue -> workers.pool(queue.service())).orElse(List.of());
-    return takeoverGuard.isBlocked(pool, ownershipProvenAtMs)
+    String service = service(spec);
+    return takeoverGuard.isBlocked(workers, service, ownershipProvenAtMs)
         ? Optional.empty()
-        : admissionView.submission(spec, config, pool, projectedSize, nowMs, epochMs);
+        : admissionView.submission(
+            spec, config, workers.pool(service), projectedSize, nowMs, epochMs);
+  }
+
+  /** Returns the service that runs a job's tasks; empty if the job's queue is not configured. */
+  private String service(JobSpec spec) {
+    return config.queue(spec.queue()).map(QueueConfig::service).orElse("");
   }
 
   /** Returns the teams' shares of the pools. */
@@ -148,23 +156,23 @@
   /** Returns the work that waits because of the takeover, for each pool that has any. */
   public List<TakeoverWait> takeoverWaits() {
     Map<String, Integer> tasks = new TreeMap<>();
-    for (Job job : liveJobs.values()) {
-      if (!job.isInherited || job.status.isFinal()) {
-        continue;
-      }
-      config
-          .queue(job.spec.queue())
-          .map(QueueConfig::service)
-          .filter(service -> takeoverGuard.isBlocked(workers.pool(service), ownershipProvenAtMs))
-          .ifPresent(
-              service ->
-                  tasks.merge(service, takeoverGuard.unreportedTasks(job).size(), Integer::sum));
+    if (!takeoverGuard.isOver(ownershipProvenAtMs)) {
+      liveJobs
+          .values()
+          .forEach(
+              job ->
+                  config
+                      .queue(job.spec.queue())
+                      .ifPresent(
+                          queue ->
+                              tasks.merge(
+                                  queue.service(), (int) heldTasks(job).count(), Integer::sum)));
+      tasks.values().removeIf(count -> count == 0);
     }
     List<TakeoverWait> waits = new ArrayList<>();
     tasks.forEach(
         (service, count) -> {
-          List<Worker> unreported =
-              workers.pool(service).stream().filter(worker -> !worker.isFenced).toList();
+          List<Worker> unreported = workers.unreported(service);
           int gone = (int) unreported.stream().filter(worker -> worker.isGone).count();
           waits.add(
               new TakeoverWait(service, count, unreported.size(), gone, takeoverGuard.overAtMs()));
@@ -172,6 +180,57 @@
     return waits;
   }
 
+  /** Returns the tasks of a job that could start if no earlier run of them could be going on. */
+  private static Stream<Task> heldTasks(Job job) {
+    return job.occurrences.values().stream()
+        .flatMap(
+            steps ->
+                steps.stream()
+                    .filter(step -> !step.isDone() && Job.areDependenciesDone(step, steps)))
+        .flatMap(step -> step.tasks.stream())
+        .filter(task -> task.isHeld);
+  }
+
+  /**
+   * Returns where the tasks of all unfinished jobs may be running, for the next owner. Valid as
+   * long as this owner sends no more orders.
+   */
+  public RunLocations runLocations(long epochMs) {
+    Map<TaskKey, Set<String>> workersByTask = new HashMap<>();
+    for (Worker worker : workers.all()) {
+      worker.attempts.values().stream()
+          .map(attempt -> attempt.task.key)
+          .forEach(key -> addLocation(workersByTask, key, worker));
+      worker.unacknowledgedTasks().stream()
+          .flatMap(name -> TaskKey.parse(name).stream())
+          .forEach(key -> addLocation(workersByTask, key, worker));
+    }
+    boolean isUnresolved = !takeoverGuard.isOver(ownershipProvenAtMs);
+    if (isUnresolved) {
+      for (Job job : liveJobs.values()) {
+        String service = service(job.spec);
+        takeoverGuard.addUnresolved(job, service, workers, workersByTask, ownershipProvenAtMs);
+      }
+    }
+    return new RunLocations(
+        term,
+        workersByTask,
+        isUnresolved ? epochMs + takeoverGuard.overAtMs() - ownershipProvenAtMs : 0);
+  }
+
+  private static void addLocation(
+      Map<TaskKey, Set<String>> workersByTask, TaskKey key, Worker worker) {
+    workersByTask.computeIfAbsent(key, unused -> new HashSet<>()).add(worker.id);
+  }
+
+  /**
+   * Takes over the locations of the earlier owner's runs. Must be called after the jobs and the
+   * enrolled workers have been restored and before any report.
+   */
+  public void restoreRunLocations(RunLocations locations, long nowMs, long epochMs) {
+    takeoverGuard.restore(locations, liveJobs, workers, nowMs, epochMs);
+  }
+
   /** Adds a worker that an earlier owner may have given orders to. */
   public void restoreEnrolled(WorkerListing listing) {
     workers.addEnrolled(listing);
@@ -675,10 +734,14 @@
     }
     job.addDueOccurrences(epochMs);
     String service = queue.get().service();
-    if (job.isInherited && takeoverGuard.isBlocked(workers.pool(service), ownershipProvenAtMs)) {
-      unreportedByTeam.merge(
-          job.spec.team(), takeoverGuard.maxUnreportedUsage(job), Resources::plus);
-      return;
+    if (job.mayHaveHeldTasks) {
+      job.mayHaveHeldTasks = !takeoverGuard.isOver(ownershipProvenAtMs);
+      takeoverGuard.updateHeldTasks(job, service, workers, ownershipProvenAtMs);
+      // A held task may be running, so its team is charged for it.
+      heldTasks(job)
+          .forEach(
+              task ->
+                  unreportedByTeam.merge(job.spec.team(), task.step.spec.need(), Resources::plus));
     }
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -1,14 +1,18 @@
 package org.laburnumarch.internal.schedule;
 
-import java.util.ArrayList;
-import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import org.laburnumarch.internal.job.Resources;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.laburnumarch.internal.job.TaskKey;
 
 /**
  * Prevents a second start of tasks that an earlier owner started on a worker that has not reported
- * yet. Jobs accepted before the takeover wait until all workers of their pool have reported, or
- * until every lease that the earlier owner may have requested has expired.
+ * yet. Such a task waits until the workers that may have it have reported, or until every lease
+ * that the earlier owner may have requested has expired. Where the earlier owner has left the
+ * locations of its runs, only these workers count; otherwise all of the pool do.
  */
 final class TakeoverGuard {
 
@@ -37,42 +41,33 @@
     return overAtMs;
   }
 
-  /**
-   * Returns whether tasks of inherited jobs may still be running on workers of a pool that have not
-   * reported.
-   */
-  boolean isBlocked(Collection<Worker> pool, long nowMs) {
-    return !isOver(nowMs) && pool.stream().anyMatch(worker -> !worker.isFenced);
+  /** Returns whether runs of earlier owners may be going on unreported in a pool. */
+  boolean isBlocked(WorkerTable workers, String service, long nowMs) {
+    return !isOver(nowMs) && !workers.unreported(service).isEmpty();
   }
 
   /**
-   * Returns the most that tasks of a job may be using on workers that have not reported: the sum
-   * over all tasks that may have been started before the takeover and that no worker has reported.
+   * Determines which tasks of an inherited job may be running on workers that have not reported.
+   * The tasks of a gang wait together, since they start together.
    */
-  Resources maxUnreportedUsage(Job job) {
-    Resources sum = Resources.NONE;
-    for (Task task : unreportedTasks(job)) {
-      sum = sum.plus(task.step.spec.need());
-    }
-    return sum;
-  }
-
-  /** Returns the tasks that may have been started before the takeover and no worker reported. */
-  List<Task> unreportedTasks(Job job) {
-    List<Task> unreported = new ArrayList<>();
+  void updateHeldTasks(Job job, String service, WorkerTable workers, long nowMs) {
+    boolean isOver = isOver(nowMs);
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
-        if (step.isDone() || !Job.areDependenciesDone(step, steps)) {
-          continue;
-        }
+        boolean isAnyHeld = false;
         for (Task task : step.tasks) {
-          if (!task.isDone && task.attempt == null) {
-            unreported.add(task);
-          }
+          task.isHeld =
+              !isOver
+                  && !task.isDone
+                  && task.attempt == null
+                  && !task.earlierRun.unreportedWorkers(workers, service).isEmpty();
+          isAnyHeld |= task.isHeld;
+        }
+        if (isAnyHeld && step.spec.isGang()) {
+          step.tasks.forEach(task -> task.isHeld = true);
         }
       }
     }
-    return unreported;
   }
 
   /**
@@ -81,8 +76,68 @@
    * on giving orders for a limited time after the earlier owner's claim.
    */
   void onEarlierOwnerStopped(long earlierClaimedAtMs, long nowMs) {
-    long leasesOverAtMs = nowMs + (long) (leaseMs * SLOW_CLOCK_FACTOR);
-    long olderLeasesOverAtMs = earlierClaimedAtMs + fullWaitMs;
-    overAtMs = Math.min(overAtMs, Math.max(leasesOverAtMs, olderLeasesOverAtMs));
+    shortenTo(Math.max(leasesOverAtMs(nowMs), earlierClaimedAtMs + fullWaitMs));
+  }
+
+  /**
+   * Takes over the locations of the runs that the earlier owner left when it stopped.
+   *
+   * @param jobs the unfinished jobs, all of them inherited
+   */
+  void restore(
+      RunLocations locations,
+      Map<String, Job> jobs,
+      WorkerTable workers,
+      long nowMs,
+      long epochMs) {
+    jobs.values().forEach(job -> job.setEarlierRuns(EarlierRun.NONE));
+    Map<Set<String>, EarlierRun> shared = new HashMap<>();
+    Set<String> usedWorkers = new HashSet<>();
+    locations
+        .workersByTask()
+        .forEach(
+            (key, workerIds) -> {
+              usedWorkers.addAll(workerIds);
+              Job job = jobs.get(key.job());
+              Task task = job == null ? null : job.find(key.occurrence(), key.step(), key.index());
+              if (task != null) {
+                task.earlierRun = shared.computeIfAbsent(workerIds, EarlierRun::on);
+              }
+            });
+    workers.markIdleExcept(usedWorkers);
+    shortenTo(
+        Math.max(leasesOverAtMs(nowMs), nowMs + locations.unresolvedUntilEpochMs() - epochMs));
+  }
+
+  /** Adds the tasks of a job that may be running on workers that have not reported. */
+  void addUnresolved(
+      Job job,
+      String service,
+      WorkerTable workers,
+      Map<TaskKey, Set<String>> workersByTask,
+      long nowMs) {
+    updateHeldTasks(job, service, workers, nowMs);
+    for (List<Step> steps : job.occurrences.values()) {
+      for (Step step : steps) {
+        for (Task task : step.tasks) {
+          if (task.isHeld) {
+            workersByTask
+                .computeIfAbsent(task.key, key -> new HashSet<>())
+                .addAll(
+                    task.earlierRun.unreportedWorkers(workers, service).stream()
+                        .map(worker -> worker.id)
+                        .collect(Collectors.toSet()));
+          }
+        }
+      }
+    }
+  }
+
+  private long leasesOverAtMs(long nowMs) {
+    return nowMs + (long) (leaseMs * SLOW_CLOCK_FACTOR);
+  }
+
+  private void shortenTo(long atMs) {
+    overAtMs = Math.min(overAtMs, atMs);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -15,6 +15,12 @@
 
   boolean isDone;
 
+  /** Where a run of an earlier owner may be going on unreported. */
+  EarlierRun earlierRun;
+
+  /** Whether such a run keeps the task from being started now. */
+  boolean isHeld;
+
   /** Numbers of the runs that ended as failed. */
   final Set<Long> failedRuns = new LinkedHashSet<>();
 
@@ -47,6 +53,7 @@
   Task(TaskKey key, Step step) {
     this.key = key;
     this.step = step;
+    this.earlierRun = step.job.initialEarlierRun();
   }
 
   /**
@@ -69,6 +76,6 @@
 
   /** Returns whether the task's own state allows a new run, regardless of workers and limits. */
   boolean isStartable(long nowMs) {
-    return !isDone && attempt == null && notBeforeMs <= nowMs;
+    return !isDone && !isHeld && attempt == null && notBeforeMs <= nowMs;
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.pacing.StartLimits;
@@ -11,7 +12,7 @@
 final class Worker {
 
   /** The end of a run that may be acknowledged once the batch with its effects is stored. */
-  private record UnacknowledgedEnd(long number, long batchNumber) {}
+  private record UnacknowledgedEnd(long number, long batchNumber, String taskName) {}
 
   /**
    * Time after which any run that a new incarnation may have started has lost its lease, if that
@@ -44,6 +45,9 @@
   /** Whether it has reported under this owner's term, and so rejects orders of earlier owners. */
   boolean isFenced;
 
+  /** Whether earlier owners certainly left nothing running there. */
+  boolean isKnownIdle;
+
   /** Whether its first report under this owner's term has been requested and is awaited. */
   boolean isFirstReportAwaited;
 
@@ -218,9 +222,14 @@
    * Records that the end of a run has been applied; it may be acknowledged after the batch with the
    * given number is stored.
    */
-  void recordEnd(long number, long batchNumber) {
-    lastEndNumber = number;
-    unacknowledged.addLast(new UnacknowledgedEnd(number, batchNumber));
+  void recordEnd(EndedTask ended, long batchNumber) {
+    lastEndNumber = ended.number();
+    unacknowledged.addLast(new UnacknowledgedEnd(ended.number(), batchNumber, ended.taskName()));
+  }
+
+  /** Returns the names of the tasks whose ends may not be stored yet. */
+  List<String> unacknowledgedTasks() {
+    return unacknowledged.stream().map(UnacknowledgedEnd::taskName).toList();
   }
 
   /** Acknowledges the ends whose effects have been stored. */
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -5,12 +5,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** All workers that the registry lists or that may still run something. */
 final class WorkerTable {
 
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private Map<String, List<Worker>> pools = Map.of();
+  private boolean isRegistryRead;
 
   Worker find(String id) {
     return workers.get(id);
@@ -25,6 +27,26 @@
     return pools.getOrDefault(service, List.of());
   }
 
+  /** Returns whether runs of earlier owners may be going on at a worker that has not reported. */
+  static boolean isUnreported(Worker worker) {
+    return worker != null && !worker.isFenced && !worker.isKnownIdle && !worker.isTerminated;
+  }
+
+  /**
+   * Returns the workers where runs of earlier owners may be unreported.
+   *
+   * @param service the service whose pool is meant; empty for all pools
+   */
+  List<Worker> unreported(String service) {
+    Collection<Worker> candidates = service.isEmpty() ? workers.values() : pool(service);
+    return candidates.stream().filter(WorkerTable::isUnreported).toList();
+  }
+
+  /** Records that earlier owners left nothing running on any worker but some. */
+  void markIdleExcept(Set<String> usedWorkerIds) {
+    workers.values().forEach(worker -> worker.isKnownIdle = !usedWorkerIds.contains(worker.id));
+  }
+
   /** Adds a worker that an earlier owner may have given orders to. */
   void addEnrolled(WorkerListing listing) {
     Worker worker = workers.computeIfAbsent(listing.id(), id -> new Worker(listing));
@@ -35,6 +57,7 @@
 
   /** Replaces the listings by those of the registry. */
   void updateListings(Collection<WorkerListing> listings) {
+    isRegistryRead = true;
     workers.values().forEach(worker -> worker.isListed = false);
     for (WorkerListing listing : listings) {
       Worker worker = workers.computeIfAbsent(listing.id(), id -> new Worker(listing));
@@ -52,11 +75,15 @@
    */
   List<Worker> removeUnlisted(long nowMs, boolean isTakeoverOver) {
     List<Worker> removed = new ArrayList<>();
+    if (!isRegistryRead) {
+      return removed;
+    }
     for (Worker worker : workers.values()) {
       // Without runs, and with a report under this term, nothing is going on there.
       boolean isIdle =
           worker.isFenced
               || worker.isTerminated
+              || worker.isKnownIdle
               || (worker.isLeaseExpired(nowMs) && isTakeoverOver);
       if (!worker.isListed && worker.attempts.isEmpty() && isIdle) {
         removed.add(worker);
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/schedule/PlannedHandoverTest.java
@@ -0,0 +1,122 @@
+package org.laburnumarch.internal.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests that an owner goes on with what the owner knew that has handed over to it. */
+class PlannedHandoverTest {
+
+  private static final long LONG_RUN_MS = Long.MAX_VALUE / 4;
+  private static final int HANDOVERS = 10;
+
+  private final TakeoverSeries series = new TakeoverSeries(6);
+
+  @BeforeEach
+  void startLongRunningTasks() {
+    series.accept(TestJobs.job("a", series.nowMs, TestJobs.longRunningStep(4, 1, 1)), LONG_RUN_MS);
+    series.advance(500);
+  }
+
+  @Nested
+  class WhenWorkersHaveLeft {
+
+    @Test
+    void shouldNotDelayAStoppedTaskUntilLeasesOfDepartedWorkersExpire() {
+      for (int i = 0; i < HANDOVERS; i++) {
+        series.addWorker("new" + i);
+        series.advance(100);
+        String task = "a.0.0." + i % 4;
+        String worker = series.workerOf(task).orElseThrow();
+        series.scheduler.setCordonedWorkers(Set.of(worker));
+        series.scheduler.drainLongRunningTasks(worker, series.nowMs);
+        series.advance(100);
+        series.handOver();
+        series.advance(900);
+        assertThat(series.runningTasks())
+            .as("handover %d", i)
+            .containsExactlyInAnyOrder("a.0.0.0", "a.0.0.1", "a.0.0.2", "a.0.0.3");
+        series.depart(worker);
+      }
+    }
+  }
+
+  @Nested
+  class WhenWorkersAreCutOff {
+
+    @Test
+    void shouldDelayOnlyTheTasksThatMayRunThere() {
+      series.cutOff(series.workerOf("a.0.0.0").orElseThrow());
+      series.advance(100);
+      series.accept(TestJobs.job("b", series.nowMs, TestJobs.step(30, 1_000)), 400);
+      for (int i = 0; i < HANDOVERS; i++) {
+        series.handOver();
+        series.advance(250);
+      }
+      assertThat(series.scheduler.status("b").orElseThrow().isFinal()).isTrue();
+    }
+
+    @Test
+    void shouldStartTheirTasksElsewhereAfterTheirLeases() {
+      String task = "a.0.0.0";
+      String silent = series.workerOf(task).orElseThrow();
+      series.cutOff(silent);
+      series.handOver();
+      series.advance(3_500);
+      assertThat(series.runningTasks()).doesNotContain(task);
+      series.advance(1_500);
+      assertThat(series.runningTasks()).contains(task);
+    }
+
+    @Test
+    void shouldPassOnWhatAnUnplannedTakeoverLeftOpen() {
+      String task = "a.0.0.0";
+      series.cutOff(series.workerOf(task).orElseThrow());
+      series.takeOver();
+      series.advance(200);
+      series.handOver();
+      series.advance(200);
+      series.handOver();
+      series.advance(3_000);
+      assertThat(series.runningTasks()).doesNotContain(task);
+    }
+  }
+
+  @Nested
+  class InRandomOrder {
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void shouldNeverRunATaskTwice(long seed) {
+      UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+      for (int i = 0; i < 60; i++) {
+        String worker = "w" + random.nextInt(6);
+        switch (random.nextInt(8)) {
+          case 0 -> series.cutOff(worker);
+          case 1, 2 -> series.reconnect(worker);
+          case 3 -> series.scheduler.drainLongRunningTasks(worker, series.nowMs);
+          case 4 -> series.takeOver();
+          case 5 ->
+              series.accept(
+                  TestJobs.job("j" + i, series.nowMs, TestJobs.step(3, 1_000)),
+                  random.nextInt(2_000));
+          default -> series.handOver();
+        }
+        series.advance(50 + random.nextInt(1_500));
+      }
+      for (int i = 0; i < 6; i++) {
+        series.reconnect("w" + i);
+      }
+      series.advance(16_000);
+      assertThat(series.runningTasks()).as("seed %d", seed).hasSize(4);
+      assertThat(series.scheduler.takeoverWaits()).isEmpty();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -0,0 +1,191 @@
+package org.laburnumarch.internal.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.laburnumarch.internal.job.JobProgress;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.platform.standin.SimulatedWorker;
+import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
+
+/**
+ * Owners that follow one another over the same simulated workers, in virtual time. Fails when two
+ * runs of a task go on at the same time.
+ */
+final class TakeoverSeries {
+
+  private static final long STEP_MS = 50;
+
+  long nowMs = 1_000_000;
+  Scheduler scheduler;
+  private long term;
+  private long claimedAtMs;
+  private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
+  private final Set<String> departed = new HashSet<>();
+  private final Set<String> cutOff = new HashSet<>();
+  private final Map<String, WorkerListing> enrolled = new LinkedHashMap<>();
+  private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
+  private final Map<String, JobProgress> progress = new HashMap<>();
+  private final Map<String, Long> runsMs = new HashMap<>();
+
+  TakeoverSeries(int workerCount) {
+    for (int i = 0; i < workerCount; i++) {
+      addWorker("w" + i);
+    }
+    begin(new Scheduler(TestJobs.SETTINGS, ++term, nowMs, false));
+  }
+
+  void addWorker(String id) {
+    workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs));
+  }
+
+  /** Ends a worker's process for good; connections to its address are refused from then on. */
+  void depart(String id) {
+    workers.get(id).crash(nowMs);
+    departed.add(id);
+  }
+
+  /** Keeps all messages from a worker, which goes on running until its leases expire. */
+  void cutOff(String id) {
+    cutOff.add(id);
+  }
+
+  void reconnect(String id) {
+    cutOff.remove(id);
+  }
+
+  /** Accepts a job of which each run takes some time. */
+  void accept(JobSpec job, long runMs) {
+    jobs.put(job.id(), job);
+    runsMs.put(job.id(), runMs);
+    scheduler.accept(job, nowMs);
+  }
+
+  /** Lets the owner stop in an orderly way and the next one take over. */
+  void handOver() {
+    RunLocations locations = scheduler.runLocations(nowMs);
+    takeOver();
+    scheduler.restoreRunLocations(locations, nowMs, nowMs);
+  }
+
+  /** Lets the owner's process end and the next one take over. */
+  void takeOver() {
+    Scheduler next = new Scheduler(TestJobs.SETTINGS, ++term, nowMs, true);
+    enrolled.values().forEach(next::restoreEnrolled);
+    begin(next);
+    jobs.forEach(
+        (id, job) -> next.restore(job, Optional.ofNullable(progress.get(id)), nowMs, nowMs));
+    next.onEarlierOwnerStopped(claimedAtMs, nowMs);
+    claimedAtMs = nowMs;
+  }
+
+  private void begin(Scheduler next) {
+    scheduler = next;
+    scheduler.configure(TestJobs.config(0, 3));
+    listWorkers();
+  }
+
+  private void listWorkers() {
+    scheduler.updateWorkerListings(
+        workers.values().stream()
+            .filter(worker -> !departed.contains(worker.id()))
+            .map(SimulatedWorker::listing)
+            .toList(),
+        nowMs);
+    List<WorkerListing> known = scheduler.workersToEnrol();
+    known.forEach(listing -> enrolled.put(listing.id(), listing));
+    scheduler.confirmEnrolment(known);
+  }
+
+  /** Lets time pass; orders and reports take none. */
+  void advance(long durationMs) {
+    for (long untilMs = nowMs + durationMs; nowMs < untilMs; nowMs += STEP_MS) {
+      listWorkers();
+      List.copyOf(scheduler.workerIds()).forEach(this::report);
+      scheduler
+          .takeChanges()
+          .ifPresent(
+              changes -> {
+                changes.progress().forEach(stored -> progress.put(stored.id(), stored));
+                scheduler.confirmStored(changes, nowMs);
+              });
+      scheduler.onOwnershipProven(nowMs);
+      scheduler.decide(nowMs, nowMs).orders().forEach(this::deliver);
+      assertNoTaskRunsTwice();
+    }
+  }
+
+  private boolean isReachable(String id) {
+    return !departed.contains(id) && !cutOff.contains(id);
+  }
+
+  private void report(String id) {
+    scheduler
+        .renewal(id, nowMs)
+        .ifPresent(
+            renewal -> {
+              if (isReachable(id)) {
+                WorkerReport report = workers.get(id).renew(renewal, term, nowMs);
+                scheduler.onReport(id, report, nowMs, nowMs).forEach(this::deliver);
+              } else {
+                scheduler.onReportMissed(id, nowMs);
+                if (departed.contains(id)) {
+                  scheduler.onWorkerGone(id);
+                }
+              }
+            });
+  }
+
+  private void deliver(Order order) {
+    SimulatedWorker worker = workers.get(order.workerId());
+    boolean isReachable = isReachable(order.workerId());
+    if (order instanceof Order.Start start) {
+      long runMs = runsMs.get(start.taskName().substring(0, start.taskName().indexOf('.')));
+      OrderReply reply =
+          isReachable
+              ? worker.start(
+                  start, term, new Behaviour(nowMs + runMs, false, Resources.NONE), nowMs)
+              : new OrderReply(OrderReply.Outcome.UNREACHABLE, -1);
+      scheduler.onStartReply(start, reply, nowMs);
+    } else if (order instanceof Order.Stop stop) {
+      OrderReply reply =
+          isReachable
+              ? worker.stop(stop, term, nowMs)
+              : new OrderReply(OrderReply.Outcome.UNKNOWN, -1);
+      scheduler.onStopReply(stop, reply, nowMs);
+    }
+  }
+
+  private void assertNoTaskRunsTwice() {
+    List<String> running = new ArrayList<>();
+    for (SimulatedWorker worker : workers.values()) {
+      worker.advance(nowMs);
+      running.addAll(worker.runningTasks());
+    }
+    assertThat(running).doesNotHaveDuplicates();
+  }
+
+  /** Returns the names of the tasks that run on workers that are not cut off. */
+  List<String> runningTasks() {
+    return workers.values().stream()
+        .filter(worker -> isReachable(worker.id()))
+        .flatMap(worker -> worker.runningTasks().stream())
+        .toList();
+  }
+
+  /** Returns the worker on which a task runs; empty if it runs on none. */
+  Optional<String> workerOf(String taskName) {
+    return workers.values().stream()
+        .filter(worker -> worker.runningTasks().contains(taskName))
+        .map(SimulatedWorker::id)
+        .findFirst();
+  }
+}
