Keep the deadline of a silent worker's leases over handovers

What callers saw: in 11 of 18 traced losses on the worker of a long-running task had left without an answer (connect time-outs), and the task waited through two to seven handovers, up to 24 s. Cause: each successor awaited the whole length of a lease again for a worker that its predecessor had not heard of either, so that handovers one to three seconds apart put the start off without an end. Change: the locations of runs tell for each worker how long its leases can still be valid, and for how long still earlier owners may send orders. These times are relative and counted from when they are read, which is later, since the clocks of daemons differ. Evidence: shouldNotBeginTheWaitForTheirLeasesAnewWithEachHandover, ten handovers 0.5 s apart while a worker is cut off; the earlier format gave one deadline, which each successor moved on.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -237,7 +237,7 @@
                 scheduler.restoreFinal(progress, nowMs);
               }
             });
-    locations.ifPresent(left -> scheduler.restoreRunLocations(left, nowMs, epochMs));
+    locations.ifPresent(left -> scheduler.restoreRunLocations(left, nowMs));
     machineController.ifPresent(controller -> controller.restore(contents));
     shareKeeper.restore(contents.states(), nowMs, epochMs);
     isLoaded = true;
@@ -434,7 +434,7 @@
     boolean isComplete = isLoaded && !isClosed;
     close();
     return isComplete
-        ? handoverLog.write(scheduler.runLocations(clock.epochMs()))
+        ? handoverLog.write(scheduler.runLocations())
         : CompletableFuture.completedStage(null);
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/RunLocationsCodec.java
+++ b/src/main/java/org/laburnumarch/internal/node/RunLocationsCodec.java
@@ -36,7 +36,11 @@
               tasksByJob.computeIfAbsent(task.job(), job -> new ArrayList<>()).add(task);
             });
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      out.packInt(FORMAT).packLong(locations.term()).packLong(locations.unresolvedUntilEpochMs());
+      out.packInt(FORMAT).packLong(locations.term()).packLong(locations.earlierOrdersLeftMs());
+      out.packMapHeader(locations.leasesLeftMs().size());
+      for (Map.Entry<String, Long> left : locations.leasesLeftMs().entrySet()) {
+        out.packString(left.getKey()).packLong(left.getValue());
+      }
       out.packArrayHeader(numberByWorkers.size());
       for (Set<String> workerIds : numberByWorkers.keySet()) {
         out.packArrayHeader(workerIds.size());
@@ -72,7 +76,11 @@
         throw new IOException("unsupported format " + format + " of the locations of runs");
       }
       long term = in.unpackLong();
-      long unresolvedUntilEpochMs = in.unpackLong();
+      long earlierOrdersLeftMs = in.unpackLong();
+      Map<String, Long> leasesLeftMs = new HashMap<>();
+      for (int ids = in.unpackMapHeader(); ids > 0; ids--) {
+        leasesLeftMs.put(in.unpackString(), in.unpackLong());
+      }
       List<Set<String>> workers = new ArrayList<>();
       for (int sets = in.unpackArrayHeader(); sets > 0; sets--) {
         Set<String> workerIds = new HashSet<>();
@@ -93,7 +101,7 @@
           workersByTask.put(task, workers.get(number));
         }
       }
-      return new RunLocations(term, workersByTask, unresolvedUntilEpochMs);
+      return new RunLocations(term, workersByTask, leasesLeftMs, earlierOrdersLeftMs);
     }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunLocations.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunLocations.java
@@ -8,17 +8,25 @@
  * What an owner that has stopped sending orders knew of its runs. A task that is not named does not
  * run anywhere, whichever workers its successor cannot reach.
  *
+ * <p>Times are relative to the end of the ownership, since the clocks of daemons differ. A
+ * successor counts them from when it reads them, which is later.
+ *
  * @param term the owner's term
  * @param workersByTask for each task that may be running, or whose end may be listed only by its
  *     worker, the ids of the workers that may have it
- * @param unresolvedUntilEpochMs when no run of a still earlier owner that the owner has not found
- *     can be going on, in Unix milliseconds; 0 if there is none
+ * @param leasesLeftMs time after which no lease of a worker can be valid any more, by the id of the
+ *     worker, in milliseconds
+ * @param earlierOrdersLeftMs time for which still earlier owners may send orders, in milliseconds
  */
 public record RunLocations(
-    long term, Map<TaskKey, Set<String>> workersByTask, long unresolvedUntilEpochMs) {
+    long term,
+    Map<TaskKey, Set<String>> workersByTask,
+    Map<String, Long> leasesLeftMs,
+    long earlierOrdersLeftMs) {
 
-  /** Copies the map. */
+  /** Copies the maps. */
   public RunLocations {
     workersByTask = Map.copyOf(workersByTask);
+    leasesLeftMs = Map.copyOf(leasesLeftMs);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -195,7 +195,7 @@
    * Returns where the tasks of all unfinished jobs may be running, for the next owner. Valid as
    * long as this owner sends no more orders.
    */
-  public RunLocations runLocations(long epochMs) {
+  public RunLocations runLocations() {
     Map<TaskKey, Set<String>> workersByTask = new HashMap<>();
     for (Worker worker : workers.all()) {
       worker.attempts.values().stream()
@@ -205,17 +205,21 @@
           .flatMap(name -> TaskKey.parse(name).stream())
           .forEach(key -> addLocation(workersByTask, key, worker));
     }
-    boolean isUnresolved = !takeoverGuard.isOver(ownershipProvenAtMs);
-    if (isUnresolved) {
+    if (!takeoverGuard.isOver(ownershipProvenAtMs)) {
       for (Job job : liveJobs.values()) {
-        String service = service(job.spec);
-        takeoverGuard.addUnresolved(job, service, workers, workersByTask, ownershipProvenAtMs);
+        takeoverGuard.addUnresolved(
+            job, service(job.spec), workers, workersByTask, ownershipProvenAtMs);
+      }
+    }
+    Map<String, Long> leasesLeftMs = new HashMap<>();
+    for (Set<String> workerIds : workersByTask.values()) {
+      for (String workerId : workerIds) {
+        leasesLeftMs.computeIfAbsent(
+            workerId, id -> takeoverGuard.leasesLeftMs(workers.find(id), ownershipProvenAtMs));
       }
     }
     return new RunLocations(
-        term,
-        workersByTask,
-        isUnresolved ? epochMs + takeoverGuard.overAtMs() - ownershipProvenAtMs : 0);
+        term, workersByTask, leasesLeftMs, takeoverGuard.ordersLeftMs(ownershipProvenAtMs));
   }
 
   private static void addLocation(
@@ -227,8 +231,8 @@
    * Takes over the locations of the earlier owner's runs. Must be called after the jobs and the
    * enrolled workers have been restored and before any report.
    */
-  public void restoreRunLocations(RunLocations locations, long nowMs, long epochMs) {
-    takeoverGuard.restore(locations, liveJobs, workers, nowMs, epochMs);
+  public void restoreRunLocations(RunLocations locations, long nowMs) {
+    takeoverGuard.restore(locations, liveJobs, workers, nowMs);
   }
 
   /** Adds a worker that an earlier owner may have given orders to. */
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -22,14 +22,20 @@
   private final boolean hadEarlierOwner;
   private final long leaseWaitMs;
   private final long fullWaitMs;
+  private final long authorityWaitMs;
   private long overAtMs;
 
+  /** Local time from which no earlier owner sends orders any more. */
+  private long ordersOverAtMs;
+
   TakeoverGuard(SchedulerSettings settings, long nowMs, boolean hadEarlierOwner) {
     this.hadEarlierOwner = hadEarlierOwner;
     this.leaseWaitMs = (long) (settings.leaseMs() * SLOW_CLOCK_FACTOR);
     this.fullWaitMs =
         (long) ((settings.earlierOwnerAuthorityMs() + settings.leaseMs()) * SLOW_CLOCK_FACTOR);
+    this.authorityWaitMs = (long) (settings.earlierOwnerAuthorityMs() * SLOW_CLOCK_FACTOR);
     this.overAtMs = nowMs + fullWaitMs;
+    this.ordersOverAtMs = nowMs + authorityWaitMs;
   }
 
   boolean isOver(long nowMs) {
@@ -44,10 +50,12 @@
   /** Returns whether runs of earlier owners may be going on unreported at a worker. */
   boolean isUnreported(Worker worker, long nowMs) {
     // A process that has ended has no runs, unless a later one gets orders of an earlier owner.
-    long ordersOverAtMs = overAtMs - leaseWaitMs;
     boolean hasEnded =
         worker.isGone && worker.goneAtMs >= ordersOverAtMs && nowMs >= ordersOverAtMs;
-    return !worker.isFenced && !worker.isKnownIdle && !worker.isTerminated && !hasEnded;
+    return !worker.isFenced
+        && !worker.isTerminated
+        && nowMs < worker.earlierRunsOverAtMs
+        && !hasEnded;
   }
 
   /** Returns whether runs of earlier owners may be going on unreported in a pool. */
@@ -94,7 +102,9 @@
    * on giving orders for a limited time after the earlier owner's claim.
    */
   void onEarlierOwnerStopped(long earlierClaimedAtMs, long nowMs) {
-    shortenTo(Math.max(leasesOverAtMs(nowMs), earlierClaimedAtMs + fullWaitMs));
+    overAtMs = Math.min(overAtMs, Math.max(nowMs + leaseWaitMs, earlierClaimedAtMs + fullWaitMs));
+    ordersOverAtMs =
+        Math.min(ordersOverAtMs, Math.max(nowMs, earlierClaimedAtMs + authorityWaitMs));
   }
 
   /**
@@ -102,29 +112,40 @@
    *
    * @param jobs the unfinished jobs, all of them inherited
    */
-  void restore(
-      RunLocations locations,
-      Map<String, Job> jobs,
-      WorkerTable workers,
-      long nowMs,
-      long epochMs) {
+  void restore(RunLocations locations, Map<String, Job> jobs, WorkerTable workers, long nowMs) {
     jobs.values().forEach(job -> job.setEarlierRuns(EarlierRun.NONE));
     Map<Set<String>, EarlierRun> shared = new HashMap<>();
-    Set<String> usedWorkers = new HashSet<>();
     locations
         .workersByTask()
         .forEach(
             (key, workerIds) -> {
-              usedWorkers.addAll(workerIds);
               Job job = jobs.get(key.job());
               Task task = job == null ? null : job.find(key.occurrence(), key.step(), key.index());
               if (task != null) {
                 task.earlierRun = shared.computeIfAbsent(workerIds, EarlierRun::on);
               }
             });
-    workers.markIdleExcept(usedWorkers);
-    shortenTo(
-        Math.max(leasesOverAtMs(nowMs), nowMs + locations.unresolvedUntilEpochMs() - epochMs));
+    long lastOverAtMs = nowMs;
+    for (Worker worker : workers.all()) {
+      worker.earlierRunsOverAtMs = nowMs + locations.leasesLeftMs().getOrDefault(worker.id, 0L);
+      lastOverAtMs = Math.max(lastOverAtMs, worker.earlierRunsOverAtMs);
+    }
+    overAtMs = Math.min(overAtMs, lastOverAtMs);
+    ordersOverAtMs = Math.min(ordersOverAtMs, nowMs + locations.earlierOrdersLeftMs());
+  }
+
+  /** Returns the time for which earlier owners may still send orders. */
+  long ordersLeftMs(long nowMs) {
+    return hadEarlierOwner ? Math.max(0, ordersOverAtMs - nowMs) : 0;
+  }
+
+  /** Returns the time after which no lease of a worker can be valid any more. */
+  long leasesLeftMs(Worker worker, long nowMs) {
+    long expireAtMs = worker.leasesExpireAtMs();
+    if (isUnreported(worker, nowMs)) {
+      expireAtMs = Math.max(expireAtMs, Math.min(overAtMs, worker.earlierRunsOverAtMs));
+    }
+    return Math.max(expireAtMs, nowMs) - nowMs;
   }
 
   /** Adds the tasks of a job that may be running on workers that have not reported. */
@@ -152,12 +173,4 @@
       }
     }
   }
-
-  private long leasesOverAtMs(long nowMs) {
-    return nowMs + leaseWaitMs;
-  }
-
-  private void shortenTo(long atMs) {
-    overAtMs = Math.min(overAtMs, atMs);
-  }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -45,8 +45,8 @@
   /** Whether it has reported under this owner's term, and so rejects orders of earlier owners. */
   boolean isFenced;
 
-  /** Whether earlier owners certainly left nothing running there. */
-  boolean isKnownIdle;
+  /** Local time from which no run of an earlier owner can be going on there. */
+  long earlierRunsOverAtMs = Long.MAX_VALUE;
 
   /** Whether its first report under this owner's term has been requested and is awaited. */
   boolean isFirstReportAwaited;
@@ -214,11 +214,17 @@
 
   /** Returns whether every lease of the worker has certainly expired. */
   boolean isLeaseExpired(long nowMs) {
+    return nowMs >= leasesExpireAtMs();
+  }
+
+  /** Returns the local time from which every lease of the worker has certainly expired. */
+  long leasesExpireAtMs() {
     if (!hasClock()) {
-      return attempts.isEmpty() || nowMs > unknownIncarnationOverAtMs;
+      return attempts.isEmpty() ? Long.MIN_VALUE : unknownIncarnationOverAtMs + 1;
     }
-    double earliest = clockReadingMs + (nowMs - clockReadAtMs) * SLOWEST_CLOCK;
-    return earliest > leaseEndClockMs;
+    return clockReadAtMs
+        + (long) Math.floor((leaseEndClockMs - clockReadingMs) / SLOWEST_CLOCK)
+        + 1;
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** All workers that the registry lists or that may still run something. */
 final class WorkerTable {
@@ -32,11 +31,6 @@
     return service.isEmpty() ? workers.values() : pool(service);
   }
 
-  /** Records that earlier owners left nothing running on any worker but some. */
-  void markIdleExcept(Set<String> usedWorkerIds) {
-    workers.values().forEach(worker -> worker.isKnownIdle = !usedWorkerIds.contains(worker.id));
-  }
-
   /** Adds a worker that an earlier owner may have given orders to. */
   void addEnrolled(WorkerListing listing) {
     Worker worker = workers.computeIfAbsent(listing.id(), id -> new Worker(listing));
--- a/src/test/java/org/laburnumarch/internal/node/RunLocationsCodecTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/RunLocationsCodecTest.java
@@ -21,13 +21,14 @@
                 new TaskKey("a", 0, 0, 0), Set.of("w1"),
                 new TaskKey("a", 0, 1, 3), Set.of("w1"),
                 new TaskKey("b", 2, 0, 1), Set.of("w1", "w2")),
-            1_782_697_329_665L);
+            Map.of("w1", 4_000L, "w2", 0L),
+            250);
     assertThat(RunLocationsCodec.decode(RunLocationsCodec.encode(locations))).isEqualTo(locations);
   }
 
   @Test
   void shouldRejectAnUnknownFormat() {
-    byte[] encoded = RunLocationsCodec.encode(new RunLocations(1, Map.of(), 0));
+    byte[] encoded = RunLocationsCodec.encode(new RunLocations(1, Map.of(), Map.of(), 0));
     encoded[0] = 2;
     assertThatThrownBy(() -> RunLocationsCodec.decode(encoded)).isInstanceOf(IOException.class);
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -71,9 +71,9 @@
 
   /** Lets the owner stop in an orderly way and the next one take over. */
   void handOver() {
-    RunLocations locations = scheduler.runLocations(nowMs);
+    RunLocations locations = scheduler.runLocations();
     takeOver();
-    scheduler.restoreRunLocations(locations, nowMs, nowMs);
+    scheduler.restoreRunLocations(locations, nowMs);
   }
 
   /** Lets the owner's process end and the next one take over. */
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -77,6 +77,17 @@
       assertThat(series.runningTasks()).contains(task);
     }
 
+    @Test
+    void shouldNotBeginTheWaitForTheirLeasesAnewWithEachHandover() {
+      String task = "a.0.0.0";
+      series.cutOff(series.workerOf(task).orElseThrow());
+      for (int i = 0; i < HANDOVERS; i++) {
+        series.handOver();
+        series.advance(500);
+      }
+      assertThat(series.runningTasks()).contains(task);
+    }
+
     @Test
     void shouldPassOnWhatAnUnplannedTakeoverLeftOpen() {
       String task = "a.0.0.0";
