Answer the requests that a stopping daemon has read

Callers saw: a request on an open connection got neither an answer nor a refusal when its daemon was told to stop.

Cause: the daemon closed all sockets 3 s after it had given up the ownership, whatever was in flight. A request that waited for an owner (up to 1 s) or for a reply of the store at that moment was cut.

Evidence: NodeStopTest$WhenNoOtherDaemonOwnsTheFleet on, one daemon that is stopped under eight callers on open connections: "requests without an answer, by waiting time: Expecting empty but was: [903L, 902L, 852L, 852L, 944L, 912L, 907L, 944L]".

Change: after the 3 s the daemon accepts no more connections and ends idle ones, and goes on until no request has been pending for 100 ms (RequestDrain). 0.5 s before the grace period ends, counted from the signal, the router answers what still waits: 503 if no owner can have made the change, 504 if one may have; later requests are refused at once.

--- a/src/main/java/org/laburnumarch/internal/node/JobRouter.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobRouter.java
@@ -1,6 +1,10 @@
 package org.laburnumarch.internal.node;
 
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -31,6 +35,8 @@
   private final SuspendAwareClock clock;
   private Optional<Owner> owner = Optional.empty();
   private Optional<LinkClient> link = Optional.empty();
+  private final Set<PendingRequest> pending = new LinkedHashSet<>();
+  private boolean isClosed;
 
   JobRouter(EventLoopThread loop, SuspendAwareClock clock) {
     this.loop = loop;
@@ -50,12 +56,48 @@
     return owner.isPresent() || link.map(LinkClient::isConnected).orElse(false);
   }
 
+  /** Returns the number of requests without an answer. */
+  int pendingRequests() {
+    return pending.size();
+  }
+
+  /** Returns how long the oldest request without an answer has waited; 0 if there is none. */
+  long longestWaitMs() {
+    long nowMs = clock.nowMs();
+    return pending.stream().findFirst().map(oldest -> nowMs - oldest.arrivedAtMs).orElse(0L);
+  }
+
+  /**
+   * Answers all requests and refuses later ones: changes that an owner may have made are undecided,
+   * all others are refused.
+   *
+   * @return the answers that were given now
+   */
+  List<JobReply> close() {
+    isClosed = true;
+    List<JobReply> answers = new ArrayList<>();
+    for (PendingRequest request : List.copyOf(pending)) {
+      JobReply answer =
+          request.deadlines.mayHaveTakenEffect(request.isSent)
+              ? JobReply.of(Code.UNDECIDED)
+              : JobReply.refuse(Code.UNAVAILABLE, RETRY_AFTER_MS);
+      answers.add(answer);
+      request.complete(answer);
+    }
+    return answers;
+  }
+
   @Override
   public CompletionStage<JobReply> call(
       CallKind kind, String queue, String jobId, byte[] payload, long timeoutMs) {
+    if (isClosed) {
+      return CompletableFuture.completedStage(JobReply.refuse(Code.UNAVAILABLE, RETRY_AFTER_MS));
+    }
+    long nowMs = clock.nowMs();
     PendingRequest request =
         new PendingRequest(
-            kind, queue, jobId, payload, new ReplyDeadlines(kind, clock.nowMs(), timeoutMs));
+            kind, queue, jobId, payload, nowMs, new ReplyDeadlines(kind, nowMs, timeoutMs));
+    pending.add(request);
     request.attempt();
     return request.result;
   }
@@ -66,26 +108,39 @@
     private final String queue;
     private final String jobId;
     private final byte[] payload;
+    private final long arrivedAtMs;
     private final ReplyDeadlines deadlines;
     private final CompletableFuture<JobReply> result = new CompletableFuture<>();
+    private boolean isSent;
 
     PendingRequest(
-        CallKind kind, String queue, String jobId, byte[] payload, ReplyDeadlines deadlines) {
+        CallKind kind,
+        String queue,
+        String jobId,
+        byte[] payload,
+        long arrivedAtMs,
+        ReplyDeadlines deadlines) {
       this.kind = kind;
       this.queue = queue;
       this.jobId = jobId;
       this.payload = payload;
+      this.arrivedAtMs = arrivedAtMs;
       this.deadlines = deadlines;
     }
 
     void attempt() {
+      if (result.isDone()) {
+        return;
+      }
       long remainingMs = deadlines.remainingMs(clock.nowMs());
       if (owner.isPresent()) {
+        isSent = true;
         owner
             .get()
             .call(kind, queue, jobId, payload, remainingMs)
             .thenAccept(reply -> onReply(reply, RETRY_AT_OWNER_MS));
       } else if (remainingMs > 0 && link.map(LinkClient::isConnected).orElse(false)) {
+        isSent = true;
         link.get()
             .call(kind, queue, jobId, payload, remainingMs)
             .thenAccept(reply -> onReply(reply, RETRY_AT_OWNER_MS));
@@ -95,12 +150,18 @@
     }
 
     private void onReply(JobReply reply, long pauseMs) {
+      isSent = false;
       Optional<JobReply> answer = deadlines.answer(reply, clock.nowMs());
       if (answer.isPresent()) {
-        result.complete(answer.get());
-      } else {
+        complete(answer.get());
+      } else if (!result.isDone()) {
         loop.schedule(reply.code() == Code.UNDECIDED ? RETRY_EVERY_MS : pauseMs, this::attempt);
       }
     }
+
+    private void complete(JobReply answer) {
+      pending.remove(this);
+      result.complete(answer);
+    }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -221,30 +222,39 @@
   }
 
   /**
-   * Shuts down gracefully: hands over or releases the ownership, and completes after open
-   * connections have been served a little longer. The daemon must still be closed afterwards.
+   * Shuts down gracefully: hands over or releases the ownership, serves open connections a little
+   * longer, and completes when all requests that were read have been answered, at the latest
+   * shortly before the grace period ends. The daemon must still be closed afterwards.
    */
   public CompletionStage<Void> stop() {
     CompletableFuture<Void> stopped = new CompletableFuture<>();
+    long requestedAtNs = System.nanoTime();
     loop.execute(
         () -> {
+          long delayMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - requestedAtNs);
           Logger.info("node: event=stopping");
           isStopping = true;
+          RequestDrain drain =
+              new RequestDrain(
+                  loop,
+                  clock,
+                  router,
+                  callers::closeAsyncGracefully,
+                  () -> {
+                    Logger.info("node: event=stopped");
+                    stopped.complete(null);
+                  });
+          drain.start(clock.nowMs() - delayMs + settings.shutdownTimeoutMs());
           candidate.onStopping();
           election.withdrawCandidacy();
-          offers.stop(() -> election.release(() -> loop.execute(() -> linger(stopped))));
+          offers.stop(() -> election.release(() -> loop.execute(() -> linger(drain))));
         });
     return stopped;
   }
 
-  private void linger(CompletableFuture<Void> stopped) {
+  private void linger(RequestDrain drain) {
     election.stepDown("shutdown");
-    loop.schedule(
-        LINGER_MS,
-        () -> {
-          Logger.info("node: event=stopped");
-          stopped.complete(null);
-        });
+    loop.schedule(LINGER_MS, drain::closeConnections);
   }
 
   /** Closes everything at once. */
--- a/src/main/java/org/laburnumarch/internal/node/ReplyDeadlines.java
+++ b/src/main/java/org/laburnumarch/internal/node/ReplyDeadlines.java
@@ -55,4 +55,13 @@
     }
     return Optional.of(mayHaveTakenEffect ? JobReply.of(Code.UNDECIDED) : reply);
   }
+
+  /**
+   * Returns whether the change may have been made, if the request is not sent again.
+   *
+   * @param isSent whether the request has been sent to an owner and no reply is known
+   */
+  boolean mayHaveTakenEffect(boolean isSent) {
+    return mayHaveTakenEffect || (isChange && isSent);
+  }
 }
