Do not let a second SIGTERM cut the stop of a node

Callers saw: requests on open connections were cut when their daemon was told to stop twice, as two plans that overlap may do.

Cause: the second SIGTERM halted the process with all that was in flight.

Evidence: DaemonProcessTest$WhenADaemonIsToldToStopTwice failed before: "node: event=stopped" was not logged within 20 s after a second SIGTERM (ConditionTimeout at DaemonProcessTest.java:181).

Change: the command node logs further SIGTERMs and goes on, since its stop is bounded by the grace period; a second SIGINT still ends the process at once. The earlier command daemon, whose stop is longer, keeps its behaviour.

--- a/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
@@ -6,7 +6,7 @@
 import org.tinylog.Logger;
 
 /**
- * Turns the first SIGTERM or SIGINT into a request to stop, and ends the process at the second.
+ * Turns the first SIGTERM or SIGINT into a request to stop, and decides what later ones do.
  *
  * <p>A shutdown hook cannot do this: the virtual machine ignores signals while hooks run. The
  * signal classes are accessed by reflection, since the compiler warns about any direct use.
@@ -18,20 +18,27 @@
 
   private TerminationSignals() {}
 
-  /** Returns a future that the first signal completes. */
+  /** Returns a future that the first signal completes. The second ends the process at once. */
   public static CompletableFuture<Void> firstSignal() {
+    return firstSignal(() -> Runtime.getRuntime().halt(FORCED_EXIT_STATUS));
+  }
+
+  /**
+   * Returns a future that the first signal completes, for a process whose stop is bounded in time.
+   * Later SIGTERMs do not cut the stop short; a later SIGINT still ends the process at once.
+   */
+  public static CompletableFuture<Void> firstSignalOfBoundedStop() {
+    return firstSignal(() -> Logger.info("node: event=stop-repeated"));
+  }
+
+  private static CompletableFuture<Void> firstSignal(Runnable onRepeatedTermination) {
     CompletableFuture<Void> first = new CompletableFuture<>();
     AtomicBoolean isStopping = new AtomicBoolean();
-    Runnable onSignal =
-        () -> {
-          if (isStopping.getAndSet(true)) {
-            Runtime.getRuntime().halt(FORCED_EXIT_STATUS);
-          }
-          first.complete(null);
-        };
     try {
-      handle("TERM", onSignal);
-      handle("INT", onSignal);
+      handle("TERM", () -> stop(first, isStopping, onRepeatedTermination));
+      handle(
+          "INT",
+          () -> stop(first, isStopping, () -> Runtime.getRuntime().halt(FORCED_EXIT_STATUS)));
     } catch (ReflectiveOperationException e) {
       Logger.warn(
           "daemon: Cannot install signal handlers; SIGTERM and SIGINT end the process at once.");
@@ -39,6 +46,15 @@
     return first;
   }
 
+  private static void stop(
+      CompletableFuture<Void> first, AtomicBoolean isStopping, Runnable onRepeated) {
+    if (isStopping.getAndSet(true)) {
+      onRepeated.run();
+    } else {
+      first.complete(null);
+    }
+  }
+
   /** Runs an action at each SIGHUP, which would otherwise end the process. */
   public static void onHangup(Runnable action) {
     try {
--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -47,7 +47,7 @@
 
   private static int runUntilSignal(NodeSettings settings, Path file) {
     BoundedOutput output = BoundedOutput.install();
-    CompletableFuture<Void> signal = TerminationSignals.firstSignal();
+    CompletableFuture<Void> signal = TerminationSignals.firstSignalOfBoundedStop();
     TerminationSignals.onHangup(() -> checkSettings(settings, file));
     try (Node node = new Node(settings, output::totalDroppedLines)) {
       signal.get();
--- a/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
@@ -1,11 +1,13 @@
 package org.laburnumarch.internal.soak;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.servicetalk.http.api.HttpRequestMethod;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
@@ -158,6 +160,28 @@
     }
   }
 
+  @Nested
+  class WhenADaemonIsToldToStopTwice {
+
+    private void awaitLog(DaemonProcess daemon, String text) {
+      Path log = directory.resolve(daemon.name() + ".log");
+      await()
+          .atMost(Duration.ofMillis(TIMEOUT_MS))
+          .until(() -> Files.exists(log) && Files.readString(log).contains(text));
+    }
+
+    /** Guards against requests that are cut because two plans stop the same daemon. */
+    @Test
+    void shouldGoOnWithTheFirstStop() throws Exception {
+      DaemonProcess daemon = fleet.daemons().get(0);
+      awaitLog(daemon, "node: event=started");
+      loop.execute(daemon::terminate);
+      awaitLog(daemon, "node: event=stopping");
+      loop.execute(daemon::terminate);
+      awaitLog(daemon, "node: event=stopped");
+    }
+  }
+
   @Nested
   class Callers {
 
