Answer in time when an owner in the same process does not reply

Callers saw: no answer to a change until they stopped waiting, if the daemon that took it owned the fleet itself and the store did not answer its write.

Cause: calls over the link end at the caller's deadline; a call to an owner in the same process had no time limit.

Evidence: by reading; JobRouterTest$WhenAnOwnerHasNotReplied.shouldAnswerBeforeTheCallerStopsWaiting failed without the timer ("Expected size: 1 but was: 0": no time limit was set).

Result: the tests of JobRouter and ReplyDeadlines pass (14).

--- a/src/main/java/org/laburnumarch/internal/node/JobRouter.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobRouter.java
@@ -77,12 +77,8 @@
     isClosed = true;
     List<JobReply> answers = new ArrayList<>();
     for (PendingRequest request : List.copyOf(pending)) {
-      JobReply answer =
-          request.deadlines.mayHaveTakenEffect(request.isSent)
-              ? JobReply.of(Code.UNDECIDED)
-              : JobReply.refuse(Code.UNAVAILABLE, RETRY_AFTER_MS);
-      answers.add(answer);
-      request.complete(answer);
+      request.answerWithoutOwner();
+      answers.add(request.result.join());
     }
     return answers;
   }
@@ -135,10 +131,13 @@
       long remainingMs = deadlines.remainingMs(clock.nowMs());
       if (owner.isPresent()) {
         isSent = true;
-        owner
-            .get()
-            .call(kind, queue, jobId, payload, remainingMs)
-            .thenAccept(reply -> onReply(reply, RETRY_AT_OWNER_MS));
+        CompletionStage<JobReply> reply =
+            owner.get().call(kind, queue, jobId, payload, remainingMs);
+        reply.thenAccept(received -> onReply(received, RETRY_AT_OWNER_MS));
+        if (!result.isDone()) {
+          // Unlike the link, an owner in this process replies only when the store has answered.
+          loop.schedule(Math.max(0, remainingMs), this::answerWithoutOwner);
+        }
       } else if (remainingMs > 0 && link.map(LinkClient::isConnected).orElse(false)) {
         isSent = true;
         link.get()
@@ -159,6 +158,14 @@
       }
     }
 
+    /** Answers now, without a reply of the owner; has no effect if the request is answered. */
+    private void answerWithoutOwner() {
+      complete(
+          deadlines.mayHaveTakenEffect(isSent)
+              ? JobReply.of(Code.UNDECIDED)
+              : JobReply.refuse(Code.UNAVAILABLE, RETRY_AFTER_MS));
+    }
+
     private void complete(JobReply answer) {
       pending.remove(this);
       result.complete(answer);
--- a/src/test/java/org/laburnumarch/internal/node/JobRouterTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/JobRouterTest.java
@@ -20,7 +20,7 @@
 import org.laburnumarch.internal.link.LinkMessage.CallKind;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
-/** Tests what callers are told when the router is closed, in virtual time. */
+/** Tests what callers are told without a reply of the owner, in virtual time. */
 class JobRouterTest {
 
   private static final long TIMEOUT_MS = 3_000;
@@ -72,11 +72,24 @@
       assertThat(codeOf(answer)).isEqualTo(Code.UNAVAILABLE);
     }
 
+    /**
+     * Guards against a caller that waits in vain for an owner in the same process, whose write the
+     * store does not answer.
+     */
+    @Test
+    void shouldAnswerBeforeTheCallerStopsWaiting() {
+      CompletableFuture<JobReply> answer = call(CallKind.SUBMIT);
+      assertThat(delayed).hasSize(1);
+      delayed.remove().run();
+      assertThat(codeOf(answer)).isEqualTo(Code.UNDECIDED);
+    }
+
     /** Guards against requests that are sent again although their callers have an answer. */
     @Test
     void shouldNotSendAnAnsweredRequestAgain() {
       CompletableFuture<JobReply> answer = call(CallKind.SUBMIT);
       router.close();
+      delayed.clear();
       ownersReply.complete(JobReply.refuse(Code.UNAVAILABLE, 0));
       assertThat(codeOf(answer)).isEqualTo(Code.UNDECIDED);
       assertThat(delayed).isEmpty();
