Start suspects within their bound beside newer suspects

Callers saw accepted jobs wait for a next start for up to 19 s after their workers had crashed, although most of the pool was free.

Cause, three ways in which the bound of 3 s (CrashTracker) did not hold: - a suspect past its bound still avoided workers with an isolated run. Newer suspects, which are in time and so come first, took each worker as it became free: 5 of 8 workers carried one small run each, the other 3 were full; - a suspect that only lacked a worker without another suspect marked its shape as not placeable, and all steps of that shape behind it were left out; - a step that was left out in this way did not begin to count its wait.

Change: a suspect past its bound starts on a worker with an isolated run if no other has room; a missing worker of its own is no sign of a full pool; the wait counts from when the step is first left out.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -38,11 +38,13 @@
   private final Set<String> outOfServiceDataCentres;
   private final double remoteSlowdownFactor;
   private final long nowMs;
+  private final boolean hasIsolatedWorker;
 
   /** Workers that get no further tasks in this round, so that a large task will fit there. */
   private final Set<Worker> heldWorkers = new HashSet<>();
 
-  private int heldForSuspects;
+  /** Workers that get no further tasks in this round, so that a suspect can start there alone. */
+  private final Set<Worker> heldForSuspects = new HashSet<>();
 
   Placement(
       Collection<Worker> pool,
@@ -53,15 +55,24 @@
     this.outOfServiceDataCentres = outOfServiceDataCentres;
     this.remoteSlowdownFactor = remoteSlowdownFactor;
     this.nowMs = nowMs;
+    this.hasIsolatedWorker = pool.stream().anyMatch(Worker::hasIsolatedRun);
   }
 
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
   Optional<Worker> choose(Task task, Map<String, String> tickets, boolean needsTicket) {
-    boolean needsIsolation = task.needsIsolation(nowMs);
-    boolean needsSeparation = task.needsSeparation(nowMs) && !task.step.spec.isLongRunning();
-    if (needsIsolation && !mayIsolateAnother()) {
+    if (task.needsIsolation(nowMs) && !mayIsolateAnother()) {
       return Optional.empty();
     }
+    Optional<Worker> best = choose(task, tickets, needsTicket, false);
+    return best.isEmpty() && task.hasWaitedForSeparation(nowMs)
+        ? choose(task, tickets, needsTicket, true)
+        : best;
+  }
+
+  private Optional<Worker> choose(
+      Task task, Map<String, String> tickets, boolean needsTicket, boolean mayEndIsolation) {
+    boolean needsIsolation = task.needsIsolation(nowMs);
+    boolean needsSeparation = task.needsSeparation(nowMs);
     Worker best = null;
     double bestCost = Double.MAX_VALUE;
     for (Worker worker : pool) {
@@ -69,8 +80,9 @@
           || worker.ordersInFlight >= worker.maxOrdersInFlight
           || (needsIsolation && worker.newRunCount() > 0)
           || (needsSeparation && worker.hasNewSuspect())
+          || (isIsolated(worker) && !mayEndIsolation)
           || !worker.freeCapacity().holds(task.step.spec.reserved())
-          || !mayRun(worker, task.step)
+          || !isEligible(worker, task.step)
           || (needsTicket && !tickets.containsKey(worker.id))) {
         continue;
       }
@@ -92,13 +104,12 @@
         pool.stream()
             .filter(worker -> worker.hasIsolatedRun() && worker.missedReports == 0)
             .count();
-    return isolated + heldForSuspects <= pool.size() / POOL_SIZE_PER_ISOLATED_RUN;
+    return isolated + heldForSuspects.size() <= pool.size() / POOL_SIZE_PER_ISOLATED_RUN;
   }
 
   /** Holds a worker back until it has no new runs, so that a suspect can start there. */
   void holdWorkerForSuspect(Task task) {
-    holdWorkerFor(task);
-    heldForSuspects++;
+    findLargestWorkerFor(task).ifPresent(heldForSuspects::add);
   }
 
   /** Returns whether any worker could start a task now. */
@@ -113,12 +124,24 @@
 
   /** Returns whether a worker may run tasks of a step, regardless of its free capacity. */
   boolean mayRun(Worker worker, Step step) {
+    return !worker.hasIsolatedRun() && isEligible(worker, step);
+  }
+
+  /** Returns whether any worker has been kept for a single suspect since before this round. */
+  boolean hasIsolatedWorker() {
+    return hasIsolatedWorker;
+  }
+
+  private boolean isIsolated(Worker worker) {
+    return worker.hasIsolatedRun() || heldForSuspects.contains(worker);
+  }
+
+  private boolean isEligible(Worker worker, Step step) {
     StepSpec spec = step.spec;
     return worker.isListed
         && worker.isFenced
         && worker.isEnrolled
         && !worker.isCordoned
-        && !worker.hasIsolatedRun()
         && !worker.listing.isDraining()
         && worker.blockedUntilMs <= nowMs
         && worker.missedReports == 0
@@ -180,17 +203,22 @@
    * round, so that the task fits there in a later round.
    */
   void holdWorkerFor(Task task) {
+    findLargestWorkerFor(task).ifPresent(heldWorkers::add);
+  }
+
+  private Optional<Worker> findLargestWorkerFor(Task task) {
     Worker largest = null;
     for (Worker worker : pool) {
       boolean isLarger =
           largest == null || worker.freeCapacity().memoryMb() > largest.freeCapacity().memoryMb();
-      if (isLarger && !heldWorkers.contains(worker) && mayRun(worker, task.step)) {
+      if (isLarger
+          && !heldWorkers.contains(worker)
+          && !heldForSuspects.contains(worker)
+          && mayRun(worker, task.step)) {
         largest = worker;
       }
     }
-    if (largest != null) {
-      heldWorkers.add(largest);
-    }
+    return Optional.ofNullable(largest);
   }
 
   /**
@@ -212,6 +240,7 @@
         int count = counts.getOrDefault(worker, 0);
         int limit = task.step.spec.maxPerWorker();
         if (heldWorkers.contains(worker)
+            || heldForSuspects.contains(worker)
             || !remaining.holds(task.step.spec.reserved())
             || !mayRun(worker, task.step)
             || (limit > 0 && countTasks(task.step, worker) + count >= limit)
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -75,16 +75,24 @@
     this.nowMs = context.nowMs();
   }
 
-  /** Returns whether so many steps have found no worker that the pool counts as full. */
+  /**
+   * Returns whether so many steps have found no worker that the pool counts as full. Suspects that
+   * need not be kept apart any more may still find one with an isolated run.
+   */
   boolean isPoolFull() {
-    return misses >= MAX_MISSES;
+    return misses >= MAX_MISSES && !placement.hasIsolatedWorker();
   }
 
   void startCandidate(Candidate candidate, List<Worker> pool) {
     Step step = candidate.step();
     Optional<Shape> shape = Shape.of(candidate);
     int together = step.spec.isGang() ? step.tasks.size() : 1;
-    if (shape.filter(missed::contains).isPresent() || !isWithinTeamLimit(step, together)) {
+    boolean isMissed = misses >= MAX_MISSES || shape.filter(missed::contains).isPresent();
+    if (isMissed && !mayEndIsolation(step)) {
+      step.tasks.forEach(task -> task.limitIsolationWait(nowMs));
+      return;
+    }
+    if (!isWithinTeamLimit(step, together)) {
       return;
     }
     boolean needsTicket = candidate.queue().advice().isPresent();
@@ -103,6 +111,11 @@
     }
   }
 
+  private boolean mayEndIsolation(Step step) {
+    return step.tasks.stream()
+        .anyMatch(task -> task.isStartable(nowMs) && task.hasWaitedForSeparation(nowMs));
+  }
+
   private void requestTickets(Candidate candidate, List<Worker> pool) {
     List<String> ids =
         pool.stream()
@@ -118,34 +131,38 @@
   /** Starts tasks of a step; returns false if one found no worker. */
   private boolean startTasks(
       Candidate candidate, Map<String, String> stepTickets, boolean needsTicket) {
+    boolean isPlaced = true;
     for (Task task : candidate.step().tasks) {
-      if (!task.isStartable(nowMs)) {
+      if (!task.isStartable(nowMs) || (!isPlaced && !task.hasWaitedForSeparation(nowMs))) {
         continue;
       }
       if (!isWithinTeamLimit(candidate.step(), 1)) {
-        return true;
+        return isPlaced;
       }
       Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
       if (worker.isEmpty() && task.needsIsolation(nowMs)) {
-        task.isolationDeadlineAtMs =
-            Math.min(task.isolationDeadlineAtMs, nowMs + CrashTracker.MAX_ISOLATION_WAIT_MS);
+        task.limitIsolationWait(nowMs);
         if (placement.mayIsolateAnother()) {
           placement.holdWorkerForSuspect(task);
         }
         continue;
       }
+      if (worker.isEmpty() && task.needsSeparation(nowMs)) {
+        continue;
+      }
       if (worker.isEmpty()) {
         if (candidate.rank() == CandidateRanking.Rank.LONG_RUNNING) {
           placement.holdWorkerFor(task);
         }
-        return false;
+        isPlaced = false;
+        continue;
       }
       if (!context.budget().tryTake(1)) {
         return false;
       }
       start(task, worker.get(), nextRun(task), stepTickets);
     }
-    return true;
+    return isPlaced;
   }
 
   private boolean startGang(Step step, Map<String, String> stepTickets, boolean needsTicket) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -56,15 +56,32 @@
    * one by one in time.
    */
   boolean needsIsolation(long nowMs) {
-    return isSuspect
-        && nowMs < isolationDeadlineAtMs
-        && !step.spec.isGang()
-        && !step.spec.isLongRunning();
+    return isKeptApart() && nowMs < isolationDeadlineAtMs;
+  }
+
+  private boolean isKeptApart() {
+    return isSuspect && !step.spec.isGang() && !step.spec.isLongRunning();
+  }
+
+  /** Records that a suspect finds no worker where it would be alone. */
+  void limitIsolationWait(long nowMs) {
+    if (isStartable(nowMs) && needsIsolation(nowMs)) {
+      isolationDeadlineAtMs =
+          Math.min(isolationDeadlineAtMs, nowMs + CrashTracker.MAX_ISOLATION_WAIT_MS);
+    }
   }
 
   /** Returns whether the next run must start on a worker without another new suspect. */
   boolean needsSeparation(long nowMs) {
-    return isSuspect && nowMs - CrashTracker.MAX_SEPARATION_WAIT_MS < isolationDeadlineAtMs;
+    return isKeptApart() && nowMs - CrashTracker.MAX_SEPARATION_WAIT_MS < isolationDeadlineAtMs;
+  }
+
+  /**
+   * Returns whether a suspect has waited for so long that it starts anywhere, even beside another
+   * suspect's isolated run. Otherwise newer suspects could keep it waiting without a bound.
+   */
+  boolean hasWaitedForSeparation(long nowMs) {
+    return isKeptApart() && !needsSeparation(nowMs);
   }
 
   /** Returns whether the task's own state allows a new run, regardless of workers and limits. */
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -3,15 +3,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.laburnumarch.internal.job.JobCodec;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
@@ -195,6 +200,58 @@
     }
   }
 
+  @Nested
+  class APoolWithFreeCapacityAndManySuspects {
+
+    private static final long TASK_CPU_MILLIS = 400;
+
+    /** Time from the acceptance or the loss of each task that is not running. */
+    private final Map<String, Long> waitsSinceMs = new HashMap<>();
+
+    private void acceptSmall(String id, int tasks) {
+      scheduler.accept(TestJobs.job(id, nowMs, TestJobs.step(tasks, TASK_CPU_MILLIS)), nowMs);
+      for (int i = 0; i < tasks; i++) {
+        waitsSinceMs.put(id + ".0.0." + i, nowMs);
+      }
+    }
+
+    private void crash(SimulatedWorker worker) {
+      worker.runningTasks().forEach(task -> waitsSinceMs.put(task, nowMs));
+      worker.crash(nowMs);
+    }
+
+    private long longestWaitMs() {
+      workers.values().forEach(worker -> waitsSinceMs.keySet().removeAll(worker.runningTasks()));
+      waitsSinceMs
+          .keySet()
+          .removeIf(task -> scheduler.status(task.split("\\.", 2)[0]).orElseThrow().isFinal());
+      return waitsSinceMs.values().stream().mapToLong(since -> nowMs - since).max().orElse(0);
+    }
+
+    /** Guards against suspects that newer suspects keep waiting, by their isolated runs. */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3, 4, 11})
+    void shouldStartEachTaskWithinTheBound(long seed) {
+      UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+      long longestMs = 0;
+      for (int i = 0; i < 2_000; i++) {
+        if (i % 2 == 0) {
+          acceptSmall("job" + i, 4);
+        }
+        if (random.nextInt(20) == 0) {
+          List<SimulatedWorker> all = List.copyOf(workers.values());
+          crash(all.get(random.nextInt(all.size())));
+        }
+        playUntil(nowMs + 20);
+        longestMs = Math.max(longestMs, longestWaitMs());
+      }
+      assertThat(longestMs)
+          .as("seed %d", seed)
+          .isLessThanOrEqualTo(
+              CrashTracker.MAX_ISOLATION_WAIT_MS + CrashTracker.MAX_SEPARATION_WAIT_MS + 100);
+    }
+  }
+
   @Nested
   class TasksThatCrashWorkersAmongManySuspects {
 
