Count only workers that accept tasks for the limit on isolated runs

Callers saw other jobs wait behind suspects while half of a pool was gone.

Cause: half of a pool's workers and one more may be kept for single suspects, and the pool included workers that are gone, silent, draining or cordoned. With 3 of 8 workers left, 5 could be kept, so that every one of the 3 was.

Evidence: shouldLeaveAWorkerForOtherTasks failed before: a new job did not start within 40 ms beside 3 workers with one small run each.

Change: Worker.acceptsTasks, which ShareOrder and Placement had each on their own, decides which workers count.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -24,6 +24,7 @@
    * One isolated run is allowed, and another one for each this many workers of the pool. Restarts
    * of workers leave many innocent suspects, which must not queue behind each other for long. The
    * limit includes workers that are held back for a suspect, so that the others serve other tasks.
+   * Workers that accept no tasks do not count: after crashes a pool has many that are gone.
    */
   private static final int POOL_SIZE_PER_ISOLATED_RUN = 2;
 
@@ -100,11 +101,15 @@
    * wait, and each may crash its worker.
    */
   boolean mayIsolateAnother() {
-    long isolated =
-        pool.stream()
-            .filter(worker -> worker.hasIsolatedRun() && worker.missedReports == 0)
-            .count();
-    return isolated + heldForSuspects.size() <= pool.size() / POOL_SIZE_PER_ISOLATED_RUN;
+    int accepting = 0;
+    int isolated = heldForSuspects.size();
+    for (Worker worker : pool) {
+      if (worker.acceptsTasks()) {
+        accepting++;
+        isolated += worker.hasIsolatedRun() ? 1 : 0;
+      }
+    }
+    return isolated <= accepting / POOL_SIZE_PER_ISOLATED_RUN;
   }
 
   /** Holds a worker back until it has no new runs, so that a suspect can start there. */
@@ -138,13 +143,8 @@
 
   private boolean isEligible(Worker worker, Step step) {
     StepSpec spec = step.spec;
-    return worker.isListed
-        && worker.isFenced
-        && worker.isEnrolled
-        && !worker.isCordoned
-        && !worker.listing.isDraining()
+    return worker.acceptsTasks()
         && worker.blockedUntilMs <= nowMs
-        && worker.missedReports == 0
         && !outOfServiceDataCentres.contains(worker.listing.dataCentre())
         && worker.listing.capacity().holds(spec.need())
         && (spec.requiredLabel().isEmpty()
--- a/src/main/java/org/laburnumarch/internal/schedule/ShareOrder.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/ShareOrder.java
@@ -41,7 +41,7 @@
     Map<String, Resources> usedByTeam = new HashMap<>();
     for (Worker worker : pool) {
       capacity = capacity.plus(worker.listing.capacity());
-      free = canStart(worker) ? free.plus(worker.freeCapacity()) : free;
+      free = worker.acceptsTasks() ? free.plus(worker.freeCapacity()) : free;
       for (Attempt attempt : worker.attempts.values()) {
         Step step = attempt.task.step;
         if (!step.spec.isLongRunning()) {
@@ -109,15 +109,6 @@
     return ordered;
   }
 
-  private static boolean canStart(Worker worker) {
-    return worker.isListed
-        && worker.isFenced
-        && worker.isEnrolled
-        && !worker.isCordoned
-        && !worker.listing.isDraining()
-        && worker.missedReports == 0;
-  }
-
   private static Resources startableNeed(Step step, long nowMs) {
     int count = 0;
     for (Task task : step.tasks) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -130,6 +130,16 @@
     return isRemoved;
   }
 
+  /** Returns whether tasks may start there, regardless of its runs and of its recent refusals. */
+  boolean acceptsTasks() {
+    return isListed
+        && isFenced
+        && isEnrolled
+        && !isCordoned
+        && !listing.isDraining()
+        && missedReports == 0;
+  }
+
   int longRunningCount() {
     int count = 0;
     for (Attempt attempt : attempts.values()) {
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -35,6 +35,7 @@
 
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final Set<String> crashing = new HashSet<>();
+  private final Set<String> silent = new HashSet<>();
   private final Map<String, Integer> startsByTask = new LinkedHashMap<>();
   private long nowMs = START_MS;
   private int crashes;
@@ -68,9 +69,13 @@
   }
 
   private void report(SimulatedWorker worker) {
-    scheduler
-        .renewal(worker.id(), nowMs)
-        .map(renewal -> worker.renew(renewal, TERM, nowMs))
+    Optional<Renewal> renewal = scheduler.renewal(worker.id(), nowMs);
+    if (silent.contains(worker.id())) {
+      renewal.ifPresent(request -> scheduler.onReportMissed(request.workerId(), nowMs));
+      return;
+    }
+    renewal
+        .map(request -> worker.renew(request, TERM, nowMs))
         .ifPresent(report -> scheduler.onReport(worker.id(), report, nowMs, nowMs));
   }
 
@@ -228,6 +233,22 @@
       return waitsSinceMs.values().stream().mapToLong(since -> nowMs - since).max().orElse(0);
     }
 
+    /** Guards against isolated runs on all workers that are left after crashes of the others. */
+    @Test
+    void shouldLeaveAWorkerForOtherTasks() {
+      for (int i = 0; i < 8; i++) {
+        acceptSmall("job" + i, 8);
+      }
+      playUntil(nowMs + 100);
+      silent.addAll(List.of("w3", "w4", "w5", "w6", "w7"));
+      playUntil(nowMs + 100);
+      List.of("w0", "w1", "w2").forEach(id -> crash(workers.get(id)));
+      playUntil(nowMs + 100);
+      acceptSmall("new", 1);
+      playUntil(nowMs + 40);
+      assertThat(startsByTask).containsKey("new.0.0.0");
+    }
+
     /** Guards against suspects that newer suspects keep waiting, by their isolated runs. */
     @ParameterizedTest
     @ValueSource(longs = {2, 3, 4, 11})
