--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -3,15 +3,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.laburnumarch.internal.job.JobCodec;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
@@ -30,6 +35,7 @@
 
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final Set<String> crashing = new HashSet<>();
+  private final Set<String> silent = new HashSet<>();
   private final Map<String, Integer> startsByTask = new LinkedHashMap<>();
   private long nowMs = START_MS;
   private int crashes;
@@ -63,9 +69,13 @@
   }
 
   private void report(SimulatedWorker worker) {
-    scheduler
-        .renewal(worker.id(), nowMs)
-        .map(renewal -> worker.renew(renewal, TERM, nowMs))
+    Optional<Renewal> renewal = scheduler.renewal(worker.id(), nowMs);
+    if (silent.contains(worker.id())) {
+      renewal.ifPresent(request -> scheduler.onReportMissed(request.workerId(), nowMs));
+      return;
+    }
+    renewal
+        .map(request -> worker.renew(request, TERM, nowMs))
         .ifPresent(report -> scheduler.onReport(worker.id(), report, nowMs, nowMs));
   }
 
@@ -195,6 +205,74 @@
     }
   }
 
+  @Nested
+  class APoolWithFreeCapacityAndManySuspects {
+
+    private static final long TASK_CPU_MILLIS = 400;
+
+    /** Time from the acceptance or the loss of each task that is not running. */
+    private final Map<String, Long> waitsSinceMs = new HashMap<>();
+
+    private void acceptSmall(String id, int tasks) {
+      scheduler.accept(TestJobs.job(id, nowMs, TestJobs.step(tasks, TASK_CPU_MILLIS)), nowMs);
+      for (int i = 0; i < tasks; i++) {
+        waitsSinceMs.put(id + ".0.0." + i, nowMs);
+      }
+    }
+
+    private void crash(SimulatedWorker worker) {
+      worker.runningTasks().forEach(task -> waitsSinceMs.put(task, nowMs));
+      worker.crash(nowMs);
+    }
+
+    private long longestWaitMs() {
+      workers.values().forEach(worker -> waitsSinceMs.keySet().removeAll(worker.runningTasks()));
+      waitsSinceMs
+          .keySet()
+          .removeIf(task -> scheduler.status(task.split("\\.", 2)[0]).orElseThrow().isFinal());
+      return waitsSinceMs.values().stream().mapToLong(since -> nowMs - since).max().orElse(0);
+    }
+
+    /** Guards against isolated runs on all workers that are left after crashes of the others. */
+    @Test
+    void shouldLeaveAWorkerForOtherTasks() {
+      for (int i = 0; i < 8; i++) {
+        acceptSmall("job" + i, 8);
+      }
+      playUntil(nowMs + 100);
+      silent.addAll(List.of("w3", "w4", "w5", "w6", "w7"));
+      playUntil(nowMs + 100);
+      List.of("w0", "w1", "w2").forEach(id -> crash(workers.get(id)));
+      playUntil(nowMs + 100);
+      acceptSmall("new", 1);
+      playUntil(nowMs + 40);
+      assertThat(startsByTask).containsKey("new.0.0.0");
+    }
+
+    /** Guards against suspects that newer suspects keep waiting, by their isolated runs. */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3, 4, 11})
+    void shouldStartEachTaskWithinTheBound(long seed) {
+      UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+      long longestMs = 0;
+      for (int i = 0; i < 2_000; i++) {
+        if (i % 2 == 0) {
+          acceptSmall("job" + i, 4);
+        }
+        if (random.nextInt(20) == 0) {
+          List<SimulatedWorker> all = List.copyOf(workers.values());
+          crash(all.get(random.nextInt(all.size())));
+        }
+        playUntil(nowMs + 20);
+        longestMs = Math.max(longestMs, longestWaitMs());
+      }
+      assertThat(longestMs)
+          .as("seed %d", seed)
+          .isLessThanOrEqualTo(
+              CrashTracker.MAX_ISOLATION_WAIT_MS + CrashTracker.MAX_SEPARATION_WAIT_MS + 100);
+    }
+  }
+
   @Nested
   class TasksThatCrashWorkersAmongManySuspects {
 
