--- a/src/main/java/org/laburnumarch/internal/platform/standin/InstanceServiceStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InstanceServiceStandIn.java
@@ -39,6 +39,7 @@
     private String pool;
     private String state = "up";
     private String workerId;
+    private boolean isWorkerLeaving;
     private long highestToken;
 
     Instance(String pool, String workerId) {
@@ -68,6 +69,34 @@
     return instances.get(instanceName).workerId;
   }
 
+  /**
+   * Records that an instance's worker leaves, so that the instance is neither moved nor maintained;
+   * returns false if it has none.
+   */
+  boolean onWorkerLeaving(String instanceName) {
+    Instance instance = instances.get(instanceName);
+    if (instance.isWorkerLeaving || instance.workerId.isEmpty()) {
+      return false;
+    }
+    instance.isWorkerLeaving = true;
+    return true;
+  }
+
+  /** Terminates the worker of an instance whose worker leaves. */
+  void removeWorker(String instanceName) {
+    lifecycle.terminate(instanceName);
+    instances.get(instanceName).workerId = "";
+    instances.get(instanceName).state = "down";
+  }
+
+  /** Starts another worker on an instance whose worker has left. */
+  void replaceWorker(String instanceName) {
+    Instance instance = instances.get(instanceName);
+    instance.workerId = lifecycle.start(instanceName, instance.pool);
+    instance.state = "up";
+    instance.isWorkerLeaving = false;
+  }
+
   private Single<HttpResponse> handle(
       HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
     return Single.succeeded(
@@ -150,7 +179,7 @@
       return Optional.of("fence");
     }
     instance.highestToken = token;
-    if (!instance.state.equals("up")) {
+    if (!instance.state.equals("up") || instance.isWorkerLeaving) {
       return Optional.of("busy");
     }
     lifecycle.terminate(instanceName);
--- a/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
@@ -2,18 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.job.TaskKey;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
+import org.laburnumarch.internal.platform.standin.StartDelayChecker.WaitingWork;
 import org.laburnumarch.internal.schedule.EndKind;
 import org.laburnumarch.internal.schedule.EndedTask;
 import org.laburnumarch.internal.time.SuspendAwareClock;
@@ -46,40 +45,12 @@
   /** One in this many runs fails, chosen by a hash of its task name and run number. */
   private static final int ONE_FAILURE_IN = 40;
 
-  private static final class TaskHistory {
-    private final Map<String, Long> runsByWorker = new HashMap<>();
-    private final Set<Long> failedRuns = new HashSet<>();
+  // A run of a long-running task ends by itself, done or failed, after a time between these.
+  private static final int MIN_LONG_RUN_MS = 4_000;
+  private static final int MAX_LONG_RUN_MS = 30_000;
 
-    /** Number of runs that ended with their worker's process. */
-    private int crashedRuns;
-
-    /** Runs that ended successfully; a worker that restarts may lose such an end. */
-    private final Set<Long> successfulRuns = new HashSet<>();
-
-    /** Successful runs after whose end another run started. */
-    private final Set<Long> supersededRuns = new HashSet<>();
-
-    private boolean isDoneAcknowledged;
-
-    boolean isDone() {
-      return !successfulRuns.isEmpty();
-    }
-  }
-
-  private static final class SubmittedJob {
-    private final JobSpec job;
-    private final String service;
-    private long acceptedAtMs = -1;
-    private long cancelConfirmedAtMs = -1;
-    private boolean isCancelRequested;
-    private boolean isRefused;
-    private JobStatus reportedStatus = JobStatus.QUEUED;
-
-    SubmittedJob(JobSpec job, String service) {
-      this.job = job;
-      this.service = service;
-    }
-  }
+  /** One in this many runs of long-running tasks fails; the others end as done. */
+  private static final int ONE_LONG_RUN_FAILURE_IN = 8;
 
   private final SuspendAwareClock clock;
   private final Consumer<String> trace;
@@ -166,24 +137,18 @@
     submitted.reportedStatus = status;
     switch (status) {
       case COMPLETED -> {
-        if (taskNames(submitted.job).stream().anyMatch(name -> !history(name).isDone())) {
+        if (submitted.taskNames().stream().anyMatch(name -> !history(name).isDone())) {
           recordBreach("MIXED", jobId + " is reported as completed before all its tasks are done");
         }
       }
       case FAILED -> {
-        boolean hasFailedTask =
-            taskNames(submitted.job).stream()
-                .anyMatch(
-                    name ->
-                        history(name).failedRuns.size() >= MAX_ATTEMPTS
-                            || history(name).crashedRuns >= CRASHES_TO_GIVE_UP);
-        if (!hasFailedTask) {
+        if (!hasFailedTask(submitted)) {
           recordBreach(
               "LOST",
               jobId
                   + " is reported as failed although no task reached the attempt limit or crashed"
                   + " workers; most crashes under a task: "
-                  + taskNames(submitted.job).stream()
+                  + submitted.taskNames().stream()
                       .mapToInt(name -> history(name).crashedRuns)
                       .max()
                       .orElse(0));
@@ -207,12 +172,12 @@
   public List<String> unfinishedWork() {
     List<String> unfinished = new ArrayList<>();
     for (SubmittedJob submitted : jobs.values()) {
-      if (submitted.acceptedAtMs < 0 || submitted.isCancelRequested) {
+      if (!submitted.isOwed()) {
         continue;
       }
-      if (isLongRunning(submitted.job)) {
-        taskNames(submitted.job).stream()
-            .filter(name -> history(name).runsByWorker.isEmpty())
+      if (submitted.job.isLongRunning()) {
+        submitted.taskNames().stream()
+            .filter(name -> !history(name).isRunning())
             .forEach(name -> unfinished.add(name + " is long-running and does not run"));
       } else if (!submitted.reportedStatus.isFinal()) {
         unfinished.add(submitted.job.id() + " is reported as " + submitted.reportedStatus.label());
@@ -239,24 +204,60 @@
     return jobs.values().stream().filter(submitted -> submitted.acceptedAtMs >= 0).count();
   }
 
-  private static boolean isLongRunning(JobSpec job) {
-    return job.steps().stream().anyMatch(StepSpec::isLongRunning);
+  /**
+   * Returns the work that may run and does not, of teams that use less than half of their limit.
+   */
+  List<WaitingWork> waitingWork() {
+    List<WaitingWork> waiting = new ArrayList<>();
+    for (SubmittedJob submitted : jobs.values()) {
+      boolean isJudged =
+          submitted.isOwed()
+              && !submitted.reportedStatus.isFinal()
+              && !hasFailedTask(submitted)
+              && teamCpuMillis.getOrDefault(submitted.job.team(), 0L) < TEAM_CPU_MILLIS / 2;
+      if (isJudged) {
+        List<WaitingWork> ofJob = waitingTasks(submitted);
+        if (submitted.job.isLongRunning()) {
+          waiting.addAll(ofJob);
+        } else if (submitted.taskNames().stream().noneMatch(name -> history(name).isRunning())) {
+          ofJob.stream().limit(1).forEach(waiting::add);
+        }
+      }
+    }
+    return waiting;
   }
 
-  private static List<String> taskNames(JobSpec job) {
-    List<String> names = new ArrayList<>();
-    for (int step = 0; step < job.steps().size(); step++) {
-      names.addAll(taskNames(job, step));
+  private List<WaitingWork> waitingTasks(SubmittedJob submitted) {
+    List<WaitingWork> waiting = new ArrayList<>();
+    for (int number = 0; number < submitted.job.steps().size(); number++) {
+      StepSpec step = submitted.job.steps().get(number);
+      if (!areStepsDone(submitted, step.after())) {
+        continue;
+      }
+      for (String task : submitted.taskNames(number)) {
+        if (!history(task).isRunning() && !history(task).isDone()) {
+          waiting.add(
+              step.isLongRunning()
+                  ? new WaitingWork(task, submitted.service, step.need(), history(task).lastEndAtMs)
+                  : new WaitingWork(submitted.job.id(), submitted.service, step.need(), -1));
+        }
+      }
     }
-    return names;
+    return waiting;
   }
 
-  private static List<String> taskNames(JobSpec job, int step) {
-    List<String> names = new ArrayList<>();
-    for (int index = 0; index < job.steps().get(step).count(); index++) {
-      names.add(new TaskKey(job.id(), 0, step, index).wireName());
-    }
-    return names;
+  private boolean areStepsDone(SubmittedJob submitted, List<Integer> steps) {
+    return steps.stream()
+        .flatMap(step -> submitted.taskNames(step).stream())
+        .allMatch(name -> history(name).isDone());
+  }
+
+  private boolean hasFailedTask(SubmittedJob submitted) {
+    return submitted.taskNames().stream()
+        .anyMatch(
+            name ->
+                history(name).failedRuns.size() >= MAX_ATTEMPTS
+                    || history(name).crashedRuns >= CRASHES_TO_GIVE_UP);
   }
 
   private TaskHistory history(String task) {
@@ -278,9 +279,13 @@
       return new Behaviour(nowMs, true, SimulatedWorker.CAPACITY);
     }
     StepSpec step = step(submitted.get(), task);
-    boolean isFailing = Math.floorMod((task + run).hashCode(), ONE_FAILURE_IN) == 0;
-    long endsAtMs = step.isLongRunning() ? Long.MAX_VALUE : nowMs + step.estimatedRunMs();
-    return new Behaviour(endsAtMs, isFailing && !step.isLongRunning(), step.need());
+    int hash = (task + run).hashCode();
+    if (step.isLongRunning()) {
+      long runMs = (long) MIN_LONG_RUN_MS + Math.floorMod(hash, MAX_LONG_RUN_MS - MIN_LONG_RUN_MS);
+      return new Behaviour(nowMs + runMs, hash % ONE_LONG_RUN_FAILURE_IN == 0, step.need());
+    }
+    boolean isFailing = Math.floorMod(hash, ONE_FAILURE_IN) == 0;
+    return new Behaviour(nowMs + step.estimatedRunMs(), isFailing, step.need());
   }
 
   @Override
@@ -295,7 +300,7 @@
     SubmittedJob submitted = found.get();
     TaskHistory history = history(task);
     String runDescription = task + " run " + run + " on " + worker.id();
-    if (!history.runsByWorker.isEmpty()) {
+    if (history.isRunning()) {
       recordBreach("TWICE", runDescription + " starts while it runs on " + history.runsByWorker);
     }
     if (history.isDoneAcknowledged) {
@@ -314,7 +319,7 @@
     }
     StepSpec step = step(submitted, task);
     for (int earlier : step.after()) {
-      if (taskNames(submitted.job, earlier).stream().anyMatch(name -> !history(name).isDone())) {
+      if (!areStepsDone(submitted, List.of(earlier))) {
         recordBreach("ORDER", runDescription + " starts before step " + earlier + " is done");
       }
     }
@@ -333,6 +338,9 @@
     trace("end", worker, end.taskName(), end.run(), end.how() + " number=" + end.number());
     TaskHistory history = history(end.taskName());
     removeRun(worker, end.taskName());
+    if (submitted(end.taskName()).filter(owner -> owner.job.isLongRunning()).isPresent()) {
+      return; // It runs again however it ended.
+    }
     if (end.how() == EndKind.DONE) {
       history.successfulRuns.add(end.run());
     } else if (end.how() == EndKind.FAILED) {
@@ -344,7 +352,7 @@
   public void onAcknowledged(SimulatedWorker worker, EndedTask end) {
     trace("acknowledged", worker, end.taskName(), end.run(), "number=" + end.number());
     TaskHistory history = history(end.taskName());
-    if (end.how() == EndKind.DONE) {
+    if (end.how() == EndKind.DONE && history.successfulRuns.contains(end.run())) {
       history.isDoneAcknowledged = true;
       if (history.supersededRuns.contains(end.run())) {
         recordBreach(
@@ -360,11 +368,14 @@
   @Override
   public void onLost(SimulatedWorker worker, String task, long run) {
     trace("lost", worker, task, run, "");
-    history(task).crashedRuns++;
+    if (!worker.isLeaving()) {
+      history(task).crashedRuns++;
+    }
     removeRun(worker, task);
   }
 
   private void removeRun(SimulatedWorker worker, String task) {
+    history(task).lastEndAtMs = clock.nowMs();
     boolean wasRunning = history(task).runsByWorker.remove(worker.id()) != null;
     if (wasRunning) {
       submitted(task)
--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -2,7 +2,8 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,8 @@
   /** Time that a worker's process takes to restart. */
   private static final long WORKER_RESTART_MS = 300;
 
+  private static final int MAINTENANCE_DUE_S = 30;
+
   /** Number of missed heartbeats after which a worker is removed from the registry. */
   private static final int MISSED_HEARTBEATS_UNTIL_REMOVAL = 3;
 
@@ -61,7 +64,11 @@
   /** An instance, and whether the heartbeats of its worker reach the registry. */
   private static final class Instance {
     private final String pool;
-    private final WorkerStandIn workerStandIn;
+    private WorkerStandIn workerStandIn;
+
+    /** Takes the place of a worker that leaves; null if none does. */
+    private WorkerStandIn replacement;
+
     private boolean areHeartbeatsSuspended;
     private int missedHeartbeats;
 
@@ -79,7 +86,9 @@
   private final InstanceServiceStandIn instanceService;
   private final InvariantChecker checker;
   private final Map<String, Instance> instancesByName = new LinkedHashMap<>();
-  private final int firstWorkerPort;
+  private final Deque<WorkerStandIn> replacements = new ArrayDeque<>();
+  private int nextWorkerPort;
+  private long nextWave = 1;
   private int startedWorkers;
   private long heartbeatNumber;
   private long configVersion;
@@ -108,7 +117,7 @@
     this.random = new Random(seed);
     this.advertisedAddress = advertisedAddress;
     this.checker = checker;
-    this.firstWorkerPort = addresses.firstWorkerPort();
+    this.nextWorkerPort = addresses.firstWorkerPort();
     this.store = new StoreStandIn(addresses.store(), loop, random.nextLong());
     this.instanceService =
         new InstanceServiceStandIn(
@@ -133,12 +142,24 @@
   }
 
   private void addInstance(String pool, int number) throws Exception {
+    instancesByName.put(pool + '-' + number, new Instance(pool, bindWorker()));
+  }
+
+  private WorkerStandIn bindWorker() throws Exception {
     InetSocketAddress address =
-        new InetSocketAddress(
-            InetAddress.getLoopbackAddress(), firstWorkerPort + instancesByName.size());
-    WorkerStandIn workerStandIn =
-        new WorkerStandIn(address, loop, clock, checker, random.nextLong());
-    instancesByName.put(pool + '-' + number, new Instance(pool, workerStandIn));
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), nextWorkerPort++);
+    return new WorkerStandIn(address, loop, clock, checker, random.nextLong());
+  }
+
+  /**
+   * Binds addresses for workers that replace others. Must not be called on the event loop's thread.
+   *
+   * @throws Exception if an address cannot be bound
+   */
+  public void bindReplacements(int count) throws Exception {
+    for (int i = 0; i < count; i++) {
+      replacements.add(bindWorker());
+    }
   }
 
   /** Starts all workers, writes the first configuration and starts the periodic timers. */
@@ -187,6 +208,62 @@
     workerStandIn.terminateWorker(clock.nowMs());
   }
 
+  /** Returns the workers that take new tasks. */
+  public List<SimulatedWorker> readyWorkers() {
+    return instancesByName.values().stream()
+        .flatMap(instance -> instance.workerStandIn.worker().stream())
+        .filter(worker -> !worker.isLeaving())
+        .toList();
+  }
+
+  /**
+   * Makes an instance's worker announce that it leaves in {@code remainingMs} or later; returns
+   * false if the instance has none, or if no address for another one is left.
+   */
+  public boolean announceLeave(String instanceName, long remainingMs) {
+    if (replacements.isEmpty() || !instanceService.onWorkerLeaving(instanceName)) {
+      return false;
+    }
+    Instance instance = instancesByName.get(instanceName);
+    instance.replacement = replacements.remove();
+    instance
+        .workerStandIn
+        .worker()
+        .ifPresent(worker -> worker.announceLeave(clock.nowMs() + remainingMs));
+    writeRegistryEntry(instance);
+    return true;
+  }
+
+  /**
+   * Removes a worker that has announced it; its address, which is returned, refuses connections.
+   */
+  public InetSocketAddress removeWorker(String instanceName) {
+    WorkerStandIn left = instancesByName.get(instanceName).workerStandIn;
+    instanceService.removeWorker(instanceName);
+    left.close();
+    return left.address();
+  }
+
+  /** Starts a worker under another id and address on an instance whose worker was removed. */
+  public void replaceWorker(String instanceName) {
+    Instance instance = instancesByName.get(instanceName);
+    instance.workerStandIn = instance.replacement;
+    instance.replacement = null;
+    instanceService.replaceWorker(instanceName);
+  }
+
+  /** Orders the maintenance of instances, {@code maxCount} at a time. */
+  public void orderMaintenance(List<String> instanceNames, int maxCount) {
+    long wave = nextWave++;
+    Map<String, Object> order =
+        Map.of(
+            "wave", wave,
+            "machines", instanceNames,
+            "completeByS", MAINTENANCE_DUE_S,
+            "maxCount", maxCount);
+    store.write(StoreClient.OPERATOR_LOG, "wave/" + wave, Optional.of(Json.encode(order)));
+  }
+
   /** Restarts a worker under the same id with a new incarnation; its state is lost. */
   public void restartWorker(String instanceName) {
     WorkerStandIn workerStandIn = instancesByName.get(instanceName).workerStandIn;
@@ -225,64 +302,10 @@
 
   private void writeConfig() {
     configVersion += 1 + random.nextInt(3);
-    List<Map<String, Object>> routes = new ArrayList<>();
-    routes.add(route(BATCH_QUEUE, BATCH_POOL));
-    routes.add(route(LONG_RUNNING_QUEUE, LONG_RUNNING_POOL));
-    if (hasExtraRoute) {
-      routes.add(route("extra", BATCH_POOL));
-    }
-    Map<String, Object> config =
-        Map.of(
-            "version",
-            configVersion,
-            "routes",
-            routes,
-            "services",
-            List.of(
-                service(BATCH_POOL, false),
-                service(LONG_RUNNING_POOL, false),
-                service(SPARE_POOL, true)),
-            "tenants",
-            TEAMS.stream().map(PlatformStandIn::team).toList(),
-            "limits",
-            Map.of());
-    store.write(StoreClient.OPERATOR_LOG, "config", Optional.of(Json.encode(config)));
-  }
-
-  private static Map<String, Object> route(String name, String service) {
-    return Map.of(
-        "name",
-        name,
-        "host",
-        HOST,
-        "pathPrefix",
-        '/' + name + '/',
-        "service",
-        service,
-        "priority",
-        0,
-        "maxAttempts",
-        InvariantChecker.MAX_ATTEMPTS,
-        "stretch",
-        1.6,
-        "targetLatencyMs",
-        600);
-  }
-
-  private static Map<String, Object> service(String name, boolean isSpare) {
-    return Map.of("name", name, "rejectsOverload", true, "spare", isSpare);
-  }
-
-  private static Map<String, Object> team(String name) {
-    return Map.of(
-        "name",
-        name,
-        "apiKeys",
-        List.of(name),
-        "weight",
-        50,
-        "maxCount",
-        Map.of("cpu", InvariantChecker.TEAM_CPU_MILLIS, "memMb", 0, "gpus", 0));
+    store.write(
+        StoreClient.OPERATOR_LOG,
+        "config",
+        Optional.of(OperatorConfig.encode(configVersion, hasExtraRoute)));
   }
 
   private void tick() {
@@ -331,6 +354,10 @@
   public void close() {
     isClosed = true;
     instancesByName.values().forEach(instance -> instance.workerStandIn.close());
+    instancesByName.values().stream()
+        .flatMap(instance -> Optional.ofNullable(instance.replacement).stream())
+        .forEach(WorkerStandIn::close);
+    replacements.forEach(WorkerStandIn::close);
     instanceService.close();
     store.close();
   }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.schedule.EndKind;
 import org.laburnumarch.internal.schedule.EndedTask;
@@ -102,6 +103,9 @@
    */
   private long lastEndBeforeLapse;
 
+  /** Earliest time at which the worker leaves; empty before it has announced that. */
+  private OptionalLong leavesFromMs = OptionalLong.empty();
+
   /** Creates a worker with an exact clock and without an observer. */
   public SimulatedWorker(String id, String service, String rack, long nowMs) {
     this(id, service, rack, nowMs, 1, Observer.NONE);
@@ -137,6 +141,21 @@
     return rack;
   }
 
+  /** Announces that the worker leaves, but not before {@code earliestMs}. */
+  void announceLeave(long earliestMs) {
+    leavesFromMs = OptionalLong.of(earliestMs);
+  }
+
+  /** Returns whether the worker has announced that it leaves; it should get no new tasks. */
+  boolean isLeaving() {
+    return leavesFromMs.isPresent();
+  }
+
+  /** Returns the minimum time until the worker leaves; 0 if it has not announced that. */
+  long remainingMs(long nowMs) {
+    return Math.max(0, leavesFromMs.orElse(nowMs) - nowMs);
+  }
+
   /** Returns when the current incarnation started. */
   public long startedAtMs() {
     return startedAtMs;
@@ -238,7 +257,8 @@
     return reply(Outcome.OBEYED, nowMs);
   }
 
-  private Resources freeCapacity() {
+  /** Returns the capacity that no running task has reserved. */
+  Resources freeCapacity() {
     Resources freeCapacity = CAPACITY;
     for (Run run : running.values()) {
       freeCapacity = freeCapacity.minus(run.behaviour.need());
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/StartDelayChecker.java
@@ -0,0 +1,93 @@
+package org.laburnumarch.internal.platform.standin;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.laburnumarch.internal.job.Resources;
+
+/**
+ * Checks, while nothing unplanned happens, that no work waits for a start although its pool has
+ * room. Work is a job none of whose tasks runs, or a long-running task.
+ */
+public final class StartDelayChecker {
+
+  /** Longest time that work which may run has to wait while its pool has room for it. */
+  private static final long MAX_DELAY_MS = 3_000;
+
+  /** Time after the end of a long-running task's last run that does not count as delay. */
+  private static final long RERUN_GRACE_MS = 6_000;
+
+  /** How many times the pool must have room for the work. */
+  private static final int ROOM_FACTOR = 2;
+
+  /**
+   * Work that may run and does not.
+   *
+   * @param name the job, or the long-running task
+   * @param need what its next task needs
+   * @param lastEndAtMs when a long-running task's last run ended; negative if there is none
+   */
+  record WaitingWork(String name, String service, Resources need, long lastEndAtMs) {}
+
+  private final InvariantChecker checker;
+  private final Map<String, Long> waitsSinceMs = new HashMap<>();
+  private final Set<String> reported = new HashSet<>();
+  private long maxDelayMs;
+
+  /** Creates a checker of the work that another checker knows; breaches are recorded there. */
+  public StartDelayChecker(InvariantChecker checker) {
+    this.checker = checker;
+  }
+
+  /** Returns the longest delay so far, in milliseconds. */
+  public long maxDelayMs() {
+    return maxDelayMs;
+  }
+
+  /** Forgets the waits so far, because something unplanned has delayed the daemons. */
+  public void restart() {
+    waitsSinceMs.clear();
+  }
+
+  /**
+   * Records a breach for each wait that has become too long; to be called several times a second.
+   *
+   * @param workers the workers that take new tasks
+   */
+  public void check(Collection<SimulatedWorker> workers, long nowMs) {
+    List<WaitingWork> waiting =
+        checker.waitingWork().stream()
+            .filter(work -> work.lastEndAtMs() < 0 || nowMs - work.lastEndAtMs() > RERUN_GRACE_MS)
+            .filter(work -> hasRoom(workers, work))
+            .toList();
+    Set<String> names = waiting.stream().map(WaitingWork::name).collect(Collectors.toSet());
+    waitsSinceMs.keySet().retainAll(names);
+    reported.retainAll(names);
+    for (WaitingWork work : waiting) {
+      long delayMs = nowMs - waitsSinceMs.computeIfAbsent(work.name(), name -> nowMs);
+      maxDelayMs = Math.max(maxDelayMs, delayMs);
+      if (delayMs > MAX_DELAY_MS && reported.add(work.name())) {
+        checker.recordBreach(
+            "LOST", work.name() + " may run and has not started for " + delayMs + " ms");
+      }
+    }
+  }
+
+  private static boolean hasRoom(Collection<SimulatedWorker> workers, WaitingWork work) {
+    int rooms = 0;
+    for (SimulatedWorker worker : workers) {
+      Resources free = worker.freeCapacity();
+      while (worker.service().equals(work.service())
+          && rooms < ROOM_FACTOR
+          && free.holds(work.need())) {
+        free = free.minus(work.need());
+        rooms++;
+      }
+    }
+    return rooms == ROOM_FACTOR;
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
@@ -86,6 +86,11 @@
     currentWorker = Optional.empty();
   }
 
+  /** Returns the address at which the instance's worker listens. */
+  InetSocketAddress address() {
+    return address;
+  }
+
   /** Returns the worker that runs here now. */
   Optional<SimulatedWorker> worker() {
     return currentWorker;
@@ -250,31 +255,29 @@
       long heartbeatNumber, UnaryOperator<InetSocketAddress> advertisedAddress) {
     InetSocketAddress reachableAddress = advertisedAddress.apply(address);
     return currentWorker.map(
-        worker ->
-            Json.encode(
-                Map.of(
-                    "service",
-                    worker.service(),
-                    "address",
-                    HttpBodies.formatAddress(reachableAddress),
-                    "zone",
-                    "north",
-                    "state",
-                    "ready",
-                    "seq",
-                    heartbeatNumber,
-                    "born",
-                    worker.startedAtMs(),
-                    "capacity",
-                    Map.of(
-                        "cpu", SimulatedWorker.CAPACITY.cpuMillis(),
-                        "memMb", SimulatedWorker.CAPACITY.memoryMb(),
-                        "gpus", 0),
-                    "labels",
-                    List.of("a", worker.rack()))));
+        worker -> {
+          Map<String, Object> entry = new LinkedHashMap<>();
+          entry.put("service", worker.service());
+          entry.put("address", HttpBodies.formatAddress(reachableAddress));
+          entry.put("zone", "north");
+          entry.put("state", worker.isLeaving() ? "draining" : "ready");
+          if (worker.isLeaving()) {
+            entry.put("remainingMs", worker.remainingMs(clock.nowMs()));
+          }
+          entry.put("seq", heartbeatNumber);
+          entry.put("born", worker.startedAtMs());
+          entry.put(
+              "capacity",
+              Map.of(
+                  "cpu", SimulatedWorker.CAPACITY.cpuMillis(),
+                  "memMb", SimulatedWorker.CAPACITY.memoryMb(),
+                  "gpus", 0));
+          entry.put("labels", List.of("a", worker.rack()));
+          return Json.encode(entry);
+        });
   }
 
-  /** Stops the server. */
+  /** Stops the server; the address refuses connections from now on. */
   @Override
   public void close() {
     server.closeAsync().subscribe();
--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -19,14 +19,21 @@
   private final Path settings;
   private final File output;
   private final InetSocketAddress callerAddress;
+  private final InetSocketAddress readinessAddress;
   private Process process;
   private boolean isPaused;
 
-  DaemonProcess(String name, Path settings, Path output, InetSocketAddress callerAddress) {
+  DaemonProcess(
+      String name,
+      Path settings,
+      Path output,
+      InetSocketAddress callerAddress,
+      InetSocketAddress readinessAddress) {
     this.name = name;
     this.settings = settings;
     this.output = output.toFile();
     this.callerAddress = callerAddress;
+    this.readinessAddress = readinessAddress;
   }
 
   String name() {
@@ -38,6 +45,11 @@
     return callerAddress;
   }
 
+  /** Returns the address of the readiness check. */
+  InetSocketAddress readinessAddress() {
+    return readinessAddress;
+  }
+
   /** Starts the process unless it runs already. */
   void start() throws IOException {
     if (process != null && process.isAlive()) {
@@ -65,6 +77,11 @@
     return process != null && process.isAlive() && !isPaused;
   }
 
+  /** Returns whether the process was started and has gone. */
+  boolean hasExited() {
+    return process != null && !process.isAlive();
+  }
+
   /** Sends SIGKILL. */
   void kill() {
     if (process != null) {
@@ -74,7 +91,9 @@
 
   /** Sends SIGTERM. */
   void terminate() {
-    signal("TERM");
+    if (process != null) {
+      process.destroy();
+    }
   }
 
   /** Sends SIGHUP. */
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.Resources;
@@ -15,6 +17,7 @@
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
 import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.time.SuspendAwareClock;
+import org.laburnumarch.spi.PlatformException;
 
 /**
  * Simulates callers that submit jobs, poll their status and cancel some of them, over persistent
@@ -29,6 +32,13 @@
   private static final int POLLS_PER_INTERVAL = 12;
 
   private static final long REQUEST_TIMEOUT_MS = 3_000;
+
+  /** Each caller keeps connections of its own to all daemons. */
+  private static final int CALLERS = 3;
+
+  /** Age from which a request is taken to have been read by its daemon. */
+  private static final long READ_WITHIN_MS = 200;
+
   private static final long RETRY_DELAY_MS = 250;
 
   /** Maximum number of attempts to submit one job. */
@@ -52,6 +62,7 @@
   private final SuspendAwareClock clock;
   private final InvariantChecker checker;
   private final Random random;
+  private final boolean mustBeAnswered;
   private final List<CallerClient> clients = new ArrayList<>();
   private final Map<String, String> teamsByJob = new LinkedHashMap<>();
   private long responses;
@@ -62,19 +73,29 @@
   private boolean isSubmitting = true;
   private boolean isClosed;
 
+  /**
+   * Creates callers that send nothing yet.
+   *
+   * @param mustBeAnswered whether the end of a connection in place of a response is a breach
+   */
   SoakCallers(
       List<DaemonProcess> daemons,
       EventLoopThread loop,
       SuspendAwareClock clock,
       InvariantChecker checker,
-      long seed) {
+      long seed,
+      boolean mustBeAnswered) {
     this.loop = loop;
     this.clock = clock;
     this.checker = checker;
     this.random = new Random(seed);
+    this.mustBeAnswered = mustBeAnswered;
     for (DaemonProcess daemon : daemons) {
-      clients.add(
-          new CallerClient(daemon.callerAddress(), PlatformStandIn.HOST, REQUEST_TIMEOUT_MS, loop));
+      for (int i = 0; i < CALLERS; i++) {
+        clients.add(
+            new CallerClient(
+                daemon.callerAddress(), PlatformStandIn.HOST, REQUEST_TIMEOUT_MS, loop));
+      }
     }
   }
 
@@ -187,9 +208,22 @@
       maxResponseMs = Math.max(maxResponseMs, clock.nowMs() - sentAtMs);
     } else {
       unanswered++;
+      long ageMs = clock.nowMs() - sentAtMs;
+      if (mustBeAnswered && ageMs > READ_WITHIN_MS && isConnectionEnd(failure)) {
+        checker.recordBreach(
+            "LOST", "a connection ended " + ageMs + " ms after a request: " + failure.getMessage());
+      }
     }
   }
 
+  /** Returns whether a request was sent and its connection ended before the caller's timeout. */
+  private static boolean isConnectionEnd(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof PlatformException call
+        && call.mayHaveTakenEffect()
+        && !(call.getCause() instanceof TimeoutException);
+  }
+
   private void onAccepted(JobSpec job) {
     checker.onAccepted(job.id());
     if (random.nextInt(ONE_CANCELLATION_IN) == 0
@@ -203,10 +237,12 @@
       return;
     }
     checker.onCancelRequested(job.id());
+    long sentAtMs = clock.nowMs();
     anyClient()
         .cancel(job.queue(), job.id(), job.team())
         .whenComplete(
             (reply, failure) -> {
+              recordResponse(sentAtMs, failure);
               if (failure == null && (reply.code() == OK || reply.code() == GONE)) {
                 checker.onCancelConfirmed(job.id());
               } else {
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -33,6 +33,12 @@
     @Parameter(names = "--seconds", description = "how long faults are injected in each run")
     private int seconds = 25;
 
+    @Parameter(
+        names = "--planned",
+        description =
+            "planned work in place of faults: rolling restarts, workers that are replaced")
+    private boolean isPlanned;
+
     @Parameter(names = "--directory", description = "directory for settings and logs")
     private String directory = "";
 
@@ -71,11 +77,16 @@
       try (PortBlock ports = PortBlock.reserve(PORTS_PER_RUN);
           SoakRun run =
               new SoakRun(
-                  seed, options.daemons, options.seconds * 1_000L, directory, ports.first())) {
+                  options.isPlanned ? SoakKind.PLANNED_WORK : SoakKind.FAULTS,
+                  seed,
+                  options.daemons,
+                  options.seconds * 1_000L,
+                  directory,
+                  ports.first())) {
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
-                + " slowestAnswerMs=%d settledAfterMs=%d faults=%d logs=%s%n",
+                + " slowestAnswerMs=%d maxStartDelayMs=%d settledAfterMs=%d faults=%d logs=%s%n",
             seed,
             result.breaches().size(),
             result.acceptedJobs(),
@@ -83,6 +94,7 @@
             result.answers(),
             result.unanswered(),
             result.slowestAnswerMs(),
+            result.maxStartDelayMs(),
             result.settledAfterMs(),
             result.faults().size(),
             directory);
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
@@ -6,25 +6,25 @@
 import org.laburnumarch.internal.soak.LoopbackProxy.Mode;
 
 /** Faults that are injected into a running fleet from outside the daemons. */
-enum SoakFault {
+enum SoakFault implements SoakEvent {
   /** Kills a daemon and restarts it. */
   KILL {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return killAndRestart(fleet, fleet.randomDaemon(random));
     }
   },
   /** Kills the owner and restarts it. */
   KILL_OWNER {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return killAndRestart(fleet, fleet.ownerOrRandom(random));
     }
   },
   /** Kills all daemons at once and restarts them. */
   KILL_ALL {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       fleet.daemons().forEach(DaemonProcess::kill);
       return () -> fleet.daemons().forEach(fleet::start);
     }
@@ -32,7 +32,7 @@
   /** Sends SIGTERM to a daemon and restarts it. */
   TERMINATE {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       DaemonProcess daemon = fleet.randomDaemon(random);
       daemon.terminate();
       return () -> fleet.start(daemon);
@@ -41,21 +41,21 @@
   /** Suspends a daemon and resumes it. */
   PAUSE {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return suspend(fleet.randomDaemon(random));
     }
   },
   /** Suspends the owner and resumes it, often long enough for another daemon to take over. */
   PAUSE_OWNER {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return suspend(fleet.ownerOrRandom(random));
     }
   },
   /** Sends SIGHUP to all daemons, so that they reload their settings. */
   HANG_UP {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       fleet.daemons().forEach(DaemonProcess::hangUp);
       return () -> {};
     }
@@ -63,21 +63,21 @@
   /** Disrupts the connections between a daemon and the store. */
   STORE_PATH {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return disrupt(List.of(fleet.storeProxy(fleet.randomDaemon(random))), random);
     }
   },
   /** Disrupts the connections between the owner and the store. */
   OWNERS_STORE_PATH {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return disrupt(List.of(fleet.storeProxy(fleet.ownerOrRandom(random))), random);
     }
   },
   /** Disrupts the connections of all daemons to a third of the workers. */
   WORKER_PATHS {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return disrupt(
           fleet.workerProxies().stream().filter(proxy -> random.nextInt(3) == 0).toList(), random);
     }
@@ -85,35 +85,35 @@
   /** Makes the store execute appends after a delay. */
   STORE_SLOW {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return setStoreFault(fleet, StoreStandIn.Fault.SLOW);
     }
   },
   /** Makes the store reject all calls. */
   STORE_DOWN {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return setStoreFault(fleet, StoreStandIn.Fault.REFUSING);
     }
   },
   /** Makes the store execute some appends without a response. */
   STORE_LOSES_ANSWERS {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return setStoreFault(fleet, StoreStandIn.Fault.LOSING_ANSWERS);
     }
   },
   /** Makes the store execute some appends seconds later, without a response. */
   STORE_APPLIES_LATE {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       return setStoreFault(fleet, StoreStandIn.Fault.APPLYING_LATE);
     }
   },
   /** Drops the history of the store. */
   STORE_FORGETS {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       fleet.platform().store().dropHistory();
       return () -> {};
     }
@@ -121,7 +121,7 @@
   /** Restarts a fifth of the workers under the same ids, without their state. */
   RESTART_WORKERS {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       fleet.platform().instancesWithWorker().stream()
           .filter(instanceName -> random.nextInt(5) == 0)
           .forEach(fleet.platform()::restartWorker);
@@ -131,7 +131,7 @@
   /** Keeps the heartbeats of a third of the workers from the registry; the workers keep running. */
   DARK_WORKERS {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       List<String> affected =
           fleet.platform().instancesWithWorker().stream()
               .filter(name -> random.nextInt(3) == 0)
@@ -145,7 +145,7 @@
   /** Makes workers carry out a tenth of the orders seconds later, without a response. */
   LATE_ORDERS {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       fleet.platform().delayOrders(0.1);
       return () -> fleet.platform().delayOrders(0);
     }
@@ -153,15 +153,12 @@
   /** Writes a new configuration. */
   CONFIG_CHANGE {
     @Override
-    Runnable inject(SoakFleet fleet, Random random) {
+    public Runnable inject(SoakFleet fleet, Random random) {
       fleet.platform().changeConfig();
       return () -> {};
     }
   };
 
-  /** Injects the fault; the returned action ends it. */
-  abstract Runnable inject(SoakFleet fleet, Random random);
-
   private static Runnable killAndRestart(SoakFleet fleet, DaemonProcess daemon) {
     daemon.kill();
     return () -> fleet.start(daemon);
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -38,6 +38,12 @@
   /** Last byte of the first daemon's loopback IP address. */
   private static final int FIRST_DAEMON_HOST = 10;
 
+  /** Longest time that a leaving worker announces; it may stay half as long again. */
+  private static final int MAX_REMAINING_MS = 3_000;
+
+  /** Longest time between the end of a worker and the start of its replacement. */
+  private static final int MAX_ABSENT_MS = 4_000;
+
   private static final Map<String, Integer> POOL_SIZES =
       Map.of(
           PlatformStandIn.BATCH_POOL,
@@ -52,7 +58,8 @@
   private final List<DaemonProcess> daemons = new ArrayList<>();
   private final Map<DaemonProcess, LoopbackProxy> storeProxies = new LinkedHashMap<>();
   private final Map<InetSocketAddress, InetSocketAddress> proxyAddresses = new HashMap<>();
-  private final List<LoopbackProxy> workerProxies = new ArrayList<>();
+  private final Map<InetSocketAddress, LoopbackProxy> workerProxies = new LinkedHashMap<>();
+  private final RollingRestarts restarts;
   private boolean isClosed;
 
   /**
@@ -86,7 +93,8 @@
           new InetSocketAddress(
               InetAddress.getLoopbackAddress(),
               firstPort + FIRST_WORKER_PROXY_PORT_OFFSET + number);
-      workerProxies.add(new LoopbackProxy(proxyAddress, workerAddress, loop.group()));
+      workerProxies.put(
+          workerAddress, new LoopbackProxy(proxyAddress, workerAddress, loop.group()));
       proxyAddresses.put(workerAddress, proxyAddress);
     }
     this.platform =
@@ -95,13 +103,14 @@
                 store, instanceService, firstPort + FIRST_WORKER_PORT_OFFSET),
             loop,
             clock,
-            proxyAddresses::get,
+            address -> proxyAddresses.getOrDefault(address, address),
             checker,
             POOL_SIZES,
             seed);
     for (int number = 0; number < daemonCount; number++) {
       addDaemon(directory, firstPort, number, store, instanceService);
     }
+    this.restarts = new RollingRestarts(daemons, this::start, loop, clock);
   }
 
   private void addDaemon(
@@ -132,7 +141,8 @@
             name,
             settings,
             directory.resolve(name + ".log"),
-            new InetSocketAddress(ip, firstPort + CALLER_PORT_OFFSET));
+            new InetSocketAddress(ip, firstPort + CALLER_PORT_OFFSET),
+            new InetSocketAddress(ip, firstPort + READINESS_PORT_OFFSET));
     daemons.add(daemon);
     storeProxies.put(daemon, new LoopbackProxy(storeProxyAddress, store, loop.group()));
   }
@@ -150,7 +160,38 @@
   }
 
   List<LoopbackProxy> workerProxies() {
-    return workerProxies;
+    return List.copyOf(workerProxies.values());
+  }
+
+  RollingRestarts restarts() {
+    return restarts;
+  }
+
+  /**
+   * Makes an instance's worker announce that it leaves, removes it some time later, and starts
+   * another one in its place. The old address and its proxy refuse connections afterwards.
+   */
+  void replaceWorker(String instanceName, Random random) {
+    long remainingMs = 1L + random.nextInt(MAX_REMAINING_MS);
+    long extraMs = random.nextInt(MAX_REMAINING_MS / 2);
+    long absentMs = 1L + random.nextInt(MAX_ABSENT_MS);
+    if (!platform.announceLeave(instanceName, remainingMs)) {
+      return;
+    }
+    Logger.info("soak: the worker of {} leaves after {} ms", instanceName, remainingMs + extraMs);
+    loop.schedule(
+        remainingMs + extraMs,
+        () -> {
+          if (isClosed) {
+            return;
+          }
+          Logger.info("soak: the worker of {} has left", instanceName);
+          LoopbackProxy proxy = workerProxies.get(platform.removeWorker(instanceName));
+          if (proxy != null) {
+            proxy.close();
+          }
+          loop.schedule(absentMs, () -> platform.replaceWorker(instanceName));
+        });
   }
 
   DaemonProcess randomDaemon(Random random) {
@@ -201,9 +242,10 @@
   @Override
   public void close() {
     isClosed = true;
+    restarts.close();
     daemons.forEach(DaemonProcess::close);
     storeProxies.values().forEach(LoopbackProxy::close);
-    workerProxies.forEach(LoopbackProxy::close);
+    workerProxies.values().forEach(LoopbackProxy::close);
     platform.close();
   }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -11,12 +11,13 @@
 import java.util.concurrent.TimeUnit;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
+import org.laburnumarch.internal.platform.standin.StartDelayChecker;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 import org.tinylog.Logger;
 
 /**
- * One run of the soak test: a start without faults, then overlapping random faults, then a time
- * without faults in which all accepted work must finish.
+ * One run of the soak test: a quiet start, then overlapping random faults or planned work, then a
+ * quiet time in which all accepted work must finish.
  */
 final class SoakRun implements AutoCloseable {
 
@@ -25,9 +26,6 @@
 
   private static final long FAULT_FREE_START_MS = 5_000;
 
-  /** Longest pause between two faults; it is shorter than most faults, so that they overlap. */
-  private static final int MAX_FAULT_INTERVAL_MS = 1_800;
-
   private static final long MIN_FAULT_MS = 200;
   private static final int MAX_FAULT_MS = 4_500;
 
@@ -39,6 +37,16 @@
 
   private static final long CHECK_INTERVAL_MS = 250;
 
+  /** Longest time after the last event until all daemons are ready again. */
+  private static final long MAX_RESTART_MS = 30_000;
+
+  private static final long START_CHECK_INTERVAL_MS = 100;
+
+  /** Lag of this process's timer that shows that the machine is short of processor time. */
+  private static final long MAX_LAG_MS = 50;
+
+  private static final int REPLACEMENT_WORKERS = 60;
+
   /** The result of a run. */
   record Result(
       long seed,
@@ -49,14 +57,17 @@
       long answers,
       long unanswered,
       long slowestAnswerMs,
+      long maxStartDelayMs,
       long settledAfterMs) {}
 
+  private final SoakKind kind;
   private final long seed;
   private final long faultsMs;
   private final EventLoopThread loop = new EventLoopThread();
   private final SuspendAwareClock clock = new SuspendAwareClock();
   private final PrintStream events;
   private final InvariantChecker checker;
+  private final StartDelayChecker startDelays;
   private final Random random;
   private final SoakFleet fleet;
   private final SoakCallers callers;
@@ -66,6 +77,7 @@
   private final Thread shutdownHook = new Thread(this::killDaemons, "kill-daemons");
 
   private int activeFaults;
+  private boolean isClosed;
 
   /**
    * Prepares a run.
@@ -73,7 +85,9 @@
    * @param faultsMs how long faults are injected
    * @throws Exception if an address cannot be bound or a file cannot be written
    */
-  SoakRun(long seed, int daemons, long faultsMs, Path directory, int firstPort) throws Exception {
+  SoakRun(SoakKind kind, long seed, int daemons, long faultsMs, Path directory, int firstPort)
+      throws Exception {
+    this.kind = kind;
     this.seed = seed;
     this.faultsMs = faultsMs;
     this.random = new Random(seed);
@@ -81,9 +95,14 @@
         new PrintStream(
             Files.newOutputStream(directory.resolve(EVENTS_FILE)), false, StandardCharsets.UTF_8);
     this.checker = new InvariantChecker(clock, events::println);
+    this.startDelays = new StartDelayChecker(checker);
     this.fleet =
         new SoakFleet(directory, firstPort, daemons, loop, clock, checker, random.nextLong());
-    this.callers = new SoakCallers(fleet.daemons(), loop, clock, checker, random.nextLong());
+    this.callers =
+        new SoakCallers(fleet.daemons(), loop, clock, checker, random.nextLong(), kind.isPlanned());
+    if (kind.isPlanned()) {
+      fleet.platform().bindReplacements(REPLACEMENT_WORKERS);
+    }
     Runtime.getRuntime().addShutdownHook(shutdownHook);
   }
 
@@ -98,6 +117,9 @@
           fleet.platform().start();
           fleet.daemons().forEach(fleet::start);
           callers.start();
+          if (kind.isPlanned()) {
+            checkStartDelays(clock.nowMs());
+          }
           return null;
         });
     TimeUnit.MILLISECONDS.sleep(FAULT_FREE_START_MS);
@@ -108,13 +130,19 @@
             injectFault();
             return null;
           });
-      TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_FAULT_INTERVAL_MS));
+      TimeUnit.MILLISECONDS.sleep(random.nextInt(kind.maxIntervalMs()));
     }
-    while (loop.call(() -> activeFaults) > 0) {
+    loop.execute(fleet.restarts()::endSeries);
+    long readyUntilMs = System.currentTimeMillis() + MAX_RESTART_MS;
+    while (loop.call(() -> activeFaults > 0 || !fleet.restarts().isIdle())
+        && System.currentTimeMillis() < readyUntilMs) {
       TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL_MS);
     }
     loop.call(
         () -> {
+          if (!fleet.restarts().isIdle()) {
+            checker.recordBreach("LOST", "a daemon is not ready again after its restart");
+          }
           callers.stopSubmitting();
           return null;
         });
@@ -123,8 +151,7 @@
   }
 
   private void injectFault() {
-    SoakFault[] kinds = SoakFault.values();
-    SoakFault fault = kinds[random.nextInt(kinds.length)];
+    SoakEvent fault = kind.events().get(random.nextInt(kind.events().size()));
     long durationMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS);
     injectedFaults.add(clock.epochMs() + " " + fault + " for " + durationMs + " ms");
     Logger.info("soak: seed={} fault={} lastsMs={}", seed, fault, durationMs);
@@ -140,6 +167,18 @@
         });
   }
 
+  private void checkStartDelays(long expectedAtMs) {
+    if (isClosed) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    if (nowMs - expectedAtMs > MAX_LAG_MS) {
+      startDelays.restart();
+    }
+    startDelays.check(fleet.platform().readyWorkers(), nowMs);
+    loop.schedule(START_CHECK_INTERVAL_MS, () -> checkStartDelays(nowMs + START_CHECK_INTERVAL_MS));
+  }
+
   /**
    * Waits until all accepted work is finished; returns how long that took. Records a breach for
    * what is unfinished after the time limit.
@@ -170,6 +209,7 @@
         callers.responses(),
         callers.unanswered(),
         callers.maxResponseMs(),
+        startDelays.maxDelayMs(),
         settledAfterMs);
   }
 
@@ -179,6 +219,7 @@
     CompletableFuture<Void> closed = new CompletableFuture<>();
     loop.execute(
         () -> {
+          isClosed = true;
           callers.close();
           fleet.close();
           closed.complete(null);
--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/platform/standin/StartDelayCheckerTest.java
@@ -0,0 +1,105 @@
+package org.laburnumarch.internal.platform.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.JobSpec;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.StepSpec;
+import org.laburnumarch.internal.schedule.EndKind;
+import org.laburnumarch.internal.schedule.EndedTask;
+import org.laburnumarch.internal.time.SuspendAwareClock;
+
+/** Tests which waits for a start are reported as lost work. */
+class StartDelayCheckerTest {
+
+  private static final String JOB = "00000000000000a1";
+  private static final String TASK = JOB + ".0.0.0";
+  private static final String SERVICE = "desk";
+  private static final Resources NEED = new Resources(5_000, 1_000, 0);
+
+  private final SuspendAwareClock clock = new SuspendAwareClock();
+  private final InvariantChecker invariants = new InvariantChecker(clock, line -> {});
+  private final StartDelayChecker delays = new StartDelayChecker(invariants);
+  private final SimulatedWorker worker = new SimulatedWorker("w1", SERVICE, "r1", 0);
+  private final List<SimulatedWorker> roomForTwo =
+      List.of(worker, new SimulatedWorker("w2", SERVICE, "r2", 0));
+  private long nowMs;
+
+  @BeforeEach
+  void readClock() {
+    nowMs = clock.nowMs();
+  }
+
+  private void accept(StepSpec step) {
+    invariants.onSubmit(
+        new JobSpec(JOB, "holds", "banks", "program", List.of(step), 0, 0, 0, 0), SERVICE);
+    invariants.onAccepted(JOB);
+  }
+
+  private void waitFor(long durationMs, List<SimulatedWorker> workers) {
+    long endMs = nowMs + durationMs;
+    for (; nowMs <= endMs; nowMs += 100) {
+      delays.check(workers, nowMs);
+    }
+  }
+
+  @Nested
+  class AJobOfWhichNothingRuns {
+
+    @BeforeEach
+    void accepted() {
+      accept(StepSpec.ofTasks(1, NEED, 100, List.of()));
+    }
+
+    /** Guards against a check that misses work which waits although there is room. */
+    @Test
+    void shouldBeReportedOnceAfterThreeSeconds() {
+      waitFor(3_000, roomForTwo);
+      assertThat(invariants.breaches()).isEmpty();
+      waitFor(2_000, roomForTwo);
+      assertThat(invariants.breaches()).singleElement().asString().contains("LOST", JOB);
+    }
+
+    /** Guards against reports of work for which the pool has room only once. */
+    @Test
+    void shouldNotBeReportedWithoutRoomForItTwice() {
+      SimulatedWorker ofAnotherPool = new SimulatedWorker("w3", "yard", "r1", 0);
+      waitFor(9_000, List.of(worker, ofAnotherPool));
+      assertThat(invariants.breaches()).isEmpty();
+    }
+
+    /** Guards against reports of waits that began before the machine ran out of processor time. */
+    @Test
+    void shouldBeReportedThreeSecondsAfterARestartOfTheCheck() {
+      waitFor(2_500, roomForTwo);
+      delays.restart();
+      waitFor(2_500, roomForTwo);
+      assertThat(invariants.breaches()).isEmpty();
+      waitFor(1_000, roomForTwo);
+      assertThat(invariants.breaches()).hasSize(1);
+    }
+  }
+
+  @Nested
+  class ALongRunningTask {
+
+    /** Guards against a check that takes a long-running task that ended as done for finished. */
+    @Test
+    void shouldBeReportedNineSecondsAfterItsLastRun() {
+      accept(StepSpec.ofLongRunningTasks(1, NEED, "", 0, 1));
+      invariants.onStart(worker, TASK, 1);
+      waitFor(9_000, roomForTwo);
+      assertThat(invariants.breaches()).isEmpty();
+      invariants.onEnd(worker, new EndedTask(1, TASK, 1, EndKind.DONE, ""));
+      nowMs = clock.nowMs();
+      waitFor(8_900, roomForTwo);
+      assertThat(invariants.breaches()).isEmpty();
+      waitFor(500, roomForTwo);
+      assertThat(invariants.breaches()).singleElement().asString().contains("LOST", TASK);
+    }
+  }
+}
--- a/src/test/java/org/laburnumarch/internal/soak/HandoverTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/HandoverTest.java
@@ -36,7 +36,7 @@
   void startPlatform() throws Exception {
     ports = PortBlock.reserve(PORT_COUNT);
     fleet = new SoakFleet(directory, ports.first(), 3, loop, clock, checker, 1);
-    callers = new SoakCallers(fleet.daemons(), loop, clock, checker, 1);
+    callers = new SoakCallers(fleet.daemons(), loop, clock, checker, 1, false);
     loop.call(
         () -> {
           fleet.platform().start();
--- a/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
@@ -20,7 +20,9 @@
 
   private void shouldKeepAllInvariants(long seed, int daemons, int seconds) throws Exception {
     try (PortBlock ports = PortBlock.reserve(PORT_COUNT);
-        SoakRun run = new SoakRun(seed, daemons, seconds * 1_000L, directory, ports.first())) {
+        SoakRun run =
+            new SoakRun(
+                SoakKind.FAULTS, seed, daemons, seconds * 1_000L, directory, ports.first())) {
       SoakRun.Result result = run.run();
       assertThat(result.breaches()).as("seed %d, faults: %s", seed, result.faults()).isEmpty();
       assertThat(result.acceptedJobs()).isPositive();
