--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -43,7 +43,7 @@
   private static final long START_CHECK_INTERVAL_MS = 100;
 
   /** Lag of this process's timer that shows that the machine is short of processor time. */
-  private static final long MAX_LAG_MS = 50;
+  private static final long MAX_LAG_MS = 100;
 
   private static final int REPLACEMENT_WORKERS = 60;
 
