Complete a stop also when the ownership is lost before its release

Found by reading: if another daemon took the ownership while a stopping owner waited for a renewal to end, nothing told the stop that it need not wait any longer, so that the process would have stayed until just before the end of the grace period. The loss of the ownership, for whatever cause, now ends the wait, and the release needs no path of its own. HandoverTest, NodeStopTest and DaemonProcessTest pass.

--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -90,6 +90,9 @@
   /** Whether orders have stopped for a planned release, so that the ownership is not renewed. */
   private boolean isReleasing;
 
+  /** Run once when the ownership ends for good. */
+  private Optional<Runnable> whenEnded = Optional.empty();
+
   /** Local time until which this daemon claims without a delay what was released to it. */
   private long chosenUntilMs = Long.MIN_VALUE / 2;
 
@@ -351,6 +354,9 @@
     isReleasing = false;
     tenure = Optional.empty();
     listener.onOwnershipLost();
+    Optional<Runnable> ended = whenEnded;
+    whenEnded = Optional.empty();
+    ended.ifPresent(Runnable::run);
   }
 
   /** Ends the ownership for a reason outside the store, without writing to it. */
@@ -447,7 +453,7 @@
    * does not claim again.
    *
    * @param stopOrders run before the release, which follows when the stage completes
-   * @param whenDone run when the release has been stored or given up
+   * @param whenDone run when this daemon does not own the fleet any more
    */
   void release(Supplier<CompletionStage<Void>> stopOrders, Runnable whenDone) {
     isCandidate = false;
@@ -455,20 +461,12 @@
       whenDone.run();
       return;
     }
-    Optional<OwnerTenure> held = tenure;
+    whenEnded = Optional.of(whenDone);
     releaseTo(
         "",
-        () ->
-            stopOrders
-                .get()
-                .thenRun(
-                    () -> {
-                      if (!tenure.equals(held)) {
-                        whenDone.run();
-                      }
-                    }),
-        (record, newEndOffset) -> whenDone.run(),
-        () -> stopOrders.get().thenRun(whenDone));
+        stopOrders,
+        (record, newEndOffset) -> {},
+        () -> stopOrders.get().thenRun(() -> stepDown("shutdown")));
   }
 
   private void write(OwnerRecord stored, long expectedEnd, Consumer<WriteResult> onResult) {
