Refuse at once what a draining daemon cannot serve

Cause: a draining daemon went on waiting for an owner, although it answers 503 in the end. Change: from the beginning of the drain, requests that no owner can have carried out and that find no owner are refused at once with Retry-After; those that may have been carried out are still resolved. The new test fails without it (the call does not exist there).

--- a/src/main/java/org/laburnumarch/internal/node/JobRouter.java
+++ b/src/main/java/org/laburnumarch/internal/node/JobRouter.java
@@ -36,6 +36,7 @@
   private Optional<Owner> owner = Optional.empty();
   private Optional<LinkClient> link = Optional.empty();
   private final Set<PendingRequest> pending = new LinkedHashSet<>();
+  private boolean isWaitingForOwner = true;
   private boolean isClosed;
 
   JobRouter(EventLoopThread loop, SuspendAwareClock clock) {
@@ -67,6 +68,12 @@
     return pending.stream().findFirst().map(oldest -> nowMs - oldest.arrivedAtMs).orElse(0L);
   }
 
+  /** Refuses at once, from now on, what no owner can have made, instead of waiting for an owner. */
+  void stopWaitingForOwner() {
+    isWaitingForOwner = false;
+    List.copyOf(pending).forEach(PendingRequest::refuseIfNotMade);
+  }
+
   /**
    * Answers all requests and refuses later ones: changes that an owner may have made are undecided,
    * all others are refused.
@@ -153,11 +160,20 @@
       Optional<JobReply> answer = deadlines.answer(reply, clock.nowMs());
       if (answer.isPresent()) {
         complete(answer.get());
-      } else if (!result.isDone()) {
+      } else if (!isWaitingForOwner) {
+        refuseIfNotMade();
+      }
+      if (!result.isDone()) {
         loop.schedule(reply.code() == Code.UNDECIDED ? RETRY_EVERY_MS : pauseMs, this::attempt);
       }
     }
 
+    private void refuseIfNotMade() {
+      if (!isSent && !deadlines.mayHaveTakenEffect(false)) {
+        complete(JobReply.refuse(Code.UNAVAILABLE, RETRY_AFTER_MS));
+      }
+    }
+
     /** Answers now, without a reply of the owner; has no effect if the request is answered. */
     private void answerWithoutOwner() {
       complete(
--- a/src/main/java/org/laburnumarch/internal/node/RequestDrain.java
+++ b/src/main/java/org/laburnumarch/internal/node/RequestDrain.java
@@ -79,6 +79,7 @@
         "node: event=draining requests={} longestWaitMs={}",
         router.pendingRequests(),
         router.longestWaitMs());
+    router.stopWaitingForOwner();
     gracefulClose.get().afterFinally(() -> loop.execute(this::finish)).subscribe();
     lastBusyAtMs = clock.nowMs();
     awaitIdle();
--- a/src/test/java/org/laburnumarch/internal/node/JobRouterTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/JobRouterTest.java
@@ -109,6 +109,15 @@
       assertThat(router.pendingRequests()).isZero();
     }
 
+    /** Guards against a stop that is delayed by requests which nobody can serve. */
+    @Test
+    void shouldRefuseAtOnceWhileTheDaemonDrains() {
+      CompletableFuture<JobReply> waiting = call(CallKind.SUBMIT);
+      router.stopWaitingForOwner();
+      assertThat(codeOf(waiting)).isEqualTo(Code.UNAVAILABLE);
+      assertThat(codeOf(call(CallKind.STATUS))).isEqualTo(Code.UNAVAILABLE);
+    }
+
     /** Guards against a refusal after an earlier owner may have stored the job. */
     @Test
     void shouldNotRefuseASubmissionThatAnEarlierOwnerMayHaveStored() {
