Be as strict with left locations as with the waits that they replace

The time now covers what earlier owners may have granted, whether the worker has reported or not. - A run that a report has shown settles where earlier runs are only once no earlier owner can send orders. - A team is charged for each named task, also if its step seems not to be due because an end was not stored. - With a record, the difference of two daemons' clocks does not shorten its times any more. - A worker whose ends are not stored stays known although it is idle and not listed.

--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -27,9 +27,6 @@
   /** Local time at which the job was submitted. */
   final long submittedAtMs;
 
-  /** Whether an earlier owner may have started tasks of the job. */
-  final boolean isInherited;
-
   /** Steps of the occurrences that are due and not done, by occurrence. */
   final TreeMap<Integer, List<Step>> occurrences = new TreeMap<>();
 
@@ -66,10 +63,14 @@
 
   private EarlierRun initialEarlierRun;
 
+  /**
+   * Creates a job of which no progress is known.
+   *
+   * @param isInherited whether an earlier owner may have started tasks of it
+   */
   Job(JobSpec spec, long submittedAtMs, boolean isInherited) {
     this.spec = spec;
     this.submittedAtMs = submittedAtMs;
-    this.isInherited = isInherited;
     this.mayHaveHeldTasks = isInherited;
     this.initialEarlierRun = isInherited ? EarlierRun.ANYWHERE : EarlierRun.NONE;
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunLocations.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunLocations.java
@@ -29,4 +29,9 @@
     workersByTask = Map.copyOf(workersByTask);
     leasesLeftMs = Map.copyOf(leasesLeftMs);
   }
+
+  /** Returns the same locations as of a later owner, which has sent no orders. */
+  public RunLocations withTerm(long laterTerm) {
+    return new RunLocations(laterTerm, workersByTask, leasesLeftMs, earlierOrdersLeftMs);
+  }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -79,7 +79,7 @@
             startDeadlineClockMs);
     attempt.isIsolated = task.needsIsolation(nowMs);
     task.attempt = attempt;
-    task.earlierRun = EarlierRun.NONE;
+    task.hasKnownRun = true;
     task.lastRun = run;
     task.step.job.hasStarted = true;
     register(attempt);
@@ -320,8 +320,7 @@
             nowMs,
             worker.clockMs(nowMs));
     task.lastRun = Math.max(task.lastRun, running.run());
-    // An owner starts a task anew only after its last run has ended, so there is no other one.
-    task.earlierRun = EarlierRun.NONE;
+    task.hasKnownRun = true;
     boolean isWanted = task.attempt == null && !task.isDone && !task.step.job.status.isFinal();
     if (isWanted) {
       task.attempt = attempt;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -180,15 +180,19 @@
     return waits;
   }
 
-  /** Returns the tasks of a job that could start if no earlier run of them could be going on. */
+  /**
+   * Returns the tasks of a job that an earlier owner may have left running. It may have known of
+   * ends that are not stored, so a task that it named counts also if it seems not to be due yet.
+   */
   private static Stream<Task> heldTasks(Job job) {
     return job.occurrences.values().stream()
-        .flatMap(
-            steps ->
-                steps.stream()
-                    .filter(step -> !step.isDone() && Job.areDependenciesDone(step, steps)))
-        .flatMap(step -> step.tasks.stream())
-        .filter(task -> task.isHeld);
+        .flatMap(steps -> steps.stream().flatMap(step -> heldTasks(step, steps)));
+  }
+
+  private static Stream<Task> heldTasks(Step step, List<Step> siblings) {
+    boolean isDue = Job.areDependenciesDone(step, siblings);
+    return step.tasks.stream()
+        .filter(task -> task.isHeld && (isDue || !task.earlierRun.isAnywhere()));
   }
 
   /**
@@ -494,7 +498,7 @@
     Worker worker = workers.find(workerId);
     if (worker != null) {
       worker.isGone = true;
-      worker.goneAtMs = requestedAtMs;
+      worker.goneRequestedAtMs = requestedAtMs;
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -23,19 +23,24 @@
   private final long leaseWaitMs;
   private final long fullWaitMs;
   private final long authorityWaitMs;
+
+  /** Local time from which no run of an earlier owner can be going on unreported anywhere. */
   private long overAtMs;
 
   /** Local time from which no earlier owner sends orders any more. */
   private long ordersOverAtMs;
 
+  /** Whether the earlier owner has left the locations of its runs, which are exact. */
+  private boolean hasLocations;
+
   TakeoverGuard(SchedulerSettings settings, long nowMs, boolean hadEarlierOwner) {
     this.hadEarlierOwner = hadEarlierOwner;
     this.leaseWaitMs = (long) (settings.leaseMs() * SLOW_CLOCK_FACTOR);
     this.fullWaitMs =
         (long) ((settings.earlierOwnerAuthorityMs() + settings.leaseMs()) * SLOW_CLOCK_FACTOR);
     this.authorityWaitMs = (long) (settings.earlierOwnerAuthorityMs() * SLOW_CLOCK_FACTOR);
-    this.overAtMs = nowMs + fullWaitMs;
-    this.ordersOverAtMs = nowMs + authorityWaitMs;
+    this.overAtMs = hadEarlierOwner ? nowMs + fullWaitMs : nowMs;
+    this.ordersOverAtMs = hadEarlierOwner ? nowMs + authorityWaitMs : nowMs;
   }
 
   boolean isOver(long nowMs) {
@@ -51,7 +56,7 @@
   boolean isUnreported(Worker worker, long nowMs) {
     // A process that has ended has no runs, unless a later one gets orders of an earlier owner.
     boolean hasEnded =
-        worker.isGone && worker.goneAtMs >= ordersOverAtMs && nowMs >= ordersOverAtMs;
+        worker.isGone && worker.goneRequestedAtMs >= ordersOverAtMs && nowMs >= ordersOverAtMs;
     return !worker.isFenced
         && !worker.isTerminated
         && nowMs < worker.earlierRunsOverAtMs
@@ -76,6 +81,7 @@
    */
   void updateHeldTasks(Job job, String service, WorkerTable workers, long nowMs) {
     boolean isOver = isOver(nowMs);
+    boolean isPoolBlocked = isBlocked(workers, service, nowMs);
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
         boolean isAnyHeld = false;
@@ -84,9 +90,7 @@
               !isOver
                   && !task.isDone
                   && task.attempt == null
-                  && task.earlierRun
-                      .possibleWorkers(workers, service)
-                      .anyMatch(worker -> isUnreported(worker, nowMs));
+                  && mayHaveEarlierRun(task, isPoolBlocked, workers, nowMs);
           isAnyHeld |= task.isHeld;
         }
         if (isAnyHeld && step.spec.isGang()) {
@@ -96,12 +100,26 @@
     }
   }
 
+  private boolean mayHaveEarlierRun(
+      Task task, boolean isPoolBlocked, WorkerTable workers, long nowMs) {
+    // An owner that can send no orders has started no run after the one that is known here.
+    if (task.hasKnownRun && nowMs >= ordersOverAtMs) {
+      return false;
+    }
+    return task.earlierRun.isAnywhere()
+        ? isPoolBlocked
+        : task.earlierRun.possibleWorkers(workers, "").anyMatch(w -> isUnreported(w, nowMs));
+  }
+
   /**
    * Records that the earlier owner has certainly stopped, which may shorten the wait. The leases
    * that it requested still have to expire. So do those of the owner before it, which may have gone
    * on giving orders for a limited time after the earlier owner's claim.
    */
   void onEarlierOwnerStopped(long earlierClaimedAtMs, long nowMs) {
+    if (hasLocations) {
+      return;
+    }
     overAtMs = Math.min(overAtMs, Math.max(nowMs + leaseWaitMs, earlierClaimedAtMs + fullWaitMs));
     ordersOverAtMs =
         Math.min(ordersOverAtMs, Math.max(nowMs, earlierClaimedAtMs + authorityWaitMs));
@@ -130,21 +148,23 @@
       worker.earlierRunsOverAtMs = nowMs + locations.leasesLeftMs().getOrDefault(worker.id, 0L);
       lastOverAtMs = Math.max(lastOverAtMs, worker.earlierRunsOverAtMs);
     }
-    overAtMs = Math.min(overAtMs, lastOverAtMs);
-    ordersOverAtMs = Math.min(ordersOverAtMs, nowMs + locations.earlierOrdersLeftMs());
+    hasLocations = true;
+    overAtMs = lastOverAtMs;
+    ordersOverAtMs = nowMs + locations.earlierOrdersLeftMs();
   }
 
   /** Returns the time for which earlier owners may still send orders. */
   long ordersLeftMs(long nowMs) {
-    return hadEarlierOwner ? Math.max(0, ordersOverAtMs - nowMs) : 0;
+    return Math.max(0, ordersOverAtMs - nowMs);
   }
 
-  /** Returns the time after which no lease of a worker can be valid any more. */
+  /**
+   * Returns the time after which no lease of a worker can be valid any more. A worker that has
+   * reported may still have leases of earlier owners.
+   */
   long leasesLeftMs(Worker worker, long nowMs) {
-    long expireAtMs = worker.leasesExpireAtMs();
-    if (isUnreported(worker, nowMs)) {
-      expireAtMs = Math.max(expireAtMs, Math.min(overAtMs, worker.earlierRunsOverAtMs));
-    }
+    long earlierExpireAtMs = Math.min(overAtMs, worker.earlierRunsOverAtMs);
+    long expireAtMs = Math.max(worker.leasesExpireAtMs(), earlierExpireAtMs);
     return Math.max(expireAtMs, nowMs) - nowMs;
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -18,6 +18,9 @@
   /** Where a run of an earlier owner may be going on unreported. */
   EarlierRun earlierRun;
 
+  /** Whether this owner has started a run, or a worker has reported one as going on. */
+  boolean hasKnownRun;
+
   /** Whether such a run keeps the task from being started now. */
   boolean isHeld;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -99,7 +99,7 @@
   boolean isGone;
 
   /** Local time at which the request was sent that showed this last. */
-  long goneAtMs;
+  long goneRequestedAtMs;
 
   /** Local time at which the last report arrived or was given up as missed. */
   long lastReportAttemptMs;
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -65,7 +65,10 @@
       boolean isIdle =
           !takeoverGuard.isUnreported(worker, nowMs)
               || (worker.isLeaseExpired(nowMs) && takeoverGuard.isOver(nowMs));
-      if (!worker.isListed && worker.attempts.isEmpty() && isIdle) {
+      if (!worker.isListed
+          && worker.attempts.isEmpty()
+          && !worker.hasUnacknowledgedEnds()
+          && isIdle) {
         removed.add(worker);
       }
     }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -35,6 +35,8 @@
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final Map<String, JobProgress> progress = new HashMap<>();
   private final Map<String, Long> runsMs = new HashMap<>();
+  private final Set<String> acknowledgedAsDone = new HashSet<>();
+  private boolean isStoreDown;
 
   TakeoverSeries(int workerCount) {
     for (int i = 0; i < workerCount; i++) {
@@ -44,7 +46,12 @@
   }
 
   void addWorker(String id) {
-    workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs));
+    workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs, 1, new DoneTasks()));
+  }
+
+  /** Keeps progress from being stored, so that a later owner does not find it. */
+  void setStoreDown(boolean isDown) {
+    isStoreDown = isDown;
   }
 
   /** Ends a worker's process for good; connections to its address are refused from then on. */
@@ -116,19 +123,20 @@
     for (long untilMs = nowMs + durationMs; nowMs < untilMs; nowMs += STEP_MS) {
       listWorkers();
       List.copyOf(scheduler.workerIds()).forEach(this::report);
-      scheduler
-          .takeChanges()
-          .ifPresent(
-              changes -> {
-                changes.progress().forEach(stored -> progress.put(stored.id(), stored));
-                scheduler.confirmStored(changes, nowMs);
-              });
+      if (!isStoreDown) {
+        scheduler.takeChanges().ifPresent(this::store);
+      }
       scheduler.onOwnershipProven(nowMs);
       scheduler.decide(nowMs, nowMs).orders().forEach(this::deliver);
       assertNoTaskRunsTwice();
     }
   }
 
+  private void store(JobChanges changes) {
+    changes.progress().forEach(stored -> progress.put(stored.id(), stored));
+    scheduler.confirmStored(changes, nowMs);
+  }
+
   private boolean isReachable(String id) {
     return !departed.contains(id) && !cutOff.contains(id);
   }
@@ -194,4 +202,30 @@
         .map(SimulatedWorker::id)
         .findFirst();
   }
+
+  /** Fails when a task starts again after its end as done has been acknowledged. */
+  private final class DoneTasks implements SimulatedWorker.Observer {
+
+    @Override
+    public void onStart(SimulatedWorker worker, String task, long run) {
+      assertThat(acknowledgedAsDone).doesNotContain(task);
+    }
+
+    @Override
+    public void onEnd(SimulatedWorker worker, EndedTask end) {
+      // Only acknowledged ends count for good.
+    }
+
+    @Override
+    public void onAcknowledged(SimulatedWorker worker, EndedTask end) {
+      if (end.how() == EndKind.DONE) {
+        acknowledgedAsDone.add(end.taskName());
+      }
+    }
+
+    @Override
+    public void onLost(SimulatedWorker worker, String task, long run) {
+      // The task may start again.
+    }
+  }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -88,6 +88,17 @@
       assertThat(series.runningTasks()).contains(task);
     }
 
+    @Test
+    void shouldNotForgetLeasesThatOnlyAnEarlierOwnerRequested() {
+      String task = "a.0.0.0";
+      series.handOver();
+      series.advance(50);
+      series.cutOff(series.workerOf(task).orElseThrow());
+      series.handOver();
+      series.advance(2_000);
+      assertThat(series.runningTasks()).doesNotContain(task);
+    }
+
     @Test
     void shouldPassOnWhatAnUnplannedTakeoverLeftOpen() {
       String task = "a.0.0.0";
@@ -137,6 +148,7 @@
       UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
       for (int i = 0; i < 60; i++) {
         String worker = "w" + random.nextInt(6);
+        series.setStoreDown(random.nextInt(4) == 0);
         switch (random.nextInt(8)) {
           case 0 -> series.cutOff(worker);
           case 1, 2 -> series.reconnect(worker);
@@ -150,6 +162,7 @@
         }
         series.advance(50 + random.nextInt(1_500));
       }
+      series.setStoreDown(false);
       for (int i = 0; i < 6; i++) {
         series.reconnect("w" + i);
       }
