Pass the locations of runs on when an owner stops before it has loaded

It has sent no orders, so what its predecessor left still holds and is stored again under its term. A release now waits up to 300 ms for the record, since a slow store answers in 240 ms. An unexpected error while an owner loads makes it step down instead of being dropped.

--- a/src/main/java/org/laburnumarch/internal/node/HandoverLog.java
+++ b/src/main/java/org/laburnumarch/internal/node/HandoverLog.java
@@ -27,8 +27,11 @@
 
   private static final String LOCATIONS_KEY = "runs";
 
-  /** Longest time for which the release of the ownership waits for the record to be stored. */
-  static final long WRITE_WAIT_MS = 150;
+  /**
+   * Longest time for which the release of the ownership waits for the record to be stored; a slow
+   * store answers in 240 ms.
+   */
+  private static final long WRITE_WAIT_MS = 300;
 
   private static final int READ_ATTEMPTS = 3;
 
@@ -55,6 +58,7 @@
       return CompletableFuture.completedStage(null);
     }
     CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.schedule(WRITE_WAIT_MS, () -> done.complete(null));
     store
         .append(
             StoreClient.HANDOVER_LOG,
@@ -73,7 +77,24 @@
                       isStored);
                   done.complete(null);
                 }));
+    return done;
+  }
+
+  /**
+   * Stores what the owner before an owner has left that has not sent any orders, for the next one.
+   *
+   * @return completes when it is stored, cannot be stored, or has taken too long
+   */
+  CompletionStage<Void> passOn(long earlierTerm, long term) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
     loop.schedule(WRITE_WAIT_MS, () -> done.complete(null));
+    read(earlierTerm)
+        .thenAccept(
+            found ->
+                found
+                    .map(left -> write(left.withTerm(term)))
+                    .orElse(CompletableFuture.completedStage(null))
+                    .thenAccept(done::complete));
     return done;
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -206,7 +206,12 @@
     applyOperatorRecords();
     jobs.open()
         .thenCompose(
-            contents -> readRunLocations().thenAccept(locations -> onLoaded(contents, locations)));
+            contents -> readRunLocations().thenAccept(locations -> onLoaded(contents, locations)))
+        .exceptionally(
+            failure -> {
+              listener.onBroken(new IllegalStateException("cannot load", failure));
+              return null;
+            });
   }
 
   private CompletionStage<Optional<RunLocations>> readRunLocations() {
@@ -431,11 +436,13 @@
    * @return completes when the ownership can be released
    */
   CompletionStage<Void> handOver() {
-    boolean isComplete = isLoaded && !isClosed;
     close();
-    return isComplete
-        ? handoverLog.write(scheduler.runLocations())
-        : CompletableFuture.completedStage(null);
+    if (isLoaded) {
+      return handoverLog.write(scheduler.runLocations());
+    }
+    return earlier
+        .map(record -> handoverLog.passOn(record.term(), tenure.term()))
+        .orElse(CompletableFuture.completedStage(null));
   }
 
   /** Stops scheduling. Orders in flight are not repeated. */
