--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -13,6 +13,10 @@
  * yet. Such a task waits until the workers that may have it have reported, or until every lease
  * that the earlier owner may have requested has expired. Where the earlier owner has left the
  * locations of its runs, only these workers count; otherwise all of the pool do.
+ *
+ * <p>Earlier owners stop sending orders at one time, and the leases that they have requested expire
+ * a lease later, for each worker as far as that is known. A worker whose process has ended does not
+ * count from the first of these times on: before it, a new process might still get an order.
  */
 final class TakeoverGuard {
 
