Do not wait for the leases of a worker that has left as announced

Cause: the owner awaited the lease of a worker of which it knew for sure that its process had ended: it had announced its shutdown, the registry had removed it, and its address refused connections. Change: the runs of such a worker end at once. A worker that only refuses connections, or is only removed, still counts until its leases have expired.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -236,7 +236,7 @@
     }
   }
 
-  /** Removes all runs of a silent worker on which nothing can be running any more. */
+  /** Removes all runs of an unreachable worker on which nothing can be running any more. */
   void onLeaseExpired(Worker worker, long nowMs) {
     if (worker.isGone) {
       crashTracker.onCrash(worker, worker.attempts.values(), nowMs);
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -656,7 +656,8 @@
   /** Decides which runs to start and stop now, and which advice to ask for. */
   public Decisions decide(long nowMs, long epochMs) {
     for (Worker worker : workers.all()) {
-      if (worker.missedReports > 0 && worker.isLeaseExpired(ownershipProvenAtMs)) {
+      if (worker.missedReports > 0
+          && (worker.isLeaseExpired(ownershipProvenAtMs) || worker.hasLeft())) {
         runTracker.onLeaseExpired(worker, nowMs);
       }
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -227,6 +227,11 @@
     return nowMs >= leasesExpireAtMs();
   }
 
+  /** Returns whether the worker's process has ended after it had announced its shutdown. */
+  boolean hasLeft() {
+    return isGone && !isListed && listing.isDraining();
+  }
+
   /** Returns the local time from which every lease of the worker has certainly expired. */
   long leasesExpireAtMs() {
     if (!hasClock()) {
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -307,6 +307,36 @@
      * successor may have renewed the lease of the task's worker, so the task may still be running
      * there.
      */
+    @Test
+    void shouldNotWaitForLeasesOfAWorkerThatHasLeftAsAnnounced() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      Order.Start start = starts().get(0);
+      deliver(start, 60_000, false);
+      SimulatedWorker leaving = worker(start);
+      SimulatedWorker staying = leaving == one ? two : one;
+      scheduler.updateWorkerListings(List.of(draining(leaving), staying.listing()), nowMs);
+      scheduler.updateWorkerListings(List.of(staying.listing()), nowMs);
+      nowMs += 300;
+      scheduler.onReportMissed(leaving.id(), nowMs);
+      assertThat(starts()).isEmpty();
+      scheduler.onWorkerGone(leaving.id(), nowMs);
+      assertThat(starts()).extracting(Order.Start::workerId).containsExactly(staying.id());
+    }
+
+    private WorkerListing draining(SimulatedWorker worker) {
+      WorkerListing ready = worker.listing();
+      return new WorkerListing(
+          ready.id(),
+          ready.service(),
+          ready.address(),
+          ready.dataCentre(),
+          ready.capacity(),
+          ready.labels(),
+          true,
+          0,
+          ready.startedEpochMs());
+    }
+
     @Test
     void shouldNotRestartTasksWhileOwnershipIsNotProven() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.longRunningStep(1, 0, 0)), nowMs);
