--- a/review/harness/MoreEndsThanListed.java
+++ b/review/harness/MoreEndsThanListed.java
@@ -1,10 +1,9 @@
 import org.laburnumarch.internal.job.Resources;
-import org.laburnumarch.internal.platform.standin.StoreStandIn;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
 
 /**
- * The store is down for 4.5 s while more than 500 small tasks end on each worker, whose ends can't
- * be acknowledged meanwhile.
+ * A partition of the store is down for 4.5 s while more than 500 small tasks end on each worker,
+ * whose ends can't be acknowledged meanwhile.
  */
 final class MoreEndsThanListed implements Review.Case {
 
@@ -38,10 +37,10 @@
         throw new IllegalStateException("only " + recorder.starts().size() + " tasks have started");
       }
       if (hasTrouble) {
-        deployment.setStoreFault(StoreStandIn.Fault.REFUSING);
+        deployment.setTopicDown("keyed.jobs");
       }
       Thread.sleep(STORE_DOWN_MS);
-      deployment.setStoreFault(StoreStandIn.Fault.NONE);
+      deployment.setTopicDown("");
       Thread.sleep(10_000);
       deployment.caller(1, "GET", path, "", 3_000);
       if (recorder.done() < TASKS) {
--- a/review/harness/Recorder.java
+++ b/review/harness/Recorder.java
@@ -25,6 +25,7 @@
   private final Map<String, Start> running = new LinkedHashMap<>();
   private final Map<String, Set<Long>> doneRuns = new LinkedHashMap<>();
   private final Map<String, Set<Long>> restartedAfterDone = new LinkedHashMap<>();
+  private int failed;
   private final List<String> breaches = new ArrayList<>();
 
   Recorder(Path file) throws IOException {
@@ -53,6 +54,11 @@
     return running.size();
   }
 
+  /** Returns how many runs have ended as failed. */
+  synchronized int failed() {
+    return failed;
+  }
+
   synchronized int done() {
     return doneRuns.size();
   }
@@ -79,6 +85,7 @@
     line("end " + worker.id() + " " + end.taskName() + " run " + end.run() + " " + end.how());
     running.computeIfPresent(
         end.taskName(), (task, start) -> start.worker().equals(worker.id()) ? null : start);
+    failed += end.how() == EndKind.FAILED ? 1 : 0;
     if (end.how() == EndKind.DONE) {
       doneRuns.computeIfAbsent(end.taskName(), task -> new HashSet<>()).add(end.run());
     }
