--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -f target/review/Review.class ] || exit 2
+exec java -cp target/laburnumarch-0.1.0-all.jar:target/review Review cancelled-task-runs-on review/5
