--- a/review/harness/CancelledTaskRunsOn.java
+++ b/review/harness/CancelledTaskRunsOn.java
@@ -22,8 +22,8 @@
   private static final double LOST_FRACTION = 0.144;
 
   private static final long LOSS_MS = 6_500;
-  private static final int LASTING_JOBS = 12;
-  private static final long CANCEL_AFTER_MS = 40;
+  private static final int LASTING_JOBS = 24;
+  private static final long CANCEL_AFTER_MS = 25;
   private static final long CANCEL_MS = 3_000;
   private static final long STOP_TIMEOUT_MS = 900;
   private static final long CONTACT_MS = 3_000;
@@ -71,7 +71,7 @@
       }
       Map<String, Long> cancelledAtMs = new LinkedHashMap<>();
       for (int i = 0; i < LASTING_JOBS; i++) {
-        Thread.sleep(400);
+        Thread.sleep(220);
         String id = String.format("b%015x", i);
         lasting.add(id);
         Deployment.Answer accepted =
