--- a/review/harness/Review.java
+++ b/review/harness/Review.java
@@ -1,7 +1,10 @@
 import java.nio.file.Path;
 import java.util.Map;
 
-/** Runs one case: {@code Review CASE DIRECTORY}. Exits with 1 if the rule was broken. */
+/**
+ * Runs one case: {@code Review CASE DIRECTORY TROUBLE}; without the disruption if TROUBLE is 0. Exits
+ * with 1 if the rule was broken.
+ */
 public final class Review {
 
   /** A disruption and what callers do around it. */
@@ -30,7 +33,7 @@
   }
 
   private static int run(String[] arguments) throws Exception {
-    boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+    boolean hasTrouble = !"0".equals(arguments[2]);
     Path record = Path.of(arguments[1]).resolve("record.txt");
     int code;
     try (Recorder recorder = new Recorder(record)) {
