Do not take a refused connection for the end of a worker's process

Workers behind a cut that resets or refuses connections go on under their leases, the owner is stopped or lost, and the next owner starts their tasks again within a second.

Cause: TakeoverGuard took a refused connection as proof that the process had ended, once no earlier owner could send orders. The end of an owner's authority does not end the leases that it granted. Worker.hasLeft had the same assumption for workers that had announced their shutdown and that the registry had dropped.

With a line for each change of the list of instances, the cut workers are refused from 6.2 s and their tasks start again at 7.0 s, while the list names both, up, during the whole cut. Ruled out: missing locations (the same handover with a silent cut keeps the rule) and the registry (lists them until 9.0 s).

Change: only an answer of someone else proves the end of a process: two successive lists of instances without the worker, which the owner reads while only they can tell, or another process at its address. A missed report now says why it did not come (ReportFailure).

Tests: two new ones; with refused connections in the cuts of TakeoverSeries the code before failed 20 tests of its class, 14 of them random series. shouldCountAsGoneIfItsAddressRefusesConnections demanded the wrong assumption and is replaced by its contrary.

--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.metrics.Meters;
@@ -19,6 +20,7 @@
 import org.laburnumarch.internal.platform.StoreRecords;
 import org.laburnumarch.internal.pool.FleetPlan;
 import org.laburnumarch.internal.pool.FleetPlanner;
+import org.laburnumarch.internal.pool.Machine;
 import org.laburnumarch.internal.pool.MachineOrder;
 import org.laburnumarch.internal.pool.MachineOrderOutcome;
 import org.laburnumarch.internal.pool.MaintenanceWave;
@@ -39,6 +41,9 @@
   /** Least time between two requests for the list of instances. */
   private static final long LIST_EVERY_MS = 300;
 
+  /** Least time between two requests for it that only concern unreachable workers. */
+  private static final long LIST_UNREACHABLE_EVERY_MS = 500;
+
   /**
    * Number of intervals between two writes to the registry for which it may list an ended worker;
    * the platform says three, and the list is read a little later.
@@ -120,12 +125,14 @@
 
   void runRound(long nowMs) {
     OrderGuard.Permission permission = guard.permission(nowMs, tenure.renewalAgeMs(nowMs));
-    if (isClosed
-        || nowMs - lastPlanAtMs < PLAN_EVERY_MS
-        || permission == OrderGuard.Permission.NOTHING) {
+    if (isClosed || nowMs - lastPlanAtMs < PLAN_EVERY_MS) {
       return;
     }
     lastPlanAtMs = nowMs;
+    if (permission == OrderGuard.Permission.NOTHING) {
+      requestListIfUnreachable(nowMs);
+      return;
+    }
     addWaves(nowMs);
     List<WorkerLoad> loads = scheduler.workerLoads(nowMs);
     if (!isListing
@@ -133,6 +140,7 @@
         && planner.needsList(loads, nowMs)) {
       requestList(nowMs);
     }
+    requestListIfUnreachable(nowMs);
     FleetPlan plan =
         planner.plan(
             operators.config(),
@@ -175,6 +183,15 @@
         new WaveRecord(wave, seenEpochMs.getOrDefault(wave, 0L), planner.startedMachines(wave)));
   }
 
+  /** Reads the list of instances while only that shows whether unreachable workers have ended. */
+  private void requestListIfUnreachable(long nowMs) {
+    if (!isListing
+        && nowMs - listRequestedAtMs >= LIST_UNREACHABLE_EVERY_MS
+        && scheduler.needsInstanceList()) {
+      requestList(nowMs);
+    }
+  }
+
   private void requestList(long nowMs) {
     isListing = true;
     listRequestedAtMs = nowMs;
@@ -183,8 +200,13 @@
         .whenComplete(
             (machines, failure) -> {
               isListing = false;
+              if (isClosed) {
+                return;
+              }
               if (failure == null) {
                 planner.onList(machines, nowMs);
+                scheduler.onInstancesListed(
+                    machines.stream().map(Machine::workerId).collect(Collectors.toSet()), nowMs);
               } else {
                 Logger.warn(
                     "machines: event=list-failed cause={}",
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -292,11 +292,11 @@
     takeoverHeldTasks = waits.stream().mapToInt(TakeoverWait::tasks).sum();
     for (TakeoverWait wait : waits) {
       Logger.info(
-          "owner: event=takeover-wait pool={} tasks={} unreported={} gone={} remaining_ms={}",
+          "owner: event=takeover-wait pool={} tasks={} unreported={} ended={} remaining_ms={}",
           wait.service(),
           wait.tasks(),
           wait.unreportedWorkers(),
-          wait.goneWorkers(),
+          wait.endedWorkers(),
           wait.overAtMs() - nowMs);
     }
   }
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -25,6 +25,7 @@
 import org.laburnumarch.internal.schedule.OrderReply;
 import org.laburnumarch.internal.schedule.OrderReply.Outcome;
 import org.laburnumarch.internal.schedule.Renewal;
+import org.laburnumarch.internal.schedule.ReportFailure;
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.WorkerListing;
 import org.laburnumarch.internal.schedule.WorkerReport;
@@ -365,12 +366,9 @@
     Throwable cause = PlatformFailures.unwrap(failure);
     Logger.info(
         "workers: event=no-report worker={} cause={}", renewal.workerId(), cause.getMessage());
-    meters.count("reports_missed_total", "renewal");
-    scheduler.onReportMissed(renewal.workerId(), clock.nowMs());
-    if (PlatformFailures.showsProcessGone(failure)) {
-      meters.count("reports_missed_total", "process gone");
-      scheduler.onWorkerGone(renewal.workerId(), requestedAtMs);
-    }
+    ReportFailure kind = PlatformFailures.reportFailure(failure);
+    meters.count("reports_missed_total", kind.name());
+    scheduler.onReportMissed(renewal.workerId(), kind, requestedAtMs, clock.nowMs());
     if (cause instanceof WorkerRefusalException refusal && refusal.outcome() == Outcome.FENCED) {
       listener.onFenced("worker " + renewal.workerId());
     }
--- a/src/main/java/org/laburnumarch/internal/platform/PlatformFailures.java
+++ b/src/main/java/org/laburnumarch/internal/platform/PlatformFailures.java
@@ -3,6 +3,7 @@
 import java.net.ConnectException;
 import java.util.concurrent.CompletionException;
 import org.laburnumarch.internal.schedule.OrderReply;
+import org.laburnumarch.internal.schedule.ReportFailure;
 import org.laburnumarch.spi.PlatformException;
 
 /** Evaluates the failures of calls to the platform. */
@@ -19,21 +20,20 @@
     return cause;
   }
 
-  /**
-   * Returns whether a call to a worker failed because nothing listens at its address or another
-   * process answers there. A worker behind a cut usually does not answer at all.
-   */
-  public static boolean showsProcessGone(Throwable failure) {
+  /** Returns what a failed request for a worker's report tells about the worker. */
+  public static ReportFailure reportFailure(Throwable failure) {
     if (unwrap(failure) instanceof WorkerRefusalException refusal) {
-      return refusal.outcome() == OrderReply.Outcome.OTHER_INCARNATION;
+      return refusal.outcome() == OrderReply.Outcome.OTHER_INCARNATION
+          ? ReportFailure.OTHER_PROCESS
+          : ReportFailure.NO_ANSWER;
     }
     for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
       if (cause instanceof ConnectException
           && String.valueOf(cause.getMessage()).contains("Connection refused")) {
-        return true;
+        return ReportFailure.CONNECTION_REFUSED;
       }
     }
-    return false;
+    return ReportFailure.NO_ANSWER;
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -189,7 +189,7 @@
     worker.recordClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
     worker.missedReports = 0;
-    worker.isGone = false;
+    worker.onAnswer();
     worker.lastReportAttemptMs = nowMs;
     Set<String> seen = new HashSet<>();
     for (EndedTask ended : report.ended()) {
@@ -238,7 +238,7 @@
 
   /** Removes all runs of an unreachable worker on which nothing can be running any more. */
   void onLeaseExpired(Worker worker, long nowMs) {
-    if (worker.isGone) {
+    if (worker.refusesConnections || worker.hasEnded()) {
       crashTracker.onCrash(worker, worker.attempts.values(), nowMs);
     }
     List.copyOf(worker.attempts.values()).forEach(this::unregister);
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -173,9 +173,9 @@
     tasks.forEach(
         (service, count) -> {
           List<Worker> unreported = takeoverGuard.unreported(workers, service, ownershipProvenAtMs);
-          int gone = (int) unreported.stream().filter(worker -> worker.isGone).count();
+          int ended = (int) unreported.stream().filter(Worker::hasEnded).count();
           waits.add(
-              new TakeoverWait(service, count, unreported.size(), gone, takeoverGuard.overAtMs()));
+              new TakeoverWait(service, count, unreported.size(), ended, takeoverGuard.overAtMs()));
         });
     return waits;
   }
@@ -475,30 +475,57 @@
     return unknownRuns;
   }
 
-  /** Records that a worker did not reply to a request for a report. */
-  public void onReportMissed(String workerId, long nowMs) {
+  /**
+   * Records that a worker did not report. If its process has ended and the worker does not report
+   * again before its leases have expired, it has crashed.
+   *
+   * @param requestedAtMs local time at which the report was requested
+   */
+  public void onReportMissed(
+      String workerId, ReportFailure failure, long requestedAtMs, long nowMs) {
     Worker worker = workers.find(workerId);
-    if (worker != null) {
-      firstReports.onSettled(worker);
-      worker.lostAtMs = worker.missedReports == 0 ? nowMs : worker.lostAtMs;
-      worker.missedReports++;
-      worker.lastReportAttemptMs = nowMs;
-      // The acknowledgement that the request carried may not have arrived.
-      worker.sentAcknowledgement = 0;
+    if (worker == null) {
+      return;
+    }
+    firstReports.onSettled(worker);
+    worker.lostAtMs = worker.missedReports == 0 ? nowMs : worker.lostAtMs;
+    worker.missedReports++;
+    worker.lastReportAttemptMs = nowMs;
+    // The acknowledgement that the request carried may not have arrived.
+    worker.sentAcknowledgement = 0;
+    if (failure.showsEndOfProcess()) {
+      worker.onEndShown(requestedAtMs);
     }
+    worker.refusesConnections = failure == ReportFailure.CONNECTION_REFUSED;
   }
 
   /**
-   * Records that nothing listens at a worker's address, or that another process answers there. If
-   * the worker does not report again before its leases have expired, its process has crashed.
+   * Returns whether the list of instances is needed, because only that can tell a worker whose
+   * process has ended from one that cannot be reached.
+   */
+  public boolean needsInstanceList() {
+    boolean isTakeoverOver = takeoverGuard.isOver(ownershipProvenAtMs);
+    return workers.all().stream()
+        .anyMatch(
+            worker ->
+                worker.missedReports > 0
+                    && ((!worker.attempts.isEmpty() && !worker.hasEnded())
+                        || (!isTakeoverOver
+                            && takeoverGuard.isUnreported(worker, ownershipProvenAtMs))));
+  }
+
+  /**
+   * Records which workers run on the platform's instances. The process of an unreachable worker
+   * that no instance names has ended.
    *
-   * @param requestedAtMs local time at which the request was sent that has shown this
+   * @param workerIds the ids of the workers on all instances
+   * @param requestedAtMs local time at which the list was requested
    */
-  public void onWorkerGone(String workerId, long requestedAtMs) {
-    Worker worker = workers.find(workerId);
-    if (worker != null) {
-      worker.isGone = true;
-      worker.goneRequestedAtMs = requestedAtMs;
+  public void onInstancesListed(Set<String> workerIds, long requestedAtMs) {
+    for (Worker worker : workers.all()) {
+      if (worker.missedReports > 0) {
+        worker.onInstancesListed(workerIds.contains(worker.id), requestedAtMs);
+      }
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -15,8 +15,10 @@
  * locations of its runs, only these workers count; otherwise all of the pool do.
  *
  * <p>Earlier owners stop sending orders at one time, and the leases that they have requested expire
- * a lease later, for each worker as far as that is known. A worker whose process has ended does not
- * count from the first of these times on: before it, a new process might still get an order.
+ * a lease later, for each worker as far as that is known. A worker whose process is known to have
+ * ended does not count from the first of these times on: before it, a new process might still get
+ * an order. A worker that cannot be reached may be running, whether its address refuses connections
+ * or does not answer, so its leases count.
  */
 final class TakeoverGuard {
 
@@ -59,8 +61,7 @@
   /** Returns whether runs of earlier owners may be going on unreported at a worker. */
   boolean isUnreported(Worker worker, long nowMs) {
     // A process that has ended has no runs, unless a later one gets orders of an earlier owner.
-    boolean hasEnded =
-        worker.isGone && worker.goneRequestedAtMs >= ordersOverAtMs && nowMs >= ordersOverAtMs;
+    boolean hasEnded = worker.hasEndedAsShownSince(ordersOverAtMs) && nowMs >= ordersOverAtMs;
     return !worker.isFenced
         && !worker.isTerminated
         && nowMs < worker.earlierRunsOverAtMs
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverWait.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverWait.java
@@ -6,8 +6,8 @@
  * @param service the pool's service
  * @param tasks number of tasks that could start otherwise
  * @param unreportedWorkers number of the pool's workers that have not reported to this owner
- * @param goneWorkers number of these whose addresses refuse connections, or belong to others now
+ * @param endedWorkers number of these whose processes are known to have ended
  * @param overAtMs local time at which the wait ends at the latest
  */
 public record TakeoverWait(
-    String service, int tasks, int unreportedWorkers, int goneWorkers, long overAtMs) {}
+    String service, int tasks, int unreportedWorkers, int endedWorkers, long overAtMs) {}
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -24,6 +24,12 @@
   /** Lowest speed of a steady clock relative to real time. */
   private static final double SLOWEST_CLOCK = 0.98;
 
+  /**
+   * Number of successive lists of instances without a worker that prove the end of its process. The
+   * pages of one list are not a snapshot, so that a running worker may be missing from it.
+   */
+  private static final int ABSENCES_FOR_PROOF = 2;
+
   /** Number of runs by which a worker's speed is judged; one long task in five is outvoted. */
   private static final int DEVIATIONS = 5;
 
@@ -95,11 +101,18 @@
   /** Local time of the first of these. */
   long lostAtMs;
 
-  /** Whether nothing listens at its address, or another process does, as of the last request. */
-  boolean isGone;
+  /**
+   * Local time at which the request was sent whose answer showed last that its process has ended;
+   * -1 if none has. A refused connection shows nothing: a cut path refuses connections to a process
+   * that is running, too.
+   */
+  private long endShownAtMs = -1;
+
+  /** Whether its address refused the last request for a report. */
+  boolean refusesConnections;
 
-  /** Local time at which the request was sent that showed this last. */
-  long goneRequestedAtMs;
+  /** Number of successive lists of instances that did not name it. */
+  private int absences;
 
   /** Local time at which the last report arrived or was given up as missed. */
   long lastReportAttemptMs;
@@ -202,7 +215,41 @@
     sentAcknowledgement = 0;
     unacknowledged.clear();
     isFenced = false;
-    isGone = false;
+    onAnswer();
+  }
+
+  /** Records that the process has answered, so that what has shown its end was wrong or is old. */
+  void onAnswer() {
+    endShownAtMs = -1;
+    absences = 0;
+    refusesConnections = false;
+  }
+
+  /**
+   * Records that an answer of someone else has shown that the process has ended.
+   *
+   * @param requestedAtMs local time at which the answer was requested
+   */
+  void onEndShown(long requestedAtMs) {
+    endShownAtMs = Math.max(endShownAtMs, requestedAtMs);
+  }
+
+  /** Records whether a complete list of instances names the worker. */
+  void onInstancesListed(boolean isNamed, long requestedAtMs) {
+    absences = isNamed ? 0 : absences + 1;
+    if (absences >= ABSENCES_FOR_PROOF) {
+      onEndShown(requestedAtMs);
+    }
+  }
+
+  /** Returns whether its process is known to have ended. */
+  boolean hasEnded() {
+    return endShownAtMs >= 0;
+  }
+
+  /** Returns whether a request that was sent at a local time or later has shown its end. */
+  boolean hasEndedAsShownSince(long sinceMs) {
+    return hasEnded() && endShownAtMs >= sinceMs;
   }
 
   boolean hasClock() {
@@ -229,7 +276,7 @@
 
   /** Returns whether the worker's process has ended after it had announced its shutdown. */
   boolean hasLeft() {
-    return isGone && !isListed && listing.isDraining();
+    return hasEnded() && !isListed && listing.isDraining();
   }
 
   /** Returns the local time from which every lease of the worker has certainly expired. */
--- a/src/test/java/org/laburnumarch/internal/platform/PlatformFailuresTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/PlatformFailuresTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.schedule.OrderReply.Outcome;
+import org.laburnumarch.internal.schedule.ReportFailure;
 import org.laburnumarch.spi.PlatformException;
 
 /** Tests what failed calls tell about the process that was called. */
@@ -21,24 +22,29 @@
     }
 
     @Test
-    void shouldCountAsGoneIfItsAddressRefusesConnections() {
-      ConnectException refused = new ConnectException("finishConnect(..): Connection refused");
-      assertThat(PlatformFailures.showsProcessGone(callThatFailedWith(refused))).isTrue();
+    void shouldCountAsReplacedIfAnotherProcessAnswers() {
+      Throwable other = new WorkerRefusalException(Outcome.OTHER_INCARNATION);
+      assertThat(PlatformFailures.reportFailure(new CompletionException(other)))
+          .isEqualTo(ReportFailure.OTHER_PROCESS);
     }
 
+    /** Guards against taking a worker behind a cut that refuses connections for an ended one. */
     @Test
-    void shouldCountAsGoneIfAnotherProcessAnswers() {
-      Throwable other = new WorkerRefusalException(Outcome.OTHER_INCARNATION);
-      assertThat(PlatformFailures.showsProcessGone(new CompletionException(other))).isTrue();
+    void shouldNotCountAsReplacedIfItsAddressRefusesConnections() {
+      ConnectException refused = new ConnectException("finishConnect(..): Connection refused");
+      assertThat(PlatformFailures.reportFailure(callThatFailedWith(refused)))
+          .isEqualTo(ReportFailure.CONNECTION_REFUSED);
     }
 
-    /** Guards against taking workers behind a cut for crashed ones. */
+    /** Guards against taking workers behind a silent cut for ended ones. */
     @Test
-    void shouldNotCountAsGoneWithoutAnAnswer() {
+    void shouldNotCountAsReplacedWithoutAnAnswer() {
       Throwable timeout = new ConnectTimeoutException("connection timed out");
-      assertThat(PlatformFailures.showsProcessGone(callThatFailedWith(timeout))).isFalse();
+      assertThat(PlatformFailures.reportFailure(callThatFailedWith(timeout)))
+          .isEqualTo(ReportFailure.NO_ANSWER);
       Throwable fenced = new WorkerRefusalException(Outcome.FENCED);
-      assertThat(PlatformFailures.showsProcessGone(new CompletionException(fenced))).isFalse();
+      assertThat(PlatformFailures.reportFailure(new CompletionException(fenced)))
+          .isEqualTo(ReportFailure.NO_ANSWER);
     }
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -71,7 +71,9 @@
   private void report(SimulatedWorker worker) {
     Optional<Renewal> renewal = scheduler.renewal(worker.id(), nowMs);
     if (silent.contains(worker.id())) {
-      renewal.ifPresent(request -> scheduler.onReportMissed(request.workerId(), nowMs));
+      renewal.ifPresent(
+          request ->
+              scheduler.onReportMissed(request.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs));
       return;
     }
     renewal
@@ -365,8 +367,7 @@
 
     private Optional<JobProgress> progressAfterLossOf(String workerId) {
       scheduler.takeChanges();
-      scheduler.onReportMissed(workerId, nowMs);
-      scheduler.onWorkerGone(workerId, nowMs);
+      scheduler.onReportMissed(workerId, ReportFailure.OTHER_PROCESS, nowMs, nowMs);
       expireLeases();
       return scheduler.takeChanges().map(changes -> changes.progress().get(0));
     }
@@ -404,11 +405,10 @@
     void shouldNotCountAsCrashedIfItReportsAgain() {
       Order.Start start = startUnlisted();
       scheduler.takeChanges();
-      scheduler.onReportMissed(start.workerId(), nowMs);
-      scheduler.onWorkerGone(start.workerId(), nowMs);
+      scheduler.onReportMissed(start.workerId(), ReportFailure.CONNECTION_REFUSED, nowMs, nowMs);
       nowMs += 500;
       report(workers.get(start.workerId()));
-      scheduler.onReportMissed(start.workerId(), nowMs);
+      scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
       expireLeases();
       assertThat(scheduler.takeChanges()).isEmpty();
     }
--- a/src/test/java/org/laburnumarch/internal/schedule/FirstReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/FirstReportsTest.java
@@ -59,7 +59,7 @@
 
   private void miss(Renewal renewal) {
     inFlight.remove(renewal.workerId());
-    scheduler.onReportMissed(renewal.workerId(), nowMs);
+    scheduler.onReportMissed(renewal.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
   }
 
   private void answer(Renewal renewal) {
--- a/src/test/java/org/laburnumarch/internal/schedule/OverloadScenarioTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverloadScenarioTest.java
@@ -169,7 +169,7 @@
     private void report(SimulatedWorker worker) {
       Optional<Renewal> renewal = scheduler.renewal(worker.id(), nowMs);
       if (renewal.isPresent() && isLost(worker)) {
-        scheduler.onReportMissed(worker.id(), nowMs);
+        scheduler.onReportMissed(worker.id(), ReportFailure.NO_ANSWER, nowMs, nowMs);
       } else if (renewal.isPresent()) {
         scheduler.onReport(worker.id(), worker.renew(renewal.get(), 1, nowMs), nowMs, nowMs);
       }
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -294,7 +294,7 @@
         nowMs += 100;
         // Each renewal gets no reply, and may still reach the worker late.
         scheduler.renewal(start.workerId(), nowMs).ifPresent(lost -> {});
-        scheduler.onReportMissed(start.workerId(), nowMs);
+        scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
         report(worker(start) == one ? two : one, 1);
         again = starts();
       }
@@ -302,27 +302,47 @@
       assertThat(nowMs).isGreaterThan(grantedUntilMs).isLessThan(grantedUntilMs + 7_000);
     }
 
-    /**
-     * Guards against a second run of a task. An owner that is cut off gets no reports; its
-     * successor may have renewed the lease of the task's worker, so the task may still be running
-     * there.
-     */
-    @Test
-    void shouldNotWaitForLeasesOfAWorkerThatHasLeftAsAnnounced() {
+    /** Runs a task on a worker that announces its shutdown and is no longer listed afterwards. */
+    private SimulatedWorker startOnALeavingWorker() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
       Order.Start start = starts().get(0);
       deliver(start, 60_000, false);
       SimulatedWorker leaving = worker(start);
-      SimulatedWorker staying = leaving == one ? two : one;
-      scheduler.updateWorkerListings(List.of(draining(leaving), staying.listing()), nowMs);
-      scheduler.updateWorkerListings(List.of(staying.listing()), nowMs);
+      scheduler.updateWorkerListings(List.of(draining(leaving), other(leaving).listing()), nowMs);
+      scheduler.updateWorkerListings(List.of(other(leaving).listing()), nowMs);
       nowMs += 300;
-      scheduler.onReportMissed(leaving.id(), nowMs);
+      scheduler.onReportMissed(leaving.id(), ReportFailure.NO_ANSWER, nowMs, nowMs);
+      return leaving;
+    }
+
+    private SimulatedWorker other(SimulatedWorker worker) {
+      return worker == one ? two : one;
+    }
+
+    @Test
+    void shouldNotWaitForLeasesOfAWorkerThatHasLeftAsAnnounced() {
+      SimulatedWorker staying = other(startOnALeavingWorker());
       assertThat(starts()).isEmpty();
-      scheduler.onWorkerGone(leaving.id(), nowMs);
+      scheduler.onInstancesListed(Set.of(staying.id()), nowMs);
+      scheduler.onInstancesListed(Set.of(staying.id()), nowMs);
       assertThat(starts()).extracting(Order.Start::workerId).containsExactly(staying.id());
     }
 
+    /**
+     * Guards against a second run of a task on a worker that has announced its shutdown and is then
+     * cut off: the registry drops it, and its address refuses connections, while it runs on.
+     */
+    @Test
+    void shouldWaitForLeasesOfALeavingWorkerThatCannotBeReached() {
+      SimulatedWorker leaving = startOnALeavingWorker();
+      for (int i = 0; i < 3; i++) {
+        scheduler.onReportMissed(leaving.id(), ReportFailure.CONNECTION_REFUSED, nowMs, nowMs);
+        scheduler.onInstancesListed(Set.of(one.id(), two.id()), nowMs);
+        assertThat(starts()).isEmpty();
+        nowMs += 1_000;
+      }
+    }
+
     private WorkerListing draining(SimulatedWorker worker) {
       WorkerListing ready = worker.listing();
       return new WorkerListing(
@@ -337,6 +357,11 @@
           ready.startedEpochMs());
     }
 
+    /**
+     * Guards against a second run of a task. An owner that is cut off gets no reports; its
+     * successor may have renewed the lease of the task's worker, so the task may still be running
+     * there.
+     */
     @Test
     void shouldNotRestartTasksWhileOwnershipIsNotProven() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.longRunningStep(1, 0, 0)), nowMs);
@@ -344,7 +369,7 @@
       deliver(start, Long.MAX_VALUE / 4, false);
       for (int i = 0; i < 70; i++) {
         nowMs += 100;
-        scheduler.onReportMissed(start.workerId(), nowMs);
+        scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
         assertThat(scheduler.decide(nowMs, nowMs).orders()).isEmpty();
       }
       assertThat(starts()).hasSize(1);
@@ -494,7 +519,7 @@
       Order.Start start = starts().get(0);
       SimulatedWorker worker = worker(start);
       worker.crash(nowMs);
-      scheduler.onReportMissed(worker.id(), nowMs);
+      scheduler.onReportMissed(worker.id(), ReportFailure.NO_ANSWER, nowMs, nowMs);
       nowMs += 100;
       deliver(start, 5_000, false);
       scheduler.updateWorkerListings(List.of(one.listing(), two.listing()), nowMs);
@@ -555,7 +580,7 @@
       scheduler.updateWorkerListings(List.of(one.listing(), two.listing(), three.listing()), nowMs);
       scheduler.confirmEnrolment(scheduler.workersToEnrol());
       report(three, 1);
-      scheduler.onReportMissed(two.id(), nowMs);
+      scheduler.onReportMissed(two.id(), ReportFailure.NO_ANSWER, nowMs, nowMs);
       scheduler.drainLongRunningTasks(one.id(), nowMs);
       assertThat(decide()).isEmpty();
       report(two, 1);
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -54,13 +54,13 @@
     isStoreDown = isDown;
   }
 
-  /** Ends a worker's process for good; connections to its address are refused from then on. */
+  /** Ends a worker's process for good; no instance runs it any more. */
   void depart(String id) {
     workers.get(id).crash(nowMs);
     departed.add(id);
   }
 
-  /** Keeps all messages from a worker, which goes on running until its leases expire. */
+  /** Refuses all connections to a worker, which goes on running until its leases expire. */
   void cutOff(String id) {
     cutOff.add(id);
   }
@@ -123,6 +123,7 @@
     for (long untilMs = nowMs + durationMs; nowMs < untilMs; nowMs += STEP_MS) {
       listWorkers();
       List.copyOf(scheduler.workerIds()).forEach(this::report);
+      listInstances();
       if (!isStoreDown) {
         scheduler.takeChanges().ifPresent(this::store);
       }
@@ -137,6 +138,14 @@
     scheduler.confirmStored(changes, nowMs);
   }
 
+  private void listInstances() {
+    if (scheduler.needsInstanceList()) {
+      Set<String> running = new HashSet<>(workers.keySet());
+      running.removeAll(departed);
+      scheduler.onInstancesListed(running, nowMs);
+    }
+  }
+
   private boolean isReachable(String id) {
     return !departed.contains(id) && !cutOff.contains(id);
   }
@@ -150,10 +159,7 @@
                 WorkerReport report = workers.get(id).renew(renewal, term, nowMs);
                 scheduler.onReport(id, report, nowMs, nowMs).forEach(this::deliver);
               } else {
-                scheduler.onReportMissed(id, nowMs);
-                if (departed.contains(id)) {
-                  scheduler.onWorkerGone(id, nowMs);
-                }
+                scheduler.onReportMissed(id, ReportFailure.CONNECTION_REFUSED, nowMs, nowMs);
               }
             });
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -116,6 +116,22 @@
   @Nested
   class WhenAnOwnerIsLost {
 
+    /**
+     * Guards against a second run of a task whose worker is behind a cut that refuses connections.
+     * The earlier owner has stopped, but the lease that it granted goes on.
+     */
+    @Test
+    void shouldWaitForLeasesOfWorkersThatCannotBeReached() {
+      series.advance(20_000);
+      series.cutOff(series.workerOf("a.0.0.0").orElseThrow());
+      series.advance(100);
+      series.takeOver();
+      series.advance(3_500);
+      assertThat(series.runningTasks()).doesNotContain("a.0.0.0");
+      series.advance(1_500);
+      assertThat(series.runningTasks()).contains("a.0.0.0");
+    }
+
     @Test
     void shouldNotWaitForWorkersWhoseProcessesHaveEnded() {
       String worker = series.workerOf("a.0.0.0").orElseThrow();
