Count a worker as crashed only when its process is known to have ended

Its tasks run on workers that are cut off one after the other for 5.5 s, by cuts that refuse connections.

Cause: CrashTracker counted a worker that refused connections until its leases had expired as crashed, and gave the job up after three such events of one task.

In virtual time the job fails at the sixth cut if connections are refused and is completed if the same cuts are silent, which rules out lapsed ends and the workers' returns as the cause.

Change: the proof of an ended process that the takeover uses counts here, too: two lists of instances without the worker, or another process at its address. A later incarnation counts as before.

Tests: shouldNotBeGivenUpWhenConnectionsAreRefused failed before. shouldCountAsCrashedWhenItsLeasesHaveExpired took a refused connection as proof; two tests replace it, one for each kind of proof, and one demands that a single list is none.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -238,7 +238,7 @@
 
   /** Removes all runs of an unreachable worker on which nothing can be running any more. */
   void onLeaseExpired(Worker worker, long nowMs) {
-    if (worker.refusesConnections || worker.hasEnded()) {
+    if (worker.hasEnded()) {
       crashTracker.onCrash(worker, worker.attempts.values(), nowMs);
     }
     List.copyOf(worker.attempts.values()).forEach(this::unregister);
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -496,7 +496,6 @@
     if (failure.showsEndOfProcess()) {
       worker.onEndShown(requestedAtMs);
     }
-    worker.refusesConnections = failure == ReportFailure.CONNECTION_REFUSED;
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -108,9 +108,6 @@
    */
   private long endShownAtMs = -1;
 
-  /** Whether its address refused the last request for a report. */
-  boolean refusesConnections;
-
   /** Number of successive lists of instances that did not name it. */
   private int absences;
 
@@ -222,7 +219,6 @@
   void onAnswer() {
     endShownAtMs = -1;
     absences = 0;
-    refusesConnections = false;
   }
 
   /**
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -31,13 +31,16 @@
   private static final long START_MS = 1_000_000;
   private static final long TERM = 1;
   private static final long RUN_MS = 600;
+  private static final long CUT_MS = 5_500;
   private static final int WORKERS = 8;
 
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final Set<String> crashing = new HashSet<>();
   private final Set<String> silent = new HashSet<>();
+  private final Set<String> refusing = new HashSet<>();
   private final Map<String, Integer> startsByTask = new LinkedHashMap<>();
   private long nowMs = START_MS;
+  private long runMs = RUN_MS;
   private int crashes;
   private Scheduler scheduler;
 
@@ -62,6 +65,9 @@
           workers.values().stream().map(SimulatedWorker::listing).toList(), nowMs);
       scheduler.confirmEnrolment(scheduler.workersToEnrol());
       workers.values().forEach(this::report);
+      if (scheduler.needsInstanceList()) {
+        scheduler.onInstancesListed(workers.keySet(), nowMs);
+      }
       scheduler.onOwnershipProven(nowMs);
       scheduler.decide(nowMs, nowMs).orders().forEach(this::execute);
       scheduler.takeChanges().ifPresent(changes -> scheduler.confirmStored(changes, nowMs));
@@ -76,6 +82,13 @@
               scheduler.onReportMissed(request.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs));
       return;
     }
+    if (refusing.contains(worker.id())) {
+      renewal.ifPresent(
+          request ->
+              scheduler.onReportMissed(
+                  request.workerId(), ReportFailure.CONNECTION_REFUSED, nowMs, nowMs));
+      return;
+    }
     renewal
         .map(request -> worker.renew(request, TERM, nowMs))
         .ifPresent(report -> scheduler.onReport(worker.id(), report, nowMs, nowMs));
@@ -87,7 +100,7 @@
       scheduler.onStopReply(stop, worker.stop(stop, TERM, nowMs), nowMs);
     } else if (order instanceof Order.Start start) {
       startsByTask.merge(start.taskName(), 1, Integer::sum);
-      Behaviour behaviour = new Behaviour(nowMs + RUN_MS, false, Resources.NONE);
+      Behaviour behaviour = new Behaviour(nowMs + runMs, false, Resources.NONE);
       scheduler.onStartReply(start, worker.start(start, TERM, behaviour, nowMs), nowMs);
       if (crashing.contains(start.taskName())) {
         crashes++;
@@ -96,6 +109,14 @@
     }
   }
 
+  private String workerOf(String task) {
+    return workers.values().stream()
+        .filter(worker -> worker.runningTasks().contains(task))
+        .map(SimulatedWorker::id)
+        .findFirst()
+        .orElseThrow();
+  }
+
   private JobSpec accept(String id, int tasks) {
     JobSpec job = TestJobs.job(id, nowMs, TestJobs.step(tasks, 1_000));
     scheduler.accept(job, nowMs);
@@ -158,14 +179,6 @@
   @Nested
   class ATaskOnWorkersThatEndForOtherReasons {
 
-    private String workerOf(String task) {
-      return workers.values().stream()
-          .filter(worker -> worker.runningTasks().contains(task))
-          .map(SimulatedWorker::id)
-          .findFirst()
-          .orElseThrow();
-    }
-
     /**
      * Guards against giving up a task that its workers had listed as running before they crashed.
      */
@@ -182,6 +195,27 @@
     }
   }
 
+  @Nested
+  class ATaskOnWorkersThatAreCutOff {
+
+    /** Guards against giving up a job none of whose runs has failed and whose workers all go on. */
+    @Test
+    void shouldNotBeGivenUpWhenConnectionsAreRefused() {
+      runMs = 30_000;
+      accept("innocent", 4);
+      for (int i = 0; i < 6; i++) {
+        playUntil(nowMs + 700);
+        assertThat(scheduler.status("innocent")).as("cut %d", i).contains(JobStatus.RUNNING);
+        String worker = workerOf("innocent.0.0." + i % 4);
+        refusing.add(worker);
+        playUntil(nowMs + CUT_MS);
+        refusing.remove(worker);
+      }
+      playUntil(nowMs + 2 * runMs);
+      assertThat(scheduler.status("innocent")).contains(JobStatus.COMPLETED);
+    }
+  }
+
   @Nested
   class ManyTasksOfWorkersThatCrashTogether {
 
@@ -349,7 +383,7 @@
   }
 
   @Nested
-  class AWorkerThatIsGone {
+  class AWorkerWhoseProcessHasEnded {
 
     private Order.Start startUnlisted() {
       accept("job", 1);
@@ -365,20 +399,43 @@
       scheduler.decide(nowMs, nowMs);
     }
 
-    private Optional<JobProgress> progressAfterLossOf(String workerId) {
+    private Optional<JobProgress> progressAfterLossOf(String workerId, ReportFailure failure) {
       scheduler.takeChanges();
-      scheduler.onReportMissed(workerId, ReportFailure.OTHER_PROCESS, nowMs, nowMs);
+      scheduler.onReportMissed(workerId, failure, nowMs, nowMs);
       expireLeases();
       return scheduler.takeChanges().map(changes -> changes.progress().get(0));
     }
 
     @Test
-    void shouldCountAsCrashedWhenItsLeasesHaveExpired() {
+    void shouldCountAsCrashedIfAnotherProcessAnswersUntilItsLeasesHaveExpired() {
       Order.Start start = startUnlisted();
-      assertThat(progressAfterLossOf(start.workerId()).orElseThrow().crashedTasks())
+      Optional<JobProgress> progress =
+          progressAfterLossOf(start.workerId(), ReportFailure.OTHER_PROCESS);
+      assertThat(progress.orElseThrow().crashedTasks())
+          .containsExactly(new JobProgress.CrashedTask(0, 0, 0, 1, true));
+    }
+
+    private Optional<JobProgress> progressAfterAbsencesFromTheInstances(int absences) {
+      Order.Start start = startUnlisted();
+      scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
+      for (int i = 0; i < absences; i++) {
+        scheduler.onInstancesListed(Set.of(), nowMs);
+      }
+      return progressAfterLossOf(start.workerId(), ReportFailure.NO_ANSWER);
+    }
+
+    @Test
+    void shouldCountAsCrashedIfTwoListsOfInstancesDoNotNameIt() {
+      assertThat(progressAfterAbsencesFromTheInstances(2).orElseThrow().crashedTasks())
           .containsExactly(new JobProgress.CrashedTask(0, 0, 0, 1, true));
     }
 
+    /** Guards against a running worker that is missing from one list, whose pages may overlap. */
+    @Test
+    void shouldNotCountAsCrashedIfOneListOfInstancesDoesNotNameIt() {
+      assertThat(progressAfterAbsencesFromTheInstances(1)).isEmpty();
+    }
+
     /** Guards against counting a planned shutdown as a crash. */
     @Test
     void shouldNotCountAsCrashedIfItHadAnnouncedItsShutdown() {
@@ -397,7 +454,7 @@
                   1_000,
                   listing.startedEpochMs())),
           nowMs);
-      assertThat(progressAfterLossOf(start.workerId())).isEmpty();
+      assertThat(progressAfterLossOf(start.workerId(), ReportFailure.OTHER_PROCESS)).isEmpty();
     }
 
     /** Guards against giving up tasks because the path to their workers is reset for a while. */
