Stop the runs of a cancelled job that a report lists before their start is answered

Cause: one flag stood for two reasons to stop a run: that it is not wanted, and that the outcome of its start is unknown. A report that lists the run ends only the second reason, but cleared the flag, also if a cancellation had set it while the answer to the start was pending. Nothing set it again.

In virtual time the events start, cancellation, report leave no stop order; without the report the stop follows. That rules out a cancellation that misses pending starts, and lost stops.

Change: Attempt keeps the two reasons apart. A stop that an unhealthy worker rejects before a report lists the run took the same way and is mended with it.

Tests: shouldStopATaskThatIsListedBeforeItsStartIsAnswered and shouldStopATaskAgainWhoseStopWasRejected failed before.

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -68,8 +68,11 @@
   /** Whether the run is stopped because it made no progress, which its worker causes. */
   boolean isStalled;
 
-  /** Whether the run should be stopped. */
-  boolean isStopWanted;
+  /** Whether the run should end, whatever becomes known of its start. */
+  private boolean isUnwanted;
+
+  /** Whether the run is stopped only because the outcome of its start is unknown. */
+  private boolean isStoppedAsUnanswered;
 
   /**
    * Local time until which an unanswered start is looked up in the worker's reports before it is
@@ -130,11 +133,35 @@
     }
     if (phase == Phase.UNANSWERED) {
       confirmedAtMs = -1;
-      isStopWanted = true;
+      stopAsUnanswered();
     }
     isOfNextIncarnation = false;
   }
 
+  /** Makes the run end, whatever becomes known of its start. */
+  void stop() {
+    isUnwanted = true;
+  }
+
+  /** Makes the run end unless a report shows that it has begun before its stop is ordered. */
+  void stopAsUnanswered() {
+    isStoppedAsUnanswered = true;
+  }
+
+  /** Returns whether the run should be stopped. */
+  boolean isStopWanted() {
+    return isUnwanted || isStoppedAsUnanswered;
+  }
+
+  /**
+   * Records that a report has shown the outcome of the start: the run goes on. It is stopped all
+   * the same if that is wanted for another reason, or if a stop may have reached the worker.
+   */
+  void onStartShown() {
+    isUnwanted |= isStoppedAsUnanswered && (isStopInFlight || isStopConfirmed);
+    isStoppedAsUnanswered = false;
+  }
+
   /** Returns whether a suspect's run is awaited to show that it has survived its start. */
   boolean isSurvivalUnknown(long nowMs) {
     return task.isSuspect
@@ -145,7 +172,7 @@
 
   /** Returns whether a report is awaited that shows whether an unanswered start has begun. */
   boolean isLookedUp() {
-    return phase == Phase.UNANSWERED && !isStopWanted;
+    return phase == Phase.UNANSWERED && !isStopWanted();
   }
 
   /**
@@ -154,7 +181,7 @@
    */
   boolean isAvailable() {
     return phase == Phase.RUNNING
-        && !isStopWanted
+        && !isStopWanted()
         && worker.missedReports == 0
         && (!task.step.spec.isLongRunning() || percent >= 100);
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -124,7 +124,9 @@
       case UNKNOWN -> {
         attempt.phase = Attempt.Phase.UNANSWERED;
         // A long-running task that has begun serves callers already, so it is looked up first.
-        attempt.isStopWanted |= !attempt.task.step.spec.isLongRunning();
+        if (!attempt.task.step.spec.isLongRunning()) {
+          attempt.stopAsUnanswered();
+        }
         attempt.lookUpDeadlineAtMs = nowMs + LOOK_UP_MS;
         attempt.isStartUncertain = true;
         worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + REFUSAL_PAUSE_MS);
@@ -232,7 +234,9 @@
   /** Marks unanswered starts to be stopped that no report has shown in time. */
   static void endLookUps(Worker worker, long nowMs) {
     for (Attempt attempt : worker.attempts.values()) {
-      attempt.isStopWanted |= attempt.isLookedUp() && nowMs >= attempt.lookUpDeadlineAtMs;
+      if (attempt.isLookedUp() && nowMs >= attempt.lookUpDeadlineAtMs) {
+        attempt.stopAsUnanswered();
+      }
     }
   }
 
@@ -264,7 +268,7 @@
           && attempt.isLookedUp()
           && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
         // The worker may still execute the start until its deadline.
-        attempt.isStopWanted = true;
+        attempt.stopAsUnanswered();
       }
     }
   }
@@ -289,8 +293,7 @@
       attempt.phase = Attempt.Phase.RUNNING;
       attempt.confirmedClockMs = workerClockMs;
       attempt.confirmedAtMs = nowMs;
-      // An unanswered start was to be stopped only because its outcome was unknown.
-      attempt.isStopWanted &= attempt.isStopInFlight || attempt.isStopConfirmed;
+      attempt.onStartShown();
     }
     if (running.percent() != attempt.percent) {
       attempt.percent = running.percent();
@@ -326,7 +329,7 @@
       task.attempt = attempt;
       task.step.job.hasStarted = true;
     } else {
-      attempt.isStopWanted = true;
+      attempt.stop();
     }
     attempt.phase = Attempt.Phase.RUNNING;
     attempt.isStartUncertain = true;
@@ -366,7 +369,7 @@
   private long onEnd(Worker worker, EndedTask ended, long requestedAtMs, long nowMs) {
     Attempt attempt = worker.attempts.get(Worker.attemptKey(ended.taskName(), ended.run()));
     Task task = attempt == null ? findTask(ended.taskName()) : attempt.task;
-    boolean isStopOrdered = attempt != null && attempt.isStopWanted;
+    boolean isStopOrdered = attempt != null && attempt.isStopWanted();
     if (attempt != null) {
       unregister(attempt);
     }
@@ -413,7 +416,7 @@
       step.markDone(task);
     }
     if (task.attempt != null) {
-      task.attempt.isStopWanted = true;
+      task.attempt.stop();
     }
     step.job.removeDoneOccurrences();
     return changes.add(step.job);
@@ -453,7 +456,7 @@
       for (Step step : steps) {
         for (Task task : step.tasks) {
           if (task.attempt != null) {
-            task.attempt.isStopWanted = true;
+            task.attempt.stop();
           }
         }
       }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -648,7 +648,7 @@
           && attempt.isAvailable()
           && mayInterrupt(step)
           && placement.hasCapacityFor(attempt.task)) {
-        attempt.isStopWanted = true;
+        attempt.stop();
       }
     }
   }
@@ -707,7 +707,7 @@
     for (Worker worker : workers.all()) {
       RunTracker.endLookUps(worker, nowMs);
       for (Attempt attempt : worker.attempts.values()) {
-        if (attempt.isStopWanted
+        if (attempt.isStopWanted()
             && !attempt.isStopConfirmed
             && !attempt.isStopInFlight
             && attempt.phase != Attempt.Phase.ORDERED
--- a/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StragglerDetector.java
@@ -67,7 +67,7 @@
                     / (attempt.task.step.predict(runTimes).expectedMs()
                         * learner.remoteFactor(attempt)));
         attempt.isStalled = verdict == Verdict.STALLED;
-        attempt.isStopWanted = true;
+        attempt.stop();
         attempt.task.stragglingRuns++;
         attempt.task.avoidedWorker = worker.id;
       }
@@ -77,7 +77,7 @@
   private static boolean isWatched(Attempt attempt) {
     Step step = attempt.task.step;
     return attempt.phase == Attempt.Phase.RUNNING
-        && !attempt.isStopWanted
+        && !attempt.isStopWanted()
         && attempt.task.attempt == attempt
         && !step.spec.isLongRunning()
         && !step.spec.isGang();
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -610,6 +610,49 @@
   @Nested
   class WhenAJobIsCancelled {
 
+    private Order.Start startUnanswered() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.longRunningStep(1, 0, 0)), nowMs);
+      Order.Start start = starts().get(0);
+      worker(start)
+          .start(start, 1, new Behaviour(Long.MAX_VALUE / 4, false, Resources.NONE), nowMs);
+      return start;
+    }
+
+    private Order.Stop stopOf(Order.Start start) {
+      return new Order.Stop(start.workerId(), start.taskName(), start.run());
+    }
+
+    /**
+     * Guards against a task of a cancelled job that runs on because a report lists it before its
+     * start is answered, so that the owner takes the outcome of the start for the reason to stop.
+     */
+    @Test
+    void shouldStopATaskThatIsListedBeforeItsStartIsAnswered() {
+      Order.Start start = startUnanswered();
+      scheduler.cancel("a");
+      nowMs += 50;
+      report(worker(start), 1);
+      assertThat(decide()).containsExactly(stopOf(start));
+      scheduler.onStartReply(start, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      scheduler.onStopReply(stopOf(start), new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      nowMs += 1_000;
+      report(worker(start), 1);
+      assertThat(decide()).containsExactly(stopOf(start));
+    }
+
+    /** Guards against forgetting a stop that an unhealthy worker has rejected. */
+    @Test
+    void shouldStopATaskAgainWhoseStopWasRejected() {
+      Order.Start start = startUnanswered();
+      scheduler.onStartReply(start, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      scheduler.cancel("a");
+      assertThat(decide()).containsExactly(stopOf(start));
+      scheduler.onStopReply(stopOf(start), new OrderReply(Outcome.UNHEALTHY, -1), nowMs);
+      nowMs += 1_000;
+      report(worker(start), 1);
+      assertThat(decide()).containsExactly(stopOf(start));
+    }
+
     @Test
     void shouldStopItsTasksAndStartNoMore() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(2, 1_000)), nowMs);
--- a/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
@@ -112,7 +112,7 @@
       worker.add(attempt);
     }
     detector.check(worker, 940);
-    return worker.attempts.values().stream().filter(attempt -> attempt.isStopWanted).count();
+    return worker.attempts.values().stream().filter(attempt -> attempt.isStopWanted()).count();
   }
 
   private static WorkerReport withProgress(
