Measure leases and authority by the boot time clock, not by steps of the wall clock

Its worker is cut off and runs on under its lease, the wall clock of the owner's instance is set 2 s ahead, and the owner starts the task elsewhere about 2 s before the lease has expired.

Cause: SuspendAwareClock took an advance of the wall clock beyond the monotonic clock for a suspension of the instance, since Java offers no clock that counts suspensions. Setting the clock looks the same; setting it back during a suspension hid that. Owner.onEarlierOwnerStopped shortened a wait by the difference of two daemons' wall clocks.

Leases of workers are instants on their steady clocks, and the records of a handover hold remainders, so neither is the cause.

Change: BootTimeClock reads CLOCK_BOOTTIME through JNA. The age of the earlier owner's claim counts from when this daemon first saw its term.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
@@ -15,7 +15,8 @@
  * @param port port at which other daemons reach it
  * @param renewalNumber number of the renewal within the term
  * @param isReleased whether the holder has released the ownership
- * @param claimedEpochMs when it was claimed, in Unix milliseconds
+ * @param claimedEpochMs when it was claimed by the holder's wall clock, in Unix milliseconds; no
+ *     decision depends on it, because wall clocks differ and are set
  * @param successor name of the process to which a released ownership has been offered and that has
  *     accepted it; otherwise empty
  */
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -52,6 +52,10 @@
   private static final long READ_AFTER_SILENCE_MS = 700;
 
   private Optional<OwnerRecord> newest = Optional.empty();
+
+  /** Local time at which this daemon first knew of the newest term. */
+  private long termSeenAtMs;
+
   private long endOffset = -1;
   private long silentSinceMs;
   private long lastReadAtMs = Long.MIN_VALUE / 2;
@@ -81,6 +85,7 @@
     }
     if (record.isPresent() && newest.map(old -> old.term() != record.get().term()).orElse(true)) {
       isOwnerProcessTerminated = false;
+      termSeenAtMs = nowMs;
     }
     newest = record.isPresent() ? record : newest;
     endOffset = newEndOffset;
@@ -146,6 +151,7 @@
   /** Records an ownership that its holder has announced; it must be newer than the one known. */
   public void onAnnounced(OwnerRecord record, long nowMs) {
     newest = Optional.of(record);
+    termSeenAtMs = nowMs;
     isOwnerProcessTerminated = false;
     heartbeatRenewalNumber = record.renewalNumber();
     heartbeatAtMs = nowMs;
@@ -170,6 +176,14 @@
     return newest;
   }
 
+  /**
+   * Returns the local time at which this daemon first knew of the newest term, so that it was
+   * claimed then or earlier.
+   */
+  public long termSeenAtMs() {
+    return termSeenAtMs;
+  }
+
   /** Returns the end offset of the log at the last read; -1 before the first read. */
   public long endOffset() {
     return endOffset;
--- a/src/main/java/org/laburnumarch/internal/node/Announcer.java
+++ b/src/main/java/org/laburnumarch/internal/node/Announcer.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.lead.OwnerTenure;
@@ -35,7 +34,7 @@
   private final NodeSettings settings;
   private final OwnerTenure tenure;
   private final Optional<OwnerRecord> earlier;
-  private final Consumer<OwnerRecord> onEarlierOwnerStopped;
+  private final Runnable onEarlierOwnerStopped;
   private final Map<String, LinkClient> connections = new HashMap<>();
   private boolean isEarlierOwnerStopped;
   private boolean isClosed;
@@ -46,7 +45,7 @@
       NodeSettings settings,
       OwnerTenure tenure,
       Optional<OwnerRecord> earlier,
-      Consumer<OwnerRecord> onEarlierOwnerStopped) {
+      Runnable onEarlierOwnerStopped) {
     this.store = store;
     this.loop = loop;
 
@@ -99,7 +98,7 @@
           "owner: event=earlier-stopped term={} holder={}",
           earlier.get().term(),
           earlier.get().holder());
-      onEarlierOwnerStopped.accept(earlier.get());
+      onEarlierOwnerStopped.run();
     }
     return state;
   }
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -28,8 +28,13 @@
   /** Receives changes of the ownership. */
   interface Listener {
 
-    /** This daemon owns the fleet from now on. */
-    void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier);
+    /**
+     * This daemon owns the fleet from now on.
+     *
+     * @param earlier the newest record of the earlier owner, if there was one
+     * @param earlierSeenAtMs local time at which this daemon first knew of the earlier ownership
+     */
+    void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier, long earlierSeenAtMs);
 
     /** This daemon does not own the fleet any more. */
     void onOwnershipLost();
@@ -285,17 +290,23 @@
   private void claim(long nowMs) {
     OwnerRecord claim = watch.claim(holder, host, port, clock.epochMs());
     Optional<OwnerRecord> earlier = watch.newest();
+    long earlierSeenAtMs = watch.termSeenAtMs();
     write(
         claim,
         watch.endOffset(),
         result -> {
           if (result.outcome() == WriteOutcome.STORED) {
-            gain(claim, nowMs, result.endOffset(), earlier);
+            gain(claim, nowMs, result.endOffset(), earlier, earlierSeenAtMs);
           }
         });
   }
 
-  private void gain(OwnerRecord claim, long sentAtMs, long newEnd, Optional<OwnerRecord> earlier) {
+  private void gain(
+      OwnerRecord claim,
+      long sentAtMs,
+      long newEnd,
+      Optional<OwnerRecord> earlier,
+      long earlierSeenAtMs) {
     endOffset = newEnd;
     lastRenewalAttemptMs = sentAtMs;
     OwnerTenure gained = new OwnerTenure(claim, sentAtMs);
@@ -305,7 +316,7 @@
         claim.term(),
         holder,
         ClaimCause.of(earlier, holder));
-    listener.onOwnershipGained(gained, earlier);
+    listener.onOwnershipGained(gained, earlier, earlierSeenAtMs);
   }
 
   private void renew(long nowMs) {
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -285,7 +285,8 @@
 
   private final class ElectionListener implements Election.Listener {
     @Override
-    public void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier) {
+    public void onOwnershipGained(
+        OwnerTenure tenure, Optional<OwnerRecord> earlier, long earlierSeenAtMs) {
       meters.count("ownerships_total", "gained");
       meters.count("ownership_causes_total", ClaimCause.of(earlier, holder).name());
       offers.onGained();
@@ -300,12 +301,15 @@
               operators,
               tenure,
               earlier,
+              earlierSeenAtMs,
               meters,
               new OwnerListener());
       owner = Optional.of(created);
       router.useOwner(owner);
       created.start();
-      earlier.filter(candidate::hasStopped).ifPresent(created::onEarlierOwnerStopped);
+      if (earlier.filter(candidate::hasStopped).isPresent()) {
+        created.onEarlierOwnerStopped();
+      }
       announcer.ifPresent(Announcer::close);
       Announcer started =
           new Announcer(
@@ -314,9 +318,9 @@
               settings,
               tenure,
               earlier,
-              stopped -> {
+              () -> {
                 if (owner.isPresent() && owner.get() == created) {
-                  created.onEarlierOwnerStopped(stopped);
+                  created.onEarlierOwnerStopped();
                 }
               });
       announcer = Optional.of(started);
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -81,6 +81,7 @@
   private final JobStore jobs;
   private final HandoverLog handoverLog;
   private final Optional<OwnerRecord> earlier;
+  private final long earlierSeenAtMs;
   private final OwnerLoad load;
   private final WorkerDriver driver;
   private final AdmissionControl admission;
@@ -104,6 +105,7 @@
       OperatorWatch operators,
       OwnerTenure tenure,
       Optional<OwnerRecord> earlier,
+      long earlierSeenAtMs,
       Meters meters,
       Listener listener) {
     this.loop = loop;
@@ -113,6 +115,7 @@
     this.meters = meters;
     this.listener = listener;
     this.earlier = earlier;
+    this.earlierSeenAtMs = earlierSeenAtMs;
     this.handoverLog = new HandoverLog(store, loop, settings.maxRecordBytes());
     this.scheduler =
         new Scheduler(
@@ -185,10 +188,8 @@
   }
 
   /** Records that the earlier owner has certainly stopped sending orders. */
-  void onEarlierOwnerStopped(OwnerRecord earlier) {
-    long nowMs = clock.nowMs();
-    long claimedAgoMs = Math.max(0, clock.epochMs() - earlier.claimedEpochMs());
-    scheduler.onEarlierOwnerStopped(nowMs - claimedAgoMs, nowMs);
+  void onEarlierOwnerStopped() {
+    scheduler.onEarlierOwnerStopped(earlierSeenAtMs, clock.nowMs());
     machineController.ifPresent(MachineController::onEarlierOwnerStopped);
     scheduleRound();
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -147,7 +147,7 @@
   /**
    * Records that the earlier owner has certainly stopped giving orders.
    *
-   * @param earlierClaimedAtMs local time at which the earlier owner claimed its ownership
+   * @param earlierClaimedAtMs local time by which the earlier owner had claimed its ownership
    */
   public void onEarlierOwnerStopped(long earlierClaimedAtMs, long nowMs) {
     takeoverGuard.onEarlierOwnerStopped(earlierClaimedAtMs, nowMs);
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/time/BootTimeClock.java
@@ -0,0 +1,71 @@
+package org.laburnumarch.internal.time;
+
+import com.sun.jna.Memory;
+import com.sun.jna.Native;
+import com.sun.jna.NativeLibrary;
+import com.sun.jna.Pointer;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * The kernel's clock of the time since the instance was booted. It goes on while the instance is
+ * suspended, and nobody can set it. Java has no clock of this kind. Used on one thread only.
+ */
+final class BootTimeClock implements MonotonicClock {
+
+  /** Number of {@code CLOCK_BOOTTIME} in the kernel's interface. */
+  private static final int CLOCK_BOOTTIME = 7;
+
+  private static final int SECONDS_OFFSET = 0;
+  private static final int NANOSECONDS_OFFSET = Long.BYTES;
+
+  private final Memory reading = new Memory(2L * Long.BYTES);
+
+  private BootTimeClock() {}
+
+  /**
+   * Returns the clock, or the monotonic clock on operating systems without it. The monotonic clock
+   * does not show how long the instance was suspended.
+   */
+  static MonotonicClock openOrMonotonic() {
+    try {
+      if (!LibC.isRegistered()) {
+        LibC.register();
+      }
+      BootTimeClock clock = new BootTimeClock();
+      if (LibC.clock_gettime(CLOCK_BOOTTIME, clock.reading) == 0) {
+        return clock;
+      }
+    } catch (LinkageError e) {
+      Logger.debug(e);
+    }
+    Logger.warn("time: event=no-boot-time-clock effect=\"suspensions of the instance go unseen\"");
+    return MonotonicClock.system();
+  }
+
+  @Override
+  public long nowMs() {
+    if (LibC.clock_gettime(CLOCK_BOOTTIME, reading) != 0) {
+      throw new IllegalStateException("the boot time clock cannot be read");
+    }
+    return TimeUnit.SECONDS.toMillis(reading.getLong(SECONDS_OFFSET))
+        + TimeUnit.NANOSECONDS.toMillis(reading.getLong(NANOSECONDS_OFFSET));
+  }
+
+  /** The function of the C library. */
+  private static final class LibC {
+
+    private LibC() {}
+
+    static boolean isRegistered() {
+      return Native.registered(LibC.class);
+    }
+
+    static void register() {
+      Native.register(LibC.class, NativeLibrary.getProcess());
+    }
+
+    @SuppressWarnings("MemberName")
+    static native int clock_gettime(int clock, Pointer time);
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/time/SuspendAwareClock.java
+++ b/src/main/java/org/laburnumarch/internal/time/SuspendAwareClock.java
@@ -1,39 +1,44 @@
 package org.laburnumarch.internal.time;
 
-import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * A local clock that never goes back and includes the time during which the instance was suspended.
  *
- * <p>The monotonic clock of a suspended instance stops; the wall clock does not. If the wall clock
- * has advanced further than the monotonic clock since the last reading, by more than the tolerance,
- * its advance counts as the elapsed time. Used on one thread only.
+ * <p>It does not follow the wall clock, which may be set at any time, in either direction: leases
+ * of workers and the authority of an owner are measured by this clock, and must neither be cut
+ * short nor prolonged by that. Used on one thread only.
  */
 public final class SuspendAwareClock {
 
-  /** Difference that adjustments of the wall clock may cause without a suspension. */
-  private static final long TOLERANCE_MS = 400;
+  private final MonotonicClock elapsed;
+  private final LongSupplier wallClock;
+  private final long originMs;
 
-  private long monotonicMs = monotonicNowMs();
-  private long epochMs = System.currentTimeMillis();
-  private long nowMs = epochMs;
+  /** Creates a clock of the operating system. */
+  public SuspendAwareClock() {
+    this(BootTimeClock.openOrMonotonic(), System::currentTimeMillis);
+  }
+
+  /**
+   * Creates a clock.
+   *
+   * @param elapsed measures the time that has passed, suspensions included
+   * @param wallClock returns the time of day in Unix milliseconds
+   */
+  SuspendAwareClock(MonotonicClock elapsed, LongSupplier wallClock) {
+    this.elapsed = elapsed;
+    this.wallClock = wallClock;
+    this.originMs = wallClock.getAsLong() - elapsed.nowMs();
+  }
 
   /** Returns the current instant of this clock in milliseconds; only differences are meaningful. */
   public long nowMs() {
-    long monotonicPassedMs = monotonicNowMs() - monotonicMs;
-    long epochPassedMs = System.currentTimeMillis() - epochMs;
-    monotonicMs += monotonicPassedMs;
-    epochMs += epochPassedMs;
-    nowMs += epochPassedMs > monotonicPassedMs + TOLERANCE_MS ? epochPassedMs : monotonicPassedMs;
-    return nowMs;
+    return originMs + elapsed.nowMs();
   }
 
   /** Returns the wall clock in Unix milliseconds. */
   public long epochMs() {
-    return System.currentTimeMillis();
-  }
-
-  private static long monotonicNowMs() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    return wallClock.getAsLong();
   }
 }
--- a/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -45,6 +45,27 @@
     }
   }
 
+  @Nested
+  class TheTimeOfAClaim {
+
+    /**
+     * Guards against a claim that counts as older than it is, because the wall clocks of its holder
+     * and of this daemon differ: leases of the owner before it would count as expired too early.
+     */
+    @Test
+    void shouldBeTheLocalTimeAtWhichItsTermWasFirstSeen() {
+      readUntil(OWNER, 10_000, 12_000);
+      assertThat(watch.termSeenAtMs()).isEqualTo(10_000);
+      watch.onAnnounced(new OwnerRecord(5, "south-1/3", "127.0.0.1", 7000, 0, false, 1), 12_500);
+      watch.onHeartbeat(0, 0, 12_600);
+      assertThat(watch.termSeenAtMs()).isEqualTo(12_500);
+      OwnerRecord later = new OwnerRecord(6, "north-1/17", "127.0.0.1", 7000, 0, false, 1);
+      readUntil(later, 13_000, 14_000);
+      readUntil(later.renewed(), 14_100, 15_000);
+      assertThat(watch.termSeenAtMs()).isEqualTo(13_000);
+    }
+  }
+
   @Nested
   class WithAnOwner {
 
