Refuse registry entries with numbers out of range or ids that are no words

Reported by operators of other systems: one odd entry of another writer among the workers, very deeply nested, with a number too large or a port out of range, and the machines that read the list end or stop following it.

Seen here: no daemon ends or stops following. Nesting and ports above 65535 were refused. But a capacity of 400 digits, an infinite or a negative one was taken, wrapped or as the largest number, and so was an id with a line break, which goes into a header. Such a worker was enrolled, asked for reports and counted in its pool, whose demand is estimated by the size of its first worker.

Cause: Json.number converted any number to 64 bits without a check of its range, and decodeWorker took what it got.

Tests: 15 of 21 examples in StoreRecordsTest.RegistryEntriesOfOtherWriters failed before, and DaemonProcessTest with five such entries; they pass now.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerTenure;
 import org.laburnumarch.internal.metrics.Meters;
@@ -44,6 +45,8 @@
   /** Pause after a read that returned records; each worker writes to the registry every 1.5 s. */
   private static final long REGISTRY_PAUSE_MS = 120;
 
+  private static final Pattern NOT_PRINTABLE = Pattern.compile("[^ -~]");
+
   private record Connection(WorkerListing listing, WorkerClient client) {}
 
   private final EventLoopThread loop;
@@ -147,7 +150,10 @@
     } catch (MalformedMessageException e) {
       listings.remove(id);
       if (loggedAsUnreadable.add(id)) {
-        Logger.warn("workers: event=unreadable worker={} cause={}", id, e.getMessage());
+        Logger.warn(
+            "workers: event=unreadable worker={} cause={}",
+            NOT_PRINTABLE.matcher(id).replaceAll("?"),
+            e.getMessage());
       }
     }
   }
--- a/src/main/java/org/laburnumarch/internal/platform/Json.java
+++ b/src/main/java/org/laburnumarch/internal/platform/Json.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.regex.Pattern;
 
 /**
  * Encodes and decodes JSON bodies. A field of the wrong type is always an error; only a missing or
@@ -16,6 +17,8 @@
 public final class Json {
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Pattern PORT = Pattern.compile("[1-9][0-9]{0,4}");
+  private static final int MAX_PORT = 65_535;
 
   private Json() {}
 
@@ -60,8 +63,8 @@
 
   static long number(JsonNode node, String field) throws MalformedMessageException {
     JsonNode value = node.get(field);
-    if (value == null || !value.isNumber()) {
-      throw new MalformedMessageException(field + " must be a number");
+    if (value == null || !value.isNumber() || !value.canConvertToLong()) {
+      throw new MalformedMessageException(field + " must be a number of at most 64 bits");
     }
     return value.longValue();
   }
@@ -77,8 +80,8 @@
       return defaultValue;
     }
     JsonNode value = node.get(field);
-    if (!value.isNumber()) {
-      throw new MalformedMessageException(field + " must be a number");
+    if (!value.isNumber() || !Double.isFinite(value.doubleValue())) {
+      throw new MalformedMessageException(field + " must be a finite number");
     }
     return value.doubleValue();
   }
@@ -102,15 +105,14 @@
   /** Parses an address of the form {@code ip:port}. */
   static InetSocketAddress address(String text) throws MalformedMessageException {
     int colon = text.lastIndexOf(':');
+    String ip = text.substring(0, Math.max(0, colon));
+    String port = text.substring(colon + 1);
     // A host name would be looked up on the event loop.
-    if (!NetUtil.isValidIpV4Address(text.substring(0, Math.max(0, colon)))) {
-      throw new MalformedMessageException(text + " is not an address of the form ip:port");
-    }
-    try {
-      return new InetSocketAddress(
-          text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1)));
-    } catch (IllegalArgumentException e) {
-      throw new MalformedMessageException(text + " is not an address of the form ip:port");
+    if (!NetUtil.isValidIpV4Address(ip)
+        || !PORT.matcher(port).matches()
+        || Integer.parseInt(port) > MAX_PORT) {
+      throw new MalformedMessageException("an address must have the form ip:port");
     }
+    return new InetSocketAddress(ip, Integer.parseInt(port));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/platform/StoreRecords.java
+++ b/src/main/java/org/laburnumarch/internal/platform/StoreRecords.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.FleetConfig.CallerLimits;
 import org.laburnumarch.internal.job.QueueConfig;
@@ -32,6 +33,14 @@
   private static final String DRAINING = "draining";
   private static final String READY = "ready";
 
+  /** An id becomes part of a header of each request to its worker. */
+  private static final Pattern WORKER_ID = Pattern.compile("[!-~]+");
+
+  /** Largest amount of a worker's capacity; sums over all workers stay far below 64 bits. */
+  private static final long MAX_AMOUNT = 1_000_000_000_000L;
+
+  private static final Resources MAX_CAPACITY = new Resources(MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT);
+
   private StoreRecords() {}
 
   /** Decodes the configuration. */
@@ -134,28 +143,53 @@
    */
   public static WorkerListing decodeWorker(String id, byte[] value)
       throws MalformedMessageException {
+    if (!WORKER_ID.matcher(id).matches()) {
+      throw new MalformedMessageException("the id must be a word of ASCII characters");
+    }
     JsonNode root = Json.parse(value);
     String state = Json.text(root, "state");
     if (!state.equals(READY) && !state.equals(DRAINING)) {
       throw new MalformedMessageException("unknown worker state " + state);
     }
-    JsonNode capacity = root.path("capacity");
-    if (!capacity.isObject()) {
-      throw new MalformedMessageException("capacity must be a JSON object");
-    }
-    List<String> labels = new ArrayList<>();
-    for (JsonNode label : root.path("labels")) {
-      labels.add(label.asText());
-    }
     return new WorkerListing(
         id,
         Json.text(root, "service"),
         Json.address(Json.text(root, "address")),
         Json.text(root, "zone"),
-        resources(capacity),
-        labels,
+        capacity(root),
+        labels(root),
         state.equals(DRAINING),
         Json.numberOr(root, "remainingMs", 0),
         Json.numberOr(root, "born", 0));
   }
+
+  private static Resources capacity(JsonNode root) throws MalformedMessageException {
+    JsonNode node = root.path("capacity");
+    if (!node.isObject()) {
+      throw new MalformedMessageException("capacity must be a JSON object");
+    }
+    Resources capacity = resources(node);
+    if (!MAX_CAPACITY.holds(capacity) || !capacity.holds(Resources.NONE)) {
+      throw new MalformedMessageException("capacity must be from 0 to " + MAX_AMOUNT);
+    }
+    return capacity;
+  }
+
+  private static List<String> labels(JsonNode root) throws MalformedMessageException {
+    if (Json.isAbsent(root, "labels")) {
+      return List.of();
+    }
+    JsonNode node = root.get("labels");
+    if (!node.isArray()) {
+      throw new MalformedMessageException("labels must be a list");
+    }
+    List<String> labels = new ArrayList<>();
+    for (JsonNode label : node) {
+      if (!label.isTextual()) {
+        throw new MalformedMessageException("labels must be texts");
+      }
+      labels.add(label.textValue());
+    }
+    return labels;
+  }
 }
--- a/src/test/java/org/laburnumarch/internal/platform/StoreRecordsTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/StoreRecordsTest.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.Resources;
@@ -76,6 +78,62 @@
     }
   }
 
+  @Nested
+  class RegistryEntriesOfOtherWriters {
+
+    private static final String NESTED = "[".repeat(100_000) + "]".repeat(100_000);
+    private static final String HUGE_NUMBER = "99999999999999999999999999999999999999999999";
+
+    private static void assertRefused(String id, String entry) {
+      assertThatThrownBy(() -> StoreRecords.decodeWorker(id, bytes(entry)))
+          .isInstanceOf(MalformedMessageException.class);
+    }
+
+    private static String entry(String address, String cpu, String labels) {
+      return "{'service':'s','address':'"
+          + address
+          + "','zone':'z','state':'ready','labels':"
+          + labels
+          + ",'capacity':{'cpu':"
+          + cpu
+          + ",'memMb':100,'gpus':0},'born':17}";
+    }
+
+    /** Guards against a worker with a capacity that overflows, and so distorts its whole pool. */
+    @ParameterizedTest
+    @ValueSource(strings = {HUGE_NUMBER, "1e400", "-1e400", "-1", "9223372036854775807", "{}"})
+    void shouldBeRefusedIfANumberIsOutOfRange(String cpu) {
+      assertRefused("i-1", entry("10.0.0.1:80", cpu, "[]"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:" + HUGE_NUMBER, ":80"})
+    void shouldBeRefusedIfTheAddressIsNone(String address) {
+      assertRefused("i-1", entry(address, "16000", "[]"));
+    }
+
+    /** Guards against a stack overflow, which ends the reading of the registry. */
+    @Test
+    void shouldBeRefusedIfTheyAreNestedVeryDeeply() {
+      assertRefused("i-1", NESTED);
+      assertRefused("i-1", entry("10.0.0.1:80", "16000", NESTED));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"'a'", "[1]", "[[]]", "{}"})
+    void shouldBeRefusedIfLabelsAreNoTexts(String labels) {
+      assertRefused("i-1", entry("10.0.0.1:80", "16000", labels));
+    }
+
+    /** Guards against an id that adds headers to the orders for its worker, or lines to the log. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "i 1", "i\n1", "i\r\nX-Other: 1", "\u00fc"})
+    void shouldBeRefusedIfTheIdIsNoWord(String id) {
+      assertRefused(id, entry("10.0.0.1:80", "16000", "[]"));
+    }
+  }
+
   @Nested
   class Submissions {
 
--- a/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
@@ -5,10 +5,12 @@
 
 import io.servicetalk.http.api.HttpRequestMethod;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -25,6 +27,7 @@
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.CallerClient;
+import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
 import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.time.SuspendAwareClock;
@@ -182,6 +185,70 @@
     }
   }
 
+  @Nested
+  class WhenAnotherWriterLeavesEntriesInTheRegistry {
+
+    private static final String NESTED = "[".repeat(100_000) + "]".repeat(100_000);
+    private static final Map<String, String> ENTRIES =
+        Map.of(
+            "nested", NESTED,
+            "nested-field", entry("127.0.0.1:9", "8000", NESTED),
+            "number", entry("127.0.0.1:9", "1e400", "[]"),
+            "port", entry("127.0.0.1:65536", "8000", "[]"),
+            "line\nbreak", entry("127.0.0.1:9", "8000", "[]"));
+
+    private static String entry(String address, String cpu, String labels) {
+      return """
+      {"service": "%s", "address": "%s", "zone": "north", "state": "ready", "labels": %s,
+       "capacity": {"cpu": %s, "memMb": 32000, "gpus": 0}, "born": 1}
+      """
+          .formatted(PlatformStandIn.BATCH_POOL, address, labels, cpu);
+    }
+
+    private void writeEntries() {
+      ENTRIES.forEach(
+          (id, value) ->
+              fleet
+                  .platform()
+                  .store()
+                  .write(
+                      StoreClient.WORKER_REGISTRY_LOG,
+                      id,
+                      Optional.of(value.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    /**
+     * Guards against a daemon that ends, stops following the registry or uses a worker that does
+     * not exist because of an entry that is not a worker's.
+     */
+    @Test
+    void shouldCompleteAJob() throws Exception {
+      loop.call(
+          () -> {
+            writeEntries();
+            return null;
+          });
+      JobSpec job = jobOfTwoSteps("00000000000000d1");
+      checker.onSubmit(job, PlatformStandIn.BATCH_POOL);
+      try (CallerClient caller = caller(fleet.daemons().get(0))) {
+        awaitStatusCode(200, () -> statusCode(caller.submit(job, TEAM).toCompletableFuture()));
+        loop.call(
+            () -> {
+              checker.onAccepted(job.id());
+              return null;
+            });
+        awaitCompletion(caller, job);
+      }
+      assertThat(loop.call(checker::breaches)).isEmpty();
+      String owner = loop.call(() -> fleet.owner().orElseThrow().name());
+      String log = Files.readString(directory.resolve(owner + ".log"));
+      assertThat(log.lines().filter(line -> line.contains("event=unreadable")))
+          .hasSize(ENTRIES.size());
+      assertThat(log)
+          .doesNotContain("event=no-report", "event=task-failed", "event=unhandled", "event=lost");
+    }
+  }
+
   @Nested
   class Callers {
 
