Read the list of instances only for workers that refuse connections

Cause: while any worker with runs did not report, the owner read the list of all instances every 0.5 s. Silent workers gain little by it.

Change: the list is read while a worker refuses connections, and again 2 s after it has named the worker. The boot time clock reads into an array, which needs no thread of its own.

--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -41,8 +41,8 @@
   /** Least time between two requests for the list of instances. */
   private static final long LIST_EVERY_MS = 300;
 
-  /** Least time between two requests for it that only concern unreachable workers. */
-  private static final long LIST_UNREACHABLE_EVERY_MS = 500;
+  /** Least time between two requests for it that only concern workers that refuse connections. */
+  private static final long LIST_REFUSED_EVERY_MS = 500;
 
   /**
    * Number of intervals between two writes to the registry for which it may list an ended worker;
@@ -130,7 +130,7 @@
     }
     lastPlanAtMs = nowMs;
     if (permission == OrderGuard.Permission.NOTHING) {
-      requestListIfUnreachable(nowMs);
+      requestListIfRefused(nowMs);
       return;
     }
     addWaves(nowMs);
@@ -140,7 +140,7 @@
         && planner.needsList(loads, nowMs)) {
       requestList(nowMs);
     }
-    requestListIfUnreachable(nowMs);
+    requestListIfRefused(nowMs);
     FleetPlan plan =
         planner.plan(
             operators.config(),
@@ -183,11 +183,11 @@
         new WaveRecord(wave, seenEpochMs.getOrDefault(wave, 0L), planner.startedMachines(wave)));
   }
 
-  /** Reads the list of instances while only that shows whether unreachable workers have ended. */
-  private void requestListIfUnreachable(long nowMs) {
+  /** Reads the list of instances if only that shows whether workers have ended. */
+  private void requestListIfRefused(long nowMs) {
     if (!isListing
-        && nowMs - listRequestedAtMs >= LIST_UNREACHABLE_EVERY_MS
-        && scheduler.needsInstanceList()) {
+        && nowMs - listRequestedAtMs >= LIST_REFUSED_EVERY_MS
+        && scheduler.needsInstanceList(nowMs)) {
       requestList(nowMs);
     }
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -493,21 +493,19 @@
     worker.lastReportAttemptMs = nowMs;
     // The acknowledgement that the request carried may not have arrived.
     worker.sentAcknowledgement = 0;
-    if (failure.showsEndOfProcess()) {
-      worker.onEndShown(requestedAtMs);
-    }
+    worker.onReportFailed(failure, requestedAtMs);
   }
 
   /**
    * Returns whether the list of instances is needed, because only that can tell a worker whose
-   * process has ended from one that cannot be reached.
+   * process has ended from one behind a cut that refuses connections.
    */
-  public boolean needsInstanceList() {
+  public boolean needsInstanceList(long nowMs) {
     boolean isTakeoverOver = takeoverGuard.isOver(ownershipProvenAtMs);
     return workers.all().stream()
         .anyMatch(
             worker ->
-                worker.missedReports > 0
+                worker.mayBeShownAsEnded(nowMs)
                     && ((!worker.attempts.isEmpty() && !worker.hasEnded())
                         || (!isTakeoverOver
                             && takeoverGuard.isUnreported(worker, ownershipProvenAtMs))));
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -30,6 +30,9 @@
    */
   private static final int ABSENCES_FOR_PROOF = 2;
 
+  /** Time after which a list of instances that named an unreachable worker is read again. */
+  private static final long RECHECK_NAMED_MS = 2_000;
+
   /** Number of runs by which a worker's speed is judged; one long task in five is outvoted. */
   private static final int DEVIATIONS = 5;
 
@@ -108,9 +111,15 @@
    */
   private long endShownAtMs = -1;
 
+  /** Whether its address refused the last connection, so that its process may have ended. */
+  private boolean refusesConnections;
+
   /** Number of successive lists of instances that did not name it. */
   private int absences;
 
+  /** Local time before which no list of instances is needed, because the last one named it. */
+  private long namedUntilMs = Long.MIN_VALUE / 2;
+
   /** Local time at which the last report arrived or was given up as missed. */
   long lastReportAttemptMs;
 
@@ -219,6 +228,16 @@
   void onAnswer() {
     endShownAtMs = -1;
     absences = 0;
+    refusesConnections = false;
+    namedUntilMs = Long.MIN_VALUE / 2;
+  }
+
+  /** Records why it did not report. */
+  void onReportFailed(ReportFailure failure, long requestedAtMs) {
+    refusesConnections = failure == ReportFailure.CONNECTION_REFUSED;
+    if (failure.showsEndOfProcess()) {
+      onEndShown(requestedAtMs);
+    }
   }
 
   /**
@@ -226,18 +245,27 @@
    *
    * @param requestedAtMs local time at which the answer was requested
    */
-  void onEndShown(long requestedAtMs) {
+  private void onEndShown(long requestedAtMs) {
     endShownAtMs = Math.max(endShownAtMs, requestedAtMs);
   }
 
   /** Records whether a complete list of instances names the worker. */
   void onInstancesListed(boolean isNamed, long requestedAtMs) {
     absences = isNamed ? 0 : absences + 1;
+    namedUntilMs = isNamed ? requestedAtMs + RECHECK_NAMED_MS : namedUntilMs;
     if (absences >= ABSENCES_FOR_PROOF) {
       onEndShown(requestedAtMs);
     }
   }
 
+  /**
+   * Returns whether the list of instances may show that its process has ended. The list is long, so
+   * it is not read for workers that do not answer at all: most of them are behind a cut.
+   */
+  boolean mayBeShownAsEnded(long nowMs) {
+    return refusesConnections && nowMs >= namedUntilMs;
+  }
+
   /** Returns whether its process is known to have ended. */
   boolean hasEnded() {
     return endShownAtMs >= 0;
--- a/src/main/java/org/laburnumarch/internal/time/BootTimeClock.java
+++ b/src/main/java/org/laburnumarch/internal/time/BootTimeClock.java
@@ -1,9 +1,7 @@
 package org.laburnumarch.internal.time;
 
-import com.sun.jna.Memory;
 import com.sun.jna.Native;
 import com.sun.jna.NativeLibrary;
-import com.sun.jna.Pointer;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -16,10 +14,8 @@
   /** Number of {@code CLOCK_BOOTTIME} in the kernel's interface. */
   private static final int CLOCK_BOOTTIME = 7;
 
-  private static final int SECONDS_OFFSET = 0;
-  private static final int NANOSECONDS_OFFSET = Long.BYTES;
-
-  private final Memory reading = new Memory(2L * Long.BYTES);
+  /** The kernel's reading: seconds, and nanoseconds beyond them. */
+  private final long[] reading = new long[2];
 
   private BootTimeClock() {}
 
@@ -48,8 +44,7 @@
     if (LibC.clock_gettime(CLOCK_BOOTTIME, reading) != 0) {
       throw new IllegalStateException("the boot time clock cannot be read");
     }
-    return TimeUnit.SECONDS.toMillis(reading.getLong(SECONDS_OFFSET))
-        + TimeUnit.NANOSECONDS.toMillis(reading.getLong(NANOSECONDS_OFFSET));
+    return TimeUnit.SECONDS.toMillis(reading[0]) + TimeUnit.NANOSECONDS.toMillis(reading[1]);
   }
 
   /** The function of the C library. */
@@ -66,6 +61,6 @@
     }
 
     @SuppressWarnings("MemberName")
-    static native int clock_gettime(int clock, Pointer time);
+    static native int clock_gettime(int clock, long[] time);
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -65,7 +65,7 @@
           workers.values().stream().map(SimulatedWorker::listing).toList(), nowMs);
       scheduler.confirmEnrolment(scheduler.workersToEnrol());
       workers.values().forEach(this::report);
-      if (scheduler.needsInstanceList()) {
+      if (scheduler.needsInstanceList(nowMs)) {
         scheduler.onInstancesListed(workers.keySet(), nowMs);
       }
       scheduler.onOwnershipProven(nowMs);
@@ -436,6 +436,27 @@
       assertThat(progressAfterAbsencesFromTheInstances(1)).isEmpty();
     }
 
+    /**
+     * Guards against an owner on a small instance that spends its link and processor on long lists
+     * while workers are cut off.
+     */
+    @Test
+    void shouldBeLookedUpOnlySeldomWhileItCannotBeReached() {
+      Order.Start start = startUnlisted();
+      int lists = 0;
+      for (long endMs = nowMs + CUT_MS; nowMs < endMs; nowMs += 500) {
+        scheduler.onReportMissed(start.workerId(), ReportFailure.CONNECTION_REFUSED, nowMs, nowMs);
+        if (scheduler.needsInstanceList(nowMs)) {
+          lists++;
+          scheduler.onInstancesListed(workers.keySet(), nowMs);
+        }
+      }
+      assertThat(lists).isBetween(1, 3);
+      scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
+      nowMs += 10_000;
+      assertThat(scheduler.needsInstanceList(nowMs)).isFalse();
+    }
+
     /** Guards against counting a planned shutdown as a crash. */
     @Test
     void shouldNotCountAsCrashedIfItHadAnnouncedItsShutdown() {
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -139,7 +139,7 @@
   }
 
   private void listInstances() {
-    if (scheduler.needsInstanceList()) {
+    if (scheduler.needsInstanceList(nowMs)) {
       Set<String> running = new HashSet<>(workers.keySet());
       running.removeAll(departed);
       scheduler.onInstancesListed(running, nowMs);
