Keep what shows the end of a worker's process in a class of its own

Change: ProcessEvidence holds them; Worker, which is long, has one field for it. The reset on a new incarnation was called onAnswer there, although nothing has answered; it is reset now. No decision changes.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -191,7 +191,7 @@
     worker.recordClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
     worker.missedReports = 0;
-    worker.onAnswer();
+    worker.process.reset();
     worker.lastReportAttemptMs = nowMs;
     Set<String> seen = new HashSet<>();
     for (EndedTask ended : report.ended()) {
@@ -242,7 +242,7 @@
 
   /** Removes all runs of an unreachable worker on which nothing can be running any more. */
   void onLeaseExpired(Worker worker, long nowMs) {
-    if (worker.hasEnded()) {
+    if (worker.process.hasEnded()) {
       crashTracker.onCrash(worker, worker.attempts.values(), nowMs);
     }
     List.copyOf(worker.attempts.values()).forEach(this::unregister);
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -173,7 +173,7 @@
     tasks.forEach(
         (service, count) -> {
           List<Worker> unreported = takeoverGuard.unreported(workers, service, ownershipProvenAtMs);
-          int ended = (int) unreported.stream().filter(Worker::hasEnded).count();
+          int ended = (int) unreported.stream().filter(worker -> worker.process.hasEnded()).count();
           waits.add(
               new TakeoverWait(service, count, unreported.size(), ended, takeoverGuard.overAtMs()));
         });
@@ -493,7 +493,7 @@
     worker.lastReportAttemptMs = nowMs;
     // The acknowledgement that the request carried may not have arrived.
     worker.sentAcknowledgement = 0;
-    worker.onReportFailed(failure, requestedAtMs);
+    worker.process.onReportFailed(failure, requestedAtMs);
   }
 
   /**
@@ -505,8 +505,8 @@
     return workers.all().stream()
         .anyMatch(
             worker ->
-                worker.mayBeShownAsEnded(nowMs)
-                    && ((!worker.attempts.isEmpty() && !worker.hasEnded())
+                worker.process.mayBeShownAsEnded(nowMs)
+                    && ((!worker.attempts.isEmpty() && !worker.process.hasEnded())
                         || (!isTakeoverOver
                             && takeoverGuard.isUnreported(worker, ownershipProvenAtMs))));
   }
@@ -521,7 +521,7 @@
   public void onInstancesListed(Set<String> workerIds, long requestedAtMs) {
     for (Worker worker : workers.all()) {
       if (worker.missedReports > 0) {
-        worker.onInstancesListed(workerIds.contains(worker.id), requestedAtMs);
+        worker.process.onInstancesListed(workerIds.contains(worker.id), requestedAtMs);
       }
     }
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -61,7 +61,8 @@
   /** Returns whether runs of earlier owners may be going on unreported at a worker. */
   boolean isUnreported(Worker worker, long nowMs) {
     // A process that has ended has no runs, unless a later one gets orders of an earlier owner.
-    boolean hasEnded = worker.hasEndedAsShownSince(ordersOverAtMs) && nowMs >= ordersOverAtMs;
+    boolean hasEnded =
+        worker.process.hasEndedAsShownSince(ordersOverAtMs) && nowMs >= ordersOverAtMs;
     return !worker.isFenced
         && !worker.isTerminated
         && nowMs < worker.earlierRunsOverAtMs
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -24,15 +24,6 @@
   /** Lowest speed of a steady clock relative to real time. */
   private static final double SLOWEST_CLOCK = 0.98;
 
-  /**
-   * Number of successive lists of instances without a worker that prove the end of its process. The
-   * pages of one list are not a snapshot, so that a running worker may be missing from it.
-   */
-  private static final int ABSENCES_FOR_PROOF = 2;
-
-  /** Time after which a list of instances that named an unreachable worker is read again. */
-  private static final long RECHECK_NAMED_MS = 2_000;
-
   /** Number of runs by which a worker's speed is judged; one long task in five is outvoted. */
   private static final int DEVIATIONS = 5;
 
@@ -104,21 +95,7 @@
   /** Local time of the first of these. */
   long lostAtMs;
 
-  /**
-   * Local time at which the request was sent whose answer showed last that its process has ended;
-   * -1 if none has. A refused connection shows nothing: a cut path refuses connections to a process
-   * that is running, too.
-   */
-  private long endShownAtMs = -1;
-
-  /** Whether its address refused the last connection, so that its process may have ended. */
-  private boolean refusesConnections;
-
-  /** Number of successive lists of instances that did not name it. */
-  private int absences;
-
-  /** Local time before which no list of instances is needed, because the last one named it. */
-  private long namedUntilMs = Long.MIN_VALUE / 2;
+  final ProcessEvidence process = new ProcessEvidence();
 
   /** Local time at which the last report arrived or was given up as missed. */
   long lastReportAttemptMs;
@@ -221,59 +198,7 @@
     sentAcknowledgement = 0;
     unacknowledged.clear();
     isFenced = false;
-    onAnswer();
-  }
-
-  /** Records that the process has answered, so that what has shown its end was wrong or is old. */
-  void onAnswer() {
-    endShownAtMs = -1;
-    absences = 0;
-    refusesConnections = false;
-    namedUntilMs = Long.MIN_VALUE / 2;
-  }
-
-  /** Records why it did not report. */
-  void onReportFailed(ReportFailure failure, long requestedAtMs) {
-    refusesConnections = failure == ReportFailure.CONNECTION_REFUSED;
-    if (failure.showsEndOfProcess()) {
-      onEndShown(requestedAtMs);
-    }
-  }
-
-  /**
-   * Records that an answer of someone else has shown that the process has ended.
-   *
-   * @param requestedAtMs local time at which the answer was requested
-   */
-  private void onEndShown(long requestedAtMs) {
-    endShownAtMs = Math.max(endShownAtMs, requestedAtMs);
-  }
-
-  /** Records whether a complete list of instances names the worker. */
-  void onInstancesListed(boolean isNamed, long requestedAtMs) {
-    absences = isNamed ? 0 : absences + 1;
-    namedUntilMs = isNamed ? requestedAtMs + RECHECK_NAMED_MS : namedUntilMs;
-    if (absences >= ABSENCES_FOR_PROOF) {
-      onEndShown(requestedAtMs);
-    }
-  }
-
-  /**
-   * Returns whether the list of instances may show that its process has ended. The list is long, so
-   * it is not read for workers that do not answer at all: most of them are behind a cut.
-   */
-  boolean mayBeShownAsEnded(long nowMs) {
-    return refusesConnections && nowMs >= namedUntilMs;
-  }
-
-  /** Returns whether its process is known to have ended. */
-  boolean hasEnded() {
-    return endShownAtMs >= 0;
-  }
-
-  /** Returns whether a request that was sent at a local time or later has shown its end. */
-  boolean hasEndedAsShownSince(long sinceMs) {
-    return hasEnded() && endShownAtMs >= sinceMs;
+    process.reset();
   }
 
   boolean hasClock() {
@@ -300,7 +225,7 @@
 
   /** Returns whether the worker's process has ended after it had announced its shutdown. */
   boolean hasLeft() {
-    return hasEnded() && !isListed && listing.isDraining();
+    return process.hasEnded() && !isListed && listing.isDraining();
   }
 
   /** Returns the local time from which every lease of the worker has certainly expired. */
