--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -135,9 +135,7 @@
     }
     addWaves(nowMs);
     List<WorkerLoad> loads = scheduler.workerLoads(nowMs);
-    if (!isListing
-        && nowMs - listRequestedAtMs >= LIST_EVERY_MS
-        && planner.needsList(loads, nowMs)) {
+    if (mayRequestList(LIST_EVERY_MS, nowMs) && planner.needsList(loads, nowMs)) {
       requestList(nowMs);
     }
     requestListIfRefused(nowMs);
@@ -185,13 +183,15 @@
 
   /** Reads the list of instances if only that shows whether workers have ended. */
   private void requestListIfRefused(long nowMs) {
-    if (!isListing
-        && nowMs - listRequestedAtMs >= LIST_REFUSED_EVERY_MS
-        && scheduler.needsInstanceList(nowMs)) {
+    if (mayRequestList(LIST_REFUSED_EVERY_MS, nowMs) && scheduler.needsInstanceList(nowMs)) {
       requestList(nowMs);
     }
   }
 
+  private boolean mayRequestList(long minIntervalMs, long nowMs) {
+    return !isListing && nowMs - listRequestedAtMs >= minIntervalMs;
+  }
+
   private void requestList(long nowMs) {
     isListing = true;
     listRequestedAtMs = nowMs;
--- a/src/main/java/org/laburnumarch/internal/platform/Json.java
+++ b/src/main/java/org/laburnumarch/internal/platform/Json.java
@@ -106,13 +106,12 @@
   static InetSocketAddress address(String text) throws MalformedMessageException {
     int colon = text.lastIndexOf(':');
     String ip = text.substring(0, Math.max(0, colon));
-    String port = text.substring(colon + 1);
+    String portText = text.substring(colon + 1);
+    int port = PORT.matcher(portText).matches() ? Integer.parseInt(portText) : 0;
     // A host name would be looked up on the event loop.
-    if (!NetUtil.isValidIpV4Address(ip)
-        || !PORT.matcher(port).matches()
-        || Integer.parseInt(port) > MAX_PORT) {
+    if (!NetUtil.isValidIpV4Address(ip) || port == 0 || port > MAX_PORT) {
       throw new MalformedMessageException("an address must have the form ip:port");
     }
-    return new InetSocketAddress(ip, Integer.parseInt(port));
+    return new InetSocketAddress(ip, port);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/time/BootTimeClock.java
+++ b/src/main/java/org/laburnumarch/internal/time/BootTimeClock.java
@@ -25,9 +25,6 @@
    */
   static MonotonicClock openOrMonotonic() {
     try {
-      if (!LibC.isRegistered()) {
-        LibC.register();
-      }
       BootTimeClock clock = new BootTimeClock();
       if (LibC.clock_gettime(CLOCK_BOOTTIME, clock.reading) == 0) {
         return clock;
@@ -50,16 +47,12 @@
   /** The function of the C library. */
   private static final class LibC {
 
-    private LibC() {}
-
-    static boolean isRegistered() {
-      return Native.registered(LibC.class);
-    }
-
-    static void register() {
+    static {
       Native.register(LibC.class, NativeLibrary.getProcess());
     }
 
+    private LibC() {}
+
     @SuppressWarnings("MemberName")
     static native int clock_gettime(int clock, long[] time);
   }
