Model the workers that cannot be reached once in CrashingTaskTest

Cause: silent and refusing workers had a set and a block of their own, which differed in the failure that they report.

Change: one map from the worker to its failure. All tests keep their assertions.

--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -36,8 +36,7 @@
 
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final Set<String> crashing = new HashSet<>();
-  private final Set<String> silent = new HashSet<>();
-  private final Set<String> refusing = new HashSet<>();
+  private final Map<String, ReportFailure> unreachable = new HashMap<>();
   private final Map<String, Integer> startsByTask = new LinkedHashMap<>();
   private long nowMs = START_MS;
   private long runMs = RUN_MS;
@@ -76,17 +75,10 @@
 
   private void report(SimulatedWorker worker) {
     Optional<Renewal> renewal = scheduler.renewal(worker.id(), nowMs);
-    if (silent.contains(worker.id())) {
+    ReportFailure failure = unreachable.get(worker.id());
+    if (failure != null) {
       renewal.ifPresent(
-          request ->
-              scheduler.onReportMissed(request.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs));
-      return;
-    }
-    if (refusing.contains(worker.id())) {
-      renewal.ifPresent(
-          request ->
-              scheduler.onReportMissed(
-                  request.workerId(), ReportFailure.CONNECTION_REFUSED, nowMs, nowMs));
+          request -> scheduler.onReportMissed(request.workerId(), failure, nowMs, nowMs));
       return;
     }
     renewal
@@ -207,9 +199,9 @@
         playUntil(nowMs + 700);
         assertThat(scheduler.status("innocent")).as("cut %d", i).contains(JobStatus.RUNNING);
         String worker = workerOf("innocent.0.0." + i % 4);
-        refusing.add(worker);
+        unreachable.put(worker, ReportFailure.CONNECTION_REFUSED);
         playUntil(nowMs + CUT_MS);
-        refusing.remove(worker);
+        unreachable.remove(worker);
       }
       playUntil(nowMs + 2 * runMs);
       assertThat(scheduler.status("innocent")).contains(JobStatus.COMPLETED);
@@ -276,7 +268,8 @@
         acceptSmall("job" + i, 8);
       }
       playUntil(nowMs + 100);
-      silent.addAll(List.of("w3", "w4", "w5", "w6", "w7"));
+      List.of("w3", "w4", "w5", "w6", "w7")
+          .forEach(worker -> unreachable.put(worker, ReportFailure.NO_ANSWER));
       playUntil(nowMs + 100);
       List.of("w0", "w1", "w2").forEach(id -> crash(workers.get(id)));
       playUntil(nowMs + 100);
