Log and count runs that are closed without a listed end or found twice

The logs of the owner show orders, their answers and listed ends, but not why a task started again: whether a report had left its run out, its worker's leases had expired, or its worker had begun anew.

Decisions now carry run events. The owner logs them and counts closed_runs_total and duplicate_runs_total. A duplicate is a run that a worker lists while its task has another one. No decision changes.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -27,6 +27,7 @@
 import org.laburnumarch.internal.schedule.OrderReply.Outcome;
 import org.laburnumarch.internal.schedule.Renewal;
 import org.laburnumarch.internal.schedule.ReportFailure;
+import org.laburnumarch.internal.schedule.RunEvent;
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.WorkerListing;
 import org.laburnumarch.internal.schedule.WorkerReport;
@@ -170,6 +171,7 @@
   void carryOut(Decisions decisions) {
     decisions.orders().forEach(this::send);
     decisions.queries().forEach(this::requestAdvice);
+    decisions.runEvents().forEach(this::report);
     if (pacer.pollStartsHeld()) {
       meters.count("held_start_rounds_total", "link");
       load.onStartsHeld();
@@ -177,6 +179,18 @@
     pacer.report(clock.nowMs()).ifPresent(line -> Logger.info("owner: event=pacing {}", line));
   }
 
+  private void report(RunEvent event) {
+    Logger.info(
+        "orders: event={} task={} run={} worker={}",
+        event.kind(),
+        event.taskName(),
+        event.run(),
+        event.workerId());
+    meters.count(
+        event.kind().isDuplicate() ? "duplicate_runs_total" : "closed_runs_total",
+        event.kind().name());
+  }
+
   private Optional<WorkerClient> client(String workerId) {
     Optional<WorkerListing> listing = scheduler.listing(workerId);
     if (listing.isEmpty()) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Decisions.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Decisions.java
@@ -7,12 +7,14 @@
  *
  * @param orders orders to workers
  * @param queries requests to the advisory service
+ * @param runEvents what has become of runs since the last round
  */
-public record Decisions(List<Order> orders, List<AdviceQuery> queries) {
+public record Decisions(List<Order> orders, List<AdviceQuery> queries, List<RunEvent> runEvents) {
 
   /** Copies the lists. */
   public Decisions {
     orders = List.copyOf(orders);
     queries = List.copyOf(queries);
+    runEvents = List.copyOf(runEvents);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -46,6 +46,7 @@
   private final RunTimeLearner runTimeLearner;
   private final QueueLookup queues;
   private final CrashTracker crashTracker;
+  private final List<RunEvent> events = new ArrayList<>();
 
   /** Finds the configuration of a queue. */
   interface QueueLookup {
@@ -91,6 +92,23 @@
     teamUsage.add(attempt.task.step.job.spec.team(), attempt.task.step.spec.need());
   }
 
+  /** Returns what has become of runs since the last call. */
+  List<RunEvent> takeEvents() {
+    List<RunEvent> taken = List.copyOf(events);
+    events.clear();
+    return taken;
+  }
+
+  private void record(RunEvent.Kind kind, Attempt attempt) {
+    events.add(new RunEvent(kind, attempt.task.key.wireName(), attempt.run, attempt.worker.id));
+  }
+
+  /** Removes a run that counts as over although its end has not been listed. */
+  private void close(Attempt attempt, RunEvent.Kind cause) {
+    record(cause, attempt);
+    unregister(attempt);
+  }
+
   /** Removes a run that can no longer be running; its task may run again. */
   private void unregister(Attempt attempt) {
     if (attempt.worker.remove(attempt)) {
@@ -225,7 +243,7 @@
               .filter(attempt -> attempt.isListed && !attempt.isOfNextIncarnation)
               .toList();
       crashTracker.onCrash(worker, ended, nowMs);
-      ended.forEach(this::unregister);
+      ended.forEach(attempt -> close(attempt, RunEvent.Kind.CLOSED_BY_INCARNATION));
       worker.attempts.values().forEach(Attempt::onNextIncarnation);
     }
     worker.resetIncarnation(startedEpochMs, nowMs);
@@ -245,7 +263,8 @@
     if (worker.process.hasEnded()) {
       crashTracker.onCrash(worker, worker.attempts.values(), nowMs);
     }
-    List.copyOf(worker.attempts.values()).forEach(this::unregister);
+    List.copyOf(worker.attempts.values())
+        .forEach(attempt -> close(attempt, RunEvent.Kind.CLOSED_BY_LEASE));
   }
 
   private void unregisterAbsent(
@@ -263,7 +282,7 @@
         if (attempt.isOfUnknownIncarnation) {
           crashTracker.onCrash(worker, List.of(attempt), nowMs);
         }
-        unregister(attempt);
+        close(attempt, RunEvent.Kind.CLOSED_AS_NOT_LISTED);
       } else if (!seen.contains(entry.getKey())
           && attempt.isLookedUp()
           && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
@@ -325,6 +344,9 @@
     task.lastRun = Math.max(task.lastRun, running.run());
     task.hasKnownRun = true;
     boolean isWanted = task.attempt == null && !task.isDone && !task.step.job.status.isFinal();
+    if (task.attempt != null) {
+      record(RunEvent.Kind.FOUND_RUNNING_TWICE, attempt);
+    }
     if (isWanted) {
       task.attempt = attempt;
       task.step.job.hasStarted = true;
@@ -379,6 +401,10 @@
     }
     task.lastRun = Math.max(task.lastRun, ended.run());
     boolean hasNoOtherRun = task.attempt == null;
+    if (!hasNoOtherRun && ended.how() == EndKind.DONE) {
+      events.add(
+          new RunEvent(RunEvent.Kind.FOUND_DONE_TWICE, ended.taskName(), ended.run(), worker.id));
+    }
     if (hasNoOtherRun && !ended.checkpoint().isEmpty()) {
       task.checkpoint = ended.checkpoint();
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -698,7 +698,7 @@
     List<AdviceQuery> queries = new ArrayList<>();
     stopUnwanted(orders, nowMs);
     startWaiting(orders, queries, nowMs, epochMs);
-    return new Decisions(orders, queries);
+    return new Decisions(orders, queries, runTracker.takeEvents());
   }
 
   private void stopUnwanted(List<Order> orders, long nowMs) {
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -302,6 +302,32 @@
       assertThat(nowMs).isGreaterThan(grantedUntilMs).isLessThan(grantedUntilMs + 7_000);
     }
 
+    @Test
+    void shouldTellRunsThatAreClosedWithoutAnEndFromThoseThatAreFoundTwice() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      Order.Start start = starts().get(0);
+      deliver(start, 60_000, false);
+      scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
+      nowMs += 6_000;
+      scheduler.onOwnershipProven(nowMs);
+      Decisions restarted = scheduler.decide(nowMs, nowMs);
+      assertThat(restarted.runEvents())
+          .containsExactly(event(RunEvent.Kind.CLOSED_BY_LEASE, start));
+      WorkerReport late =
+          new WorkerReport(
+              worker(start).clockMs(nowMs),
+              worker(start).startedAtMs(),
+              List.of(new RunningTask(start.taskName(), start.run(), "", 50, 0)),
+              List.of());
+      scheduler.onReport(start.workerId(), late, nowMs, nowMs);
+      assertThat(scheduler.decide(nowMs, nowMs).runEvents())
+          .containsExactly(event(RunEvent.Kind.FOUND_RUNNING_TWICE, start));
+    }
+
+    private static RunEvent event(RunEvent.Kind kind, Order.Start start) {
+      return new RunEvent(kind, start.taskName(), start.run(), start.workerId());
+    }
+
     /** Runs a task on a worker that announces its shutdown and is no longer listed afterwards. */
     private SimulatedWorker startOnALeavingWorker() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
