--- /dev/null
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
@@ -0,0 +1,254 @@
+package org.laburnumarch.internal.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.StepSpec;
+import org.laburnumarch.internal.platform.standin.SimulatedWorker;
+import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
+import org.laburnumarch.internal.schedule.OrderReply.Outcome;
+
+/**
+ * Tests what the owner concludes from reports of workers that execute orders and write reports in
+ * parallel: a report's lists may be older than its clock reading, and reports may arrive in another
+ * order than they were written. In virtual time.
+ */
+class OverlappingReportsTest {
+
+  private static final long START_MS = 1_000_000;
+  private static final long TERM = 1;
+  private static final long LONG_RUN_MS = 60_000;
+
+  private final SimulatedWorker one = new SimulatedWorker("w1", TestJobs.SERVICE, "r1", START_MS);
+  private final SimulatedWorker two = new SimulatedWorker("w2", TestJobs.SERVICE, "r2", START_MS);
+  private final Map<String, SimulatedWorker> workers = Map.of(one.id(), one, two.id(), two);
+  private long nowMs = START_MS;
+  private Scheduler scheduler;
+
+  /** A report whose lists have been taken and whose clock has not been read yet. */
+  private final class PendingReport {
+    private final SimulatedWorker worker;
+    private final WorkerReport lists;
+    private final long requestedAtMs;
+
+    PendingReport(SimulatedWorker worker, long requestedAtMs) {
+      this.worker = worker;
+      this.lists = worker.renew(new Renewal(worker.id(), -1, 0, 0), TERM, nowMs);
+      this.requestedAtMs = requestedAtMs;
+    }
+
+    /** Reads the worker's clock and delivers the report. */
+    List<Order> deliver() {
+      WorkerReport report =
+          new WorkerReport(
+              worker.clockMs(nowMs), lists.startedEpochMs(), lists.running(), lists.ended());
+      nowMs++;
+      return scheduler.onReport(worker.id(), report, requestedAtMs, nowMs);
+    }
+  }
+
+  @BeforeEach
+  void createSchedulerWithTwoWorkers() {
+    scheduler = new Scheduler(TestJobs.SETTINGS, TERM, nowMs, false);
+    scheduler.configure(TestJobs.config(100_000, 2));
+    scheduler.updateWorkerListings(List.of(one.listing(), two.listing()), nowMs);
+    scheduler.confirmEnrolment(scheduler.workersToEnrol());
+    nowMs += 100;
+    reportBoth();
+  }
+
+  private void reportBoth() {
+    workers.values().forEach(worker -> new PendingReport(worker, nowMs).deliver());
+  }
+
+  private List<Order> decide() {
+    scheduler.onOwnershipProven(nowMs);
+    return scheduler.decide(nowMs, nowMs).orders();
+  }
+
+  private List<Order.Start> starts() {
+    return decide().stream()
+        .filter(Order.Start.class::isInstance)
+        .map(Order.Start.class::cast)
+        .toList();
+  }
+
+  private Order.Start startTask(StepSpec step) {
+    scheduler.accept(TestJobs.job("a", nowMs, step), nowMs);
+    return starts().get(0);
+  }
+
+  private SimulatedWorker worker(Order order) {
+    return workers.get(order.workerId());
+  }
+
+  private OrderReply execute(Order.Start start) {
+    return worker(start)
+        .start(start, TERM, new Behaviour(nowMs + LONG_RUN_MS, false, Resources.NONE), nowMs);
+  }
+
+  private OrderReply execute(Order.Stop stop) {
+    return worker(stop).stop(stop, TERM, nowMs);
+  }
+
+  private void loseReply(Order.Start start) {
+    scheduler.onStartReply(start, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+  }
+
+  private Order.Stop onlyStop() {
+    List<Order> orders = decide();
+    assertThat(orders).hasSize(1).allMatch(Order.Stop.class::isInstance);
+    return (Order.Stop) orders.get(0);
+  }
+
+  @Nested
+  class WhenAStartIsConfirmed {
+
+    @Test
+    void shouldNotRestartATaskBecauseOfAReportTakenBeforeItsStart() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      PendingReport report = new PendingReport(worker(start), nowMs - 50);
+      nowMs += 5;
+      OrderReply reply = execute(start);
+      nowMs++;
+      scheduler.onStartReply(start, reply, nowMs);
+      nowMs++;
+      report.deliver();
+      assertThat(worker(start).runningTasks()).containsExactly("a.0.0.0");
+      assertThat(starts()).isEmpty();
+    }
+
+    /** Guards against a reply whose clock was read before the run was registered. */
+    @Test
+    void shouldNotRestartATaskThatItsWorkerRegistersAfterReadingItsClock() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      long readClockMs = worker(start).clockMs(nowMs);
+      nowMs += 5;
+      PendingReport report = new PendingReport(worker(start), nowMs - 50);
+      execute(start);
+      nowMs++;
+      scheduler.onStartReply(start, new OrderReply(Outcome.OBEYED, readClockMs), nowMs);
+      report.deliver();
+      assertThat(starts()).isEmpty();
+    }
+
+    /** Guards against a task whose run has gone with its worker and that never runs again. */
+    @Test
+    void shouldRestartATaskOnceAReportRequestedAfterItsStartLacksIt() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      scheduler.onStartReply(
+          start, new OrderReply(Outcome.OBEYED, worker(start).clockMs(nowMs)), nowMs);
+      nowMs++;
+      new PendingReport(worker(start), nowMs).deliver();
+      assertThat(starts()).hasSize(1);
+    }
+  }
+
+  @Nested
+  class WhenAStartGetsNoReply {
+
+    @Test
+    void shouldNotRestartATaskBecauseOfAReportTakenBeforeItsStop() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      PendingReport report = new PendingReport(worker(start), nowMs - 50);
+      execute(start);
+      nowMs += 400;
+      loseReply(start);
+      Order.Stop stop = onlyStop();
+      nowMs++;
+      OrderReply reply = execute(stop);
+      nowMs++;
+      scheduler.onStopReply(stop, reply, nowMs);
+      report.deliver();
+      assertThat(worker(start).runningTasks()).containsExactly("a.0.0.0");
+      assertThat(starts()).isEmpty();
+    }
+
+    @Test
+    void shouldRestartATaskOnceAReportRequestedAfterItsStopLacksIt() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      nowMs += 400;
+      loseReply(start);
+      Order.Stop stop = onlyStop();
+      scheduler.onStopReply(stop, execute(stop), nowMs);
+      assertThat(scheduler.immediateReportRequest(stop.workerId(), nowMs)).isPresent();
+      nowMs++;
+      new PendingReport(worker(start), nowMs).deliver();
+      nowMs += 100;
+      assertThat(starts()).hasSize(1);
+    }
+
+    /** Executes a start shortly before its deadline, while a report is being written. */
+    private PendingReport reportTakenBeforeTheDeadline(Order.Start start) {
+      nowMs += 400;
+      loseReply(start);
+      Order.Stop stop = onlyStop();
+      nowMs = START_MS + start.leaseEndClockMs() - 2;
+      scheduler.onStopReply(stop, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      return new PendingReport(worker(start), nowMs - 50);
+    }
+
+    @Test
+    void shouldNotRestartATaskBecauseOfAReportTakenBeforeTheDeadlineOfItsStart() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      PendingReport report = reportTakenBeforeTheDeadline(start);
+      execute(start);
+      worker(start)
+          .renew(new Renewal(start.workerId(), start.leaseEndClockMs() + 4_000, 0, 0), TERM, nowMs);
+      nowMs += 10;
+      report.deliver();
+      assertThat(worker(start).runningTasks()).containsExactly("a.0.0.0");
+      assertThat(starts()).isEmpty();
+    }
+
+    /** Guards against a task that waits for ever for a confirmed stop. */
+    @Test
+    void shouldRestartATaskOnceAReportRequestedAfterTheDeadlineOfItsStartLacksIt() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      reportTakenBeforeTheDeadline(start);
+      nowMs += 200;
+      new PendingReport(worker(start), nowMs).deliver();
+      nowMs += 100;
+      assertThat(starts()).hasSize(1);
+    }
+  }
+
+  @Nested
+  class WhenTwoReportsOverlap {
+
+    @Test
+    void shouldNotRestartATaskThatOnlyTheLaterReportLists() {
+      Order.Start start = startTask(TestJobs.longRunningStep(1, 0, 0));
+      PendingReport earlier = new PendingReport(worker(start), nowMs - 50);
+      execute(start);
+      nowMs += 400;
+      loseReply(start);
+      PendingReport later = new PendingReport(worker(start), nowMs);
+      later.deliver();
+      nowMs++;
+      earlier.deliver();
+      assertThat(worker(start).runningTasks()).containsExactly("a.0.0.0");
+      assertThat(starts()).isEmpty();
+    }
+
+    /** Guards against an end that an earlier report, which arrives later, seems to revoke. */
+    @Test
+    void shouldNotTakeAnEndedRunForOneThatGoesOn() {
+      Order.Start start = startTask(TestJobs.longRunningStep(1, 0, 0));
+      scheduler.onStartReply(start, execute(start), nowMs);
+      nowMs += 500;
+      PendingReport earlier = new PendingReport(worker(start), nowMs);
+      Order.Stop stop = new Order.Stop(start.workerId(), start.taskName(), start.run());
+      execute(stop);
+      nowMs += 200;
+      new PendingReport(worker(start), nowMs).deliver();
+      earlier.deliver();
+      assertThat(starts()).hasSize(1);
+    }
+  }
+}
