Conclude that a run is over only from reports requested after its confirmation

Cause: RunTracker.unregisterAbsent took a run as over if a report did not list it and the worker's clock in the report was later than in the reply to the start or the stop, even if the report had been requested before that reply arrived. A worker that takes its lists, starts the run in another thread and then reads its clock writes such a report. The task started elsewhere, the next report listed its first run, and the owner stopped that one. A start without a reply had the same fault at its deadline.

Change: a run must be listed only in reports that were requested after this owner received the confirmation of its start or stop. Where there is none, the request must have been sent when the worker's clock had certainly passed the start's deadline. A reading is a lower bound of the clock at the time of its arrival; with the lowest and highest rate it bounds the clock at the time of the request. Attempt.confirmedClockMs has no use any more.

A report requested in the same millisecond as the confirmation arrives no longer counts, so one more follows. A start whose stop is never confirmed waits for a report that is requested after its deadline instead of one that arrives after it: up to one long poll (1 s).

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -31,12 +31,7 @@
   /** Time on the worker's clock after which it no longer executes the start order. */
   final long startDeadlineClockMs;
 
-  /**
-   * The worker's clock when it last confirmed an order for this run; -1 if it has confirmed none.
-   */
-  long confirmedClockMs = -1;
-
-  /** Local time of that confirmation; -1 if there is none. */
+  /** Local time at which the worker last confirmed an order for this run; -1 if it has not. */
   long confirmedAtMs = -1;
 
   /** Whether a report of the worker's known incarnation has listed the run as going on. */
@@ -128,9 +123,6 @@
     isStopConfirmed = false;
     isListed = false;
     isOfUnknownIncarnation = phase == Phase.RUNNING;
-    if (!isOfNextIncarnation) {
-      confirmedClockMs = -1;
-    }
     if (phase == Phase.UNANSWERED) {
       confirmedAtMs = -1;
       stopAsUnanswered();
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -118,7 +118,6 @@
       case OBEYED -> {
         attempt.phase = Attempt.Phase.RUNNING;
         attempt.isOfNextIncarnation = isClockSetBack;
-        attempt.confirmedClockMs = Math.max(attempt.confirmedClockMs, reply.workerClockMs());
         attempt.confirmedAtMs = nowMs;
       }
       case UNKNOWN -> {
@@ -168,7 +167,6 @@
       attempt.nextStopAtMs = nowMs;
     } else if (reply.outcome() == OrderReply.Outcome.OBEYED) {
       attempt.isStopConfirmed = true;
-      attempt.confirmedClockMs = reply.workerClockMs();
       attempt.confirmedAtMs = nowMs;
     } else {
       attempt.nextStopAtMs = nowMs + STOP_RETRY_MS;
@@ -203,9 +201,9 @@
     List<Order> unknownRuns = new ArrayList<>();
     for (RunningTask running : report.running()) {
       seen.add(Worker.attemptKey(running.taskName(), running.run()));
-      onRunningReported(worker, running, report.workerClockMs(), nowMs).ifPresent(unknownRuns::add);
+      onRunningReported(worker, running, nowMs).ifPresent(unknownRuns::add);
     }
-    unregisterAbsent(worker, report, requestedAtMs, seen, nowMs);
+    unregisterAbsent(worker, requestedAtMs, seen, nowMs);
     return unknownRuns;
   }
 
@@ -248,18 +246,18 @@
     List.copyOf(worker.attempts.values()).forEach(this::unregister);
   }
 
-  private void unregisterAbsent(
-      Worker worker, WorkerReport report, long requestedAtMs, Set<String> seen, long nowMs) {
+  /**
+   * Removes runs that a report would list if they were going on. The worker may have taken the
+   * report's lists at any time between the request and the answer, and read its clock at another.
+   */
+  private void unregisterAbsent(Worker worker, long requestedAtMs, Set<String> seen, long nowMs) {
     for (Map.Entry<String, Attempt> entry : List.copyOf(worker.attempts.entrySet())) {
       Attempt attempt = entry.getValue();
-      boolean isConfirmed = attempt.confirmedClockMs >= 0;
-      long mustBeListedAfterClockMs =
-          isConfirmed ? attempt.confirmedClockMs : attempt.startDeadlineClockMs;
-      // The confirmation may come from an earlier incarnation, whose clock tells nothing here.
-      boolean isRequestedAfterConfirmation =
-          attempt.confirmedAtMs >= 0 && requestedAtMs > attempt.confirmedAtMs;
-      if (!seen.contains(entry.getKey())
-          && (isRequestedAfterConfirmation || report.workerClockMs() > mustBeListedAfterClockMs)) {
+      boolean mustBeListed =
+          attempt.confirmedAtMs >= 0
+              ? requestedAtMs > attempt.confirmedAtMs
+              : worker.earliestClockMs(requestedAtMs) > attempt.startDeadlineClockMs;
+      if (!seen.contains(entry.getKey()) && mustBeListed) {
         if (attempt.isOfUnknownIncarnation) {
           crashTracker.onCrash(worker, List.of(attempt), nowMs);
         }
@@ -273,8 +271,7 @@
     }
   }
 
-  private Optional<Order> onRunningReported(
-      Worker worker, RunningTask running, long workerClockMs, long nowMs) {
+  private Optional<Order> onRunningReported(Worker worker, RunningTask running, long nowMs) {
     Attempt attempt = worker.attempts.get(Worker.attemptKey(running.taskName(), running.run()));
     if (attempt == null) {
       attempt = adopt(worker, running, nowMs);
@@ -291,7 +288,6 @@
     attempt.isOfNextIncarnation = false;
     if (attempt.phase != Attempt.Phase.RUNNING) {
       attempt.phase = Attempt.Phase.RUNNING;
-      attempt.confirmedClockMs = workerClockMs;
       attempt.confirmedAtMs = nowMs;
       attempt.onStartShown();
     }
@@ -333,7 +329,6 @@
     }
     attempt.phase = Attempt.Phase.RUNNING;
     attempt.isStartUncertain = true;
-    attempt.confirmedClockMs = worker.clockMs(nowMs);
     attempt.confirmedAtMs = nowMs;
     register(attempt);
     return attempt;
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -218,6 +218,18 @@
     return clockReadingMs + (nowMs - clockReadAtMs);
   }
 
+  /**
+   * Returns the lowest reading that the worker's clock can have had at a local time, also before
+   * the last reading arrived; -1 if its clock has not been read.
+   */
+  long earliestClockMs(long atMs) {
+    if (!hasClock()) {
+      return -1;
+    }
+    double rate = atMs >= clockReadAtMs ? SLOWEST_CLOCK : 1 / SLOWEST_CLOCK;
+    return clockReadingMs + (long) Math.floor((atMs - clockReadAtMs) * rate);
+  }
+
   /** Returns whether every lease of the worker has certainly expired. */
   boolean isLeaseExpired(long nowMs) {
     return nowMs >= leasesExpireAtMs();
