--- a/src/main/java/org/laburnumarch/internal/platform/CallerClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/CallerClient.java
@@ -108,6 +108,12 @@
       if (step.isLongRunning()) {
         node.put("longRunning", true).put("mayMiss", step.maxUnavailable());
       }
+      if (step.isSpeculative()) {
+        node.put("speculative", true);
+      }
+      if (step.isCheckpointing()) {
+        node.put("checkpointing", true);
+      }
       if (!step.after().isEmpty()) {
         ArrayNode after = node.putArray("after");
         step.after().forEach(after::add);
--- a/src/main/java/org/laburnumarch/internal/platform/standin/DaemonSettingsFile.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/DaemonSettingsFile.java
@@ -35,14 +35,27 @@
   private DaemonSettingsFile() {}
 
   /**
-   * Writes the file.
+   * Writes the file for a daemon of a small platform.
    *
    * @throws IOException if it cannot be written
    */
   public static void write(Path file, DaemonAddresses addresses) throws IOException {
+    write(file, addresses, "north", 200);
+  }
+
+  /**
+   * Writes the file.
+   *
+   * @param dataCentre data centre that the daemon runs in
+   * @param stopTimeoutMs longest time that stopping a run takes
+   * @throws IOException if it cannot be written
+   */
+  public static void write(
+      Path file, DaemonAddresses addresses, String dataCentre, long stopTimeoutMs)
+      throws IOException {
     Map<String, Object> root = new LinkedHashMap<>();
     root.put("node", addresses.name());
-    root.put("zone", "north");
+    root.put("zone", dataCentre);
     root.put("ip", addresses.ip());
     root.put(
         "listen",
@@ -56,7 +69,7 @@
         "bounds",
         Map.of(
             "maxHoldMs", 6_000,
-            "stopTimeoutMs", 200,
+            "stopTimeoutMs", stopTimeoutMs,
             "gangTimeoutMs", 3_000,
             "graceS", 6,
             "status_s", 120,
--- a/src/main/java/org/laburnumarch/internal/platform/standin/InstanceServiceStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InstanceServiceStandIn.java
@@ -39,10 +39,12 @@
     private String pool;
     private String state = "up";
     private String workerId;
+    private final WorkerProfile profile;
     private boolean isWorkerLeaving;
     private long highestToken;
 
-    Instance(String pool, String workerId) {
+    Instance(String pool, WorkerProfile profile, String workerId) {
+      this.profile = profile;
       this.pool = pool;
       this.workerId = workerId;
     }
@@ -60,8 +62,8 @@
     this.server = EventLoopHttpServers.listen(address, loop, this::handle);
   }
 
-  void addInstance(String instanceName, String pool) {
-    instances.put(instanceName, new Instance(pool, lifecycle.start(instanceName, pool)));
+  void addInstance(String instanceName, String pool, WorkerProfile profile) {
+    instances.put(instanceName, new Instance(pool, profile, lifecycle.start(instanceName, pool)));
   }
 
   /** Returns the id of the worker that an instance runs now; empty if it runs none. */
@@ -121,9 +123,9 @@
                     "state",
                     instance.state,
                     "zone",
-                    "north",
+                    instance.profile.dataCentre(),
                     "labels",
-                    List.of("a", "r1"),
+                    List.of("a", instance.profile.rack()),
                     "id",
                     instance.workerId)));
     return HttpBodies.withJson(responses.ok(), Map.of("machines", rows, "nextToken", ""));
--- a/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
@@ -7,19 +7,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.job.TaskKey;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
 import org.laburnumarch.internal.platform.standin.StartDelayChecker.WaitingWork;
+import org.laburnumarch.internal.platform.standin.WorkerStandIn.OrderKind;
 import org.laburnumarch.internal.schedule.EndKind;
 import org.laburnumarch.internal.schedule.EndedTask;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
 /**
  * Checks what workers and callers observe against the invariants that the system guarantees. It
- * knows every submitted job, but nothing of the state of the daemons.
+ * knows every submitted job, but nothing of the state of the daemons. Thread-safe.
  */
 public final class InvariantChecker
     implements SimulatedWorker.Observer, WorkerStandIn.TaskBehaviours {
@@ -57,7 +59,12 @@
   private final Map<String, SubmittedJob> jobs = new LinkedHashMap<>();
   private final Map<String, TaskHistory> tasks = new HashMap<>();
   private final Map<String, Long> teamCpuMillis = new HashMap<>();
-  private final List<String> breaches = new ArrayList<>();
+
+  /** Formatted on demand, because the events of a run that follow its breach belong to it, too. */
+  private final List<Supplier<String>> breaches = new ArrayList<>();
+
+  private final long teamLimitCpuMillis;
+  private final int runTimeSpreadPercent;
   private long starts;
 
   /**
@@ -66,8 +73,28 @@
    * @param trace receives one line for each event on a worker
    */
   public InvariantChecker(SuspendAwareClock clock, Consumer<String> trace) {
+    this(clock, trace, TEAM_CPU_MILLIS, 0);
+  }
+
+  /**
+   * Creates a checker without observations.
+   *
+   * @param clock used by no other thread
+   * @param trace receives one line for each event on a worker
+   */
+  public InvariantChecker(SuspendAwareClock clock, Consumer<String> trace, PlatformLayout layout) {
+    this(clock, trace, layout.teamCpuMillis(), layout.runTimeSpreadPercent());
+  }
+
+  private InvariantChecker(
+      SuspendAwareClock clock,
+      Consumer<String> trace,
+      long teamLimitCpuMillis,
+      int runTimeSpreadPercent) {
     this.clock = clock;
     this.trace = trace;
+    this.teamLimitCpuMillis = teamLimitCpuMillis;
+    this.runTimeSpreadPercent = runTimeSpreadPercent;
   }
 
   private void trace(String event, SimulatedWorker worker, String task, long run, String detail) {
@@ -76,27 +103,32 @@
   }
 
   /** Returns the breaches in the order of their detection; empty if every invariant held. */
-  public List<String> breaches() {
-    return List.copyOf(breaches);
+  public synchronized List<String> breaches() {
+    return breaches.stream().map(Supplier::get).toList();
   }
 
   /** Returns how many runs have started. */
-  public long starts() {
+  public synchronized long starts() {
     return starts;
   }
 
   /** Records a breach. */
-  public void recordBreach(String invariant, String detail) {
-    breaches.add(clock.epochMs() + " " + invariant + ": " + detail);
+  public synchronized void recordBreach(String invariant, String detail) {
+    recordBreach(invariant, () -> detail);
+  }
+
+  private void recordBreach(String invariant, Supplier<String> detail) {
+    String prefix = clock.epochMs() + " " + invariant + ": ";
+    breaches.add(() -> prefix + detail.get());
   }
 
   /** Records that a job is about to be submitted for the first time. */
-  public void onSubmit(JobSpec job, String service) {
+  public synchronized void onSubmit(JobSpec job, String service) {
     jobs.put(job.id(), new SubmittedJob(job, service));
   }
 
   /** Records that a job was accepted. */
-  public void onAccepted(String jobId) {
+  public synchronized void onAccepted(String jobId) {
     SubmittedJob submitted = jobs.get(jobId);
     if (submitted.acceptedAtMs < 0) {
       submitted.acceptedAtMs = clock.nowMs();
@@ -104,17 +136,17 @@
   }
 
   /** Records that every attempt to submit a job was refused. */
-  public void onRefused(String jobId) {
+  public synchronized void onRefused(String jobId) {
     jobs.get(jobId).isRefused = true;
   }
 
   /** Records that a cancellation is about to be sent. */
-  public void onCancelRequested(String jobId) {
+  public synchronized void onCancelRequested(String jobId) {
     jobs.get(jobId).isCancelRequested = true;
   }
 
   /** Records that a cancellation was confirmed. */
-  public void onCancelConfirmed(String jobId) {
+  public synchronized void onCancelConfirmed(String jobId) {
     jobs.get(jobId).cancelConfirmedAtMs = clock.nowMs();
   }
 
@@ -122,7 +154,7 @@
    * Checks the response of a daemon that does not know a job; the status was requested at {@code
    * requestedAtMs}.
    */
-  public void onUnknownJob(String jobId, long requestedAtMs) {
+  public synchronized void onUnknownJob(String jobId, long requestedAtMs) {
     SubmittedJob submitted = jobs.get(jobId);
     boolean mustBeKnown =
         submitted.acceptedAtMs >= 0 && requestedAtMs - submitted.acceptedAtMs > MAX_TIME_UNKNOWN_MS;
@@ -132,7 +164,7 @@
   }
 
   /** Checks a job status that a daemon reported to a caller. */
-  public void onStatusReported(String jobId, JobStatus status) {
+  public synchronized void onStatusReported(String jobId, JobStatus status) {
     SubmittedJob submitted = jobs.get(jobId);
     submitted.reportedStatus = status;
     switch (status) {
@@ -169,7 +201,7 @@
    * Describes the accepted jobs that are not finished, and the long-running tasks that do not run;
    * empty if there are none. Cancelled jobs are left out.
    */
-  public List<String> unfinishedWork() {
+  public synchronized List<String> unfinishedWork() {
     List<String> unfinished = new ArrayList<>();
     for (SubmittedJob submitted : jobs.values()) {
       if (!submitted.isOwed()) {
@@ -187,7 +219,7 @@
   }
 
   /** Returns the accepted jobs whose last reported status is not final. */
-  public List<String> openJobs() {
+  public synchronized List<String> openJobs() {
     return jobs.values().stream()
         .filter(submitted -> submitted.acceptedAtMs >= 0 && !submitted.reportedStatus.isFinal())
         .map(submitted -> submitted.job.id())
@@ -195,26 +227,26 @@
   }
 
   /** Returns the queue that a job was submitted to. */
-  public String queueOf(String jobId) {
+  public synchronized String queueOf(String jobId) {
     return jobs.get(jobId).job.queue();
   }
 
   /** Returns how many jobs were accepted. */
-  public long acceptedJobs() {
+  public synchronized long acceptedJobs() {
     return jobs.values().stream().filter(submitted -> submitted.acceptedAtMs >= 0).count();
   }
 
   /**
    * Returns the work that may run and does not, of teams that use less than half of their limit.
    */
-  List<WaitingWork> waitingWork() {
+  synchronized List<WaitingWork> waitingWork() {
     List<WaitingWork> waiting = new ArrayList<>();
     for (SubmittedJob submitted : jobs.values()) {
       boolean isJudged =
           submitted.isOwed()
               && !submitted.reportedStatus.isFinal()
               && !hasFailedTask(submitted)
-              && teamCpuMillis.getOrDefault(submitted.job.team(), 0L) < TEAM_CPU_MILLIS / 2;
+              && teamCpuMillis.getOrDefault(submitted.job.team(), 0L) < teamLimitCpuMillis / 2;
       if (isJudged) {
         List<WaitingWork> ofJob = waitingTasks(submitted);
         if (submitted.job.isLongRunning()) {
@@ -273,7 +305,7 @@
   }
 
   @Override
-  public Behaviour behaviour(String task, long run, long nowMs) {
+  public synchronized Behaviour behaviour(String task, long run, long nowMs) {
     Optional<SubmittedJob> submitted = submitted(task);
     if (submitted.isEmpty()) {
       return new Behaviour(nowMs, true, SimulatedWorker.CAPACITY);
@@ -285,11 +317,25 @@
       return new Behaviour(nowMs + runMs, hash % ONE_LONG_RUN_FAILURE_IN == 0, step.need());
     }
     boolean isFailing = Math.floorMod(hash, ONE_FAILURE_IN) == 0;
-    return new Behaviour(nowMs + step.estimatedRunMs(), isFailing, step.need());
+    return new Behaviour(nowMs + runMs(step, hash), isFailing, step.need(), step.isCheckpointing());
+  }
+
+  private long runMs(StepSpec step, int hash) {
+    int deviationPercent = Math.floorMod(hash, 2 * runTimeSpreadPercent + 1) - runTimeSpreadPercent;
+    return step.estimatedRunMs() * (100 + deviationPercent) / 100;
   }
 
   @Override
-  public void onStart(SimulatedWorker worker, String task, long run) {
+  public synchronized void onOrder(
+      SimulatedWorker worker, OrderKind kind, String task, long run, long fencingToken) {
+    trace(kind.label(), worker, task, run, "token=" + fencingToken);
+    history(task)
+        .run(worker, task, run)
+        .add(kind.label() + " with token " + fencingToken, clock.epochMs());
+  }
+
+  @Override
+  public synchronized void onStart(SimulatedWorker worker, String task, long run) {
     starts++;
     trace("start", worker, task, run, "");
     Optional<SubmittedJob> found = submitted(task);
@@ -300,12 +346,10 @@
     SubmittedJob submitted = found.get();
     TaskHistory history = history(task);
     String runDescription = task + " run " + run + " on " + worker.id();
-    if (history.isRunning()) {
-      recordBreach("TWICE", runDescription + " starts while it runs on " + history.runsByWorker);
-    }
-    if (history.isDoneAcknowledged) {
-      recordBreach(
-          "TWICE", runDescription + " starts although an earlier successful end was acknowledged");
+    ObservedRun started = history.run(worker, task, run);
+    started.add("started", clock.epochMs());
+    if (!step(submitted, task).isSpeculative()) {
+      checkStartsOnce(history, started);
     }
     if (submitted.isRefused) {
       recordBreach("REFUSED", runDescription + " belongs to a refused job");
@@ -323,61 +367,72 @@
         recordBreach("ORDER", runDescription + " starts before step " + earlier + " is done");
       }
     }
-    history.supersededRuns.addAll(history.successfulRuns);
-    history.runsByWorker.put(worker.id(), run);
+    history.running.add(started);
     long cpuMillis = teamCpuMillis.merge(submitted.job.team(), step.need().cpuMillis(), Long::sum);
-    if (cpuMillis > TEAM_CPU_MILLIS * TEAM_LIMIT_FACTOR + step.need().cpuMillis()) {
+    if (cpuMillis > teamLimitCpuMillis * TEAM_LIMIT_FACTOR + step.need().cpuMillis()) {
       recordBreach(
           "QUOTA",
           runDescription + " raises the CPU use of " + submitted.job.team() + " to " + cpuMillis);
     }
   }
 
+  private void checkStartsOnce(TaskHistory history, ObservedRun started) {
+    if (history.isRunning()) {
+      List<ObservedRun> others = List.copyOf(history.running);
+      recordBreach("TWICE", () -> started + " starts while it runs: " + others);
+    }
+    history
+        .acknowledgedSuccess()
+        .ifPresent(
+            earlier ->
+                recordBreach(
+                    "TWICE",
+                    () -> started + " starts after an acknowledged successful end: " + earlier));
+    history.supersede(started);
+  }
+
   @Override
-  public void onEnd(SimulatedWorker worker, EndedTask end) {
+  public synchronized void onEnd(SimulatedWorker worker, EndedTask end) {
     trace("end", worker, end.taskName(), end.run(), end.how() + " number=" + end.number());
     TaskHistory history = history(end.taskName());
-    removeRun(worker, end.taskName());
-    if (submitted(end.taskName()).filter(owner -> owner.job.isLongRunning()).isPresent()) {
-      return; // It runs again however it ended.
-    }
-    if (end.how() == EndKind.DONE) {
-      history.successfulRuns.add(end.run());
-    } else if (end.how() == EndKind.FAILED) {
+    // A long-running task runs again however it ended.
+    boolean isLongRunning =
+        submitted(end.taskName()).filter(owner -> owner.job.isLongRunning()).isPresent();
+    ObservedRun ended = history.run(worker, end.taskName(), end.run());
+    ended.end(end.how(), end.how() == EndKind.DONE && !isLongRunning, clock.epochMs());
+    removeRun(ended, end.taskName());
+    if (end.how() == EndKind.FAILED && !isLongRunning) {
       history.failedRuns.add(end.run());
     }
   }
 
   @Override
-  public void onAcknowledged(SimulatedWorker worker, EndedTask end) {
+  public synchronized void onAcknowledged(SimulatedWorker worker, EndedTask end) {
     trace("acknowledged", worker, end.taskName(), end.run(), "number=" + end.number());
-    TaskHistory history = history(end.taskName());
-    if (end.how() == EndKind.DONE && history.successfulRuns.contains(end.run())) {
-      history.isDoneAcknowledged = true;
-      if (history.supersededRuns.contains(end.run())) {
-        recordBreach(
-            "TWICE",
-            end.taskName()
-                + " started again after run "
-                + end.run()
-                + ", whose end was acknowledged");
-      }
+    ObservedRun acknowledged = history(end.taskName()).run(worker, end.taskName(), end.run());
+    acknowledged.acknowledge(clock.epochMs());
+    ObservedRun later = acknowledged.successor();
+    if (later != null) {
+      recordBreach(
+          "TWICE",
+          () -> later + " started after a successful end that was acknowledged: " + acknowledged);
     }
   }
 
   @Override
-  public void onLost(SimulatedWorker worker, String task, long run) {
+  public synchronized void onLost(SimulatedWorker worker, String task, long run) {
     trace("lost", worker, task, run, "");
     if (!worker.isLeaving()) {
       history(task).crashedRuns++;
     }
-    removeRun(worker, task);
+    ObservedRun lost = history(task).run(worker, task, run);
+    lost.add("lost with its worker", clock.epochMs());
+    removeRun(lost, task);
   }
 
-  private void removeRun(SimulatedWorker worker, String task) {
+  private void removeRun(ObservedRun run, String task) {
     history(task).lastEndAtMs = clock.nowMs();
-    boolean wasRunning = history(task).runsByWorker.remove(worker.id()) != null;
-    if (wasRunning) {
+    if (history(task).running.remove(run)) {
       submitted(task)
           .ifPresent(
               submitted ->
--- a/src/main/java/org/laburnumarch/internal/platform/standin/OperatorConfig.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/OperatorConfig.java
@@ -15,42 +15,43 @@
    *
    * @param hasExtraRoute whether it has a queue that nobody uses
    */
-  static byte[] encode(long version, boolean hasExtraRoute) {
-    List<Map<String, Object>> routes = new ArrayList<>();
-    routes.add(route(PlatformStandIn.BATCH_QUEUE, PlatformStandIn.BATCH_POOL));
-    routes.add(route(PlatformStandIn.LONG_RUNNING_QUEUE, PlatformStandIn.LONG_RUNNING_POOL));
+  static byte[] encode(PlatformLayout layout, long version, boolean hasExtraRoute) {
+    List<PlatformLayout.Route> routes = new ArrayList<>(layout.routes());
     if (hasExtraRoute) {
-      routes.add(route("extra", PlatformStandIn.BATCH_POOL));
+      routes.add(new PlatformLayout.Route("extra", routes.get(0).pool(), 0));
     }
+    List<Map<String, Object>> services = new ArrayList<>();
+    layout.routes().stream()
+        .map(PlatformLayout.Route::pool)
+        .distinct()
+        .forEach(pool -> services.add(service(pool, false)));
+    services.add(service(layout.sparePool(), true));
     return Json.encode(
         Map.of(
             "version",
             version,
             "routes",
-            routes,
+            routes.stream().map(OperatorConfig::route).toList(),
             "services",
-            List.of(
-                service(PlatformStandIn.BATCH_POOL, false),
-                service(PlatformStandIn.LONG_RUNNING_POOL, false),
-                service(PlatformStandIn.SPARE_POOL, true)),
+            services,
             "tenants",
-            PlatformStandIn.TEAMS.stream().map(OperatorConfig::team).toList(),
+            PlatformStandIn.TEAMS.stream().map(name -> team(name, layout.teamCpuMillis())).toList(),
             "limits",
             Map.of()));
   }
 
-  private static Map<String, Object> route(String name, String service) {
+  private static Map<String, Object> route(PlatformLayout.Route route) {
     return Map.of(
         "name",
-        name,
+        route.queue(),
         "host",
         PlatformStandIn.HOST,
         "pathPrefix",
-        '/' + name + '/',
+        '/' + route.queue() + '/',
         "service",
-        service,
+        route.pool(),
         "priority",
-        0,
+        route.priority(),
         "maxAttempts",
         InvariantChecker.MAX_ATTEMPTS,
         "stretch",
@@ -63,7 +64,7 @@
     return Map.of("name", name, "rejectsOverload", true, "spare", isSpare);
   }
 
-  private static Map<String, Object> team(String name) {
+  private static Map<String, Object> team(String name, long cpuMillis) {
     return Map.of(
         "name",
         name,
@@ -72,6 +73,6 @@
         "weight",
         50,
         "maxCount",
-        Map.of("cpu", InvariantChecker.TEAM_CPU_MILLIS, "memMb", 0, "gpus", 0));
+        Map.of("cpu", cpuMillis, "memMb", 0, "gpus", 0));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -54,15 +54,13 @@
   /** Number of missed heartbeats after which a worker is removed from the registry. */
   private static final int MISSED_HEARTBEATS_UNTIL_REMOVAL = 3;
 
-  /** Lowest rate of a simulated worker's clock; the platform allows clocks that are 2% slow. */
-  private static final double MIN_CLOCK_RATE = 0.981;
-
   /** Addresses at which the store, the instance service and the workers listen. */
   public record Addresses(
       InetSocketAddress store, InetSocketAddress instanceService, int firstWorkerPort) {}
 
   /** An instance, and whether the heartbeats of its worker reach the registry. */
   private static final class Instance {
+    private final int number;
     private final String pool;
     private WorkerStandIn workerStandIn;
 
@@ -72,12 +70,14 @@
     private boolean areHeartbeatsSuspended;
     private int missedHeartbeats;
 
-    Instance(String pool, WorkerStandIn workerStandIn) {
+    Instance(int number, String pool, WorkerStandIn workerStandIn) {
+      this.number = number;
       this.pool = pool;
       this.workerStandIn = workerStandIn;
     }
   }
 
+  private final PlatformLayout layout;
   private final EventLoopThread loop;
   private final SuspendAwareClock clock;
   private final Random random;
@@ -96,7 +96,8 @@
   private boolean isClosed;
 
   /**
-   * Binds all addresses. Must not be called on the event loop's thread, unlike all other methods.
+   * Binds all addresses of a {@linkplain PlatformLayout#small small} platform. Must not be called
+   * on the event loop's thread, unlike all other methods.
    *
    * @param advertisedAddress maps the address at which a worker listens to the one that the
    *     registry lists for it, for example that of a proxy
@@ -112,6 +113,26 @@
       Map<String, Integer> poolSizes,
       long seed)
       throws Exception {
+    this(addresses, loop, clock, advertisedAddress, checker, PlatformLayout.small(poolSizes), seed);
+  }
+
+  /**
+   * Binds all addresses. Must not be called on the event loop's thread, unlike all other methods.
+   *
+   * @param advertisedAddress maps the address at which a worker listens to the one that the
+   *     registry lists for it, for example that of a proxy
+   * @throws Exception if an address cannot be bound
+   */
+  public PlatformStandIn(
+      Addresses addresses,
+      EventLoopThread loop,
+      SuspendAwareClock clock,
+      UnaryOperator<InetSocketAddress> advertisedAddress,
+      InvariantChecker checker,
+      PlatformLayout layout,
+      long seed)
+      throws Exception {
+    this.layout = layout;
     this.loop = loop;
     this.clock = clock;
     this.random = new Random(seed);
@@ -134,7 +155,7 @@
                 return startWorker(instanceName, pool);
               }
             });
-    for (Map.Entry<String, Integer> pool : poolSizes.entrySet()) {
+    for (Map.Entry<String, Integer> pool : layout.poolSizes().entrySet()) {
       for (int i = 0; i < pool.getValue(); i++) {
         addInstance(pool.getKey(), i);
       }
@@ -142,13 +163,16 @@
   }
 
   private void addInstance(String pool, int number) throws Exception {
-    instancesByName.put(pool + '-' + number, new Instance(pool, bindWorker()));
+    instancesByName.put(
+        pool + '-' + number, new Instance(instancesByName.size(), pool, bindWorker()));
   }
 
   private WorkerStandIn bindWorker() throws Exception {
     InetSocketAddress address =
         new InetSocketAddress(InetAddress.getLoopbackAddress(), nextWorkerPort++);
-    return new WorkerStandIn(address, loop, clock, checker, random.nextLong());
+    return layout.isConcurrent()
+        ? WorkerStandIn.concurrent(address, checker, random.nextLong())
+        : new WorkerStandIn(address, loop, clock, checker, random.nextLong());
   }
 
   /**
@@ -165,9 +189,13 @@
   /** Starts all workers, writes the first configuration and starts the periodic timers. */
   public void start() {
     instancesByName.forEach(
-        (instanceName, instance) -> instanceService.addInstance(instanceName, instance.pool));
+        (instanceName, instance) ->
+            instanceService.addInstance(
+                instanceName, instance.pool, layout.profile(instance.number, 1)));
     writeConfig();
-    tick();
+    if (!layout.isConcurrent()) {
+      tick();
+    }
     sendHeartbeats();
   }
 
@@ -185,14 +213,21 @@
   }
 
   private String startWorker(String instanceName, String pool) {
-    if (pool.equals(SPARE_POOL)) {
+    if (pool.equals(layout.sparePool())) {
       return "";
     }
     String id = "w" + startedWorkers++;
-    double clockRate = MIN_CLOCK_RATE + (1 - MIN_CLOCK_RATE) * random.nextDouble();
-    SimulatedWorker worker =
-        new SimulatedWorker(id, pool, "r" + startedWorkers % 2, clock.nowMs(), clockRate, checker);
+    double minClockRate = layout.minClockRate();
+    double clockRate = minClockRate + (1 - minClockRate) * random.nextDouble();
     Instance instance = instancesByName.get(instanceName);
+    SimulatedWorker worker =
+        new SimulatedWorker(
+            id,
+            pool,
+            layout.profile(instance.number, startedWorkers),
+            clock.nowMs(),
+            clockRate,
+            checker);
     instance.workerStandIn.startWorker(worker);
     instance.areHeartbeatsSuspended = false;
     writeRegistryEntry(instance);
@@ -294,6 +329,11 @@
     instancesByName.values().forEach(instance -> instance.workerStandIn.delayOrders(fraction));
   }
 
+  /** Makes the reports of all workers state a time that is later than that of their lists. */
+  public void setReportsSlow(boolean areSlow) {
+    instancesByName.values().forEach(instance -> instance.workerStandIn.setReportsSlow(areSlow));
+  }
+
   /** Writes a new version of the configuration that adds or removes an unused queue. */
   public void changeConfig() {
     hasExtraRoute = !hasExtraRoute;
@@ -305,7 +345,7 @@
     store.write(
         StoreClient.OPERATOR_LOG,
         "config",
-        Optional.of(OperatorConfig.encode(configVersion, hasExtraRoute)));
+        Optional.of(OperatorConfig.encode(layout, configVersion, hasExtraRoute)));
   }
 
   private void tick() {
--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalLong;
 import org.laburnumarch.internal.job.Resources;
@@ -20,21 +21,45 @@
 
 /**
  * Simulates a worker that follows the platform's worker protocol. Callers pass the current time, so
- * that it runs in virtual time as well as behind a socket. Not thread-safe.
+ * that it runs in virtual time as well as behind a socket. Thread-safe.
  */
 public final class SimulatedWorker {
 
-  /** Capacity of every worker. */
+  /** Capacity of a worker without a profile. */
   public static final Resources CAPACITY = new Resources(8_000, 32_000, 0);
 
-  private static final long STOP_DURATION_MS = 100;
+  static final long STOP_DURATION_MS = 100;
   private static final long MAX_LEASE_MS = 6_000;
 
   /** Time from a run's start until the worker reports 100 percent for it. */
   private static final long STARTUP_MS = 300;
 
-  /** When and how a started task ends, and the resources that it needs. */
-  public record Behaviour(long endsAtMs, boolean isFailing, Resources need) {}
+  /** Maximum number of ends in one report. */
+  private static final int MAX_LISTED_ENDS = 500;
+
+  /** Work between two checkpoints. */
+  private static final long CHECKPOINT_INTERVAL_MS = 1_000;
+
+  /** Time that it takes to resume from a checkpoint. */
+  private static final long RESTORE_MS = 600;
+
+  /** Number of hexadecimal digits of a checkpoint that state the saved work. */
+  private static final int SAVED_WORK_DIGITS = 8;
+
+  private static final int HEXADECIMAL = 16;
+
+  /**
+   * When and how a started task ends if it resumes from no checkpoint, the resources that it needs,
+   * and whether it saves checkpoints.
+   */
+  public record Behaviour(
+      long endsAtMs, boolean isFailing, Resources need, boolean isCheckpointing) {
+
+    /** Creates a behaviour without checkpoints. */
+    public Behaviour(long endsAtMs, boolean isFailing, Resources need) {
+      this(endsAtMs, isFailing, need, false);
+    }
+  }
 
   /** Is notified of what happens on a worker. */
   public interface Observer {
@@ -68,27 +93,54 @@
     void onLost(SimulatedWorker worker, String task, long run);
   }
 
+  private record RunKey(String task, long run) {}
+
   private static final class Run {
     private final String task;
     private final long run;
     private final long runStartMs;
     private final Behaviour behaviour;
+
+    /** Work that the run's checkpoint had saved, and the time that it took to restore it. */
+    private final long resumedWorkMs;
+
+    private final long restoreMs;
     private long stopsAtMs = Long.MAX_VALUE;
 
-    Run(String task, long run, long runStartMs, Behaviour behaviour) {
-      this.task = task;
-      this.run = run;
+    Run(Order.Start order, long runStartMs, Behaviour behaviour) {
+      this.task = order.taskName();
+      this.run = order.run();
       this.runStartMs = runStartMs;
       this.behaviour = behaviour;
+      boolean isResumed = behaviour.isCheckpointing() && !order.checkpoint().isEmpty();
+      this.resumedWorkMs =
+          isResumed
+              ? Long.parseLong(order.checkpoint().substring(0, SAVED_WORK_DIGITS), HEXADECIMAL)
+              : 0;
+      this.restoreMs = isResumed ? RESTORE_MS : 0;
+    }
+
+    long endsAtMs() {
+      return behaviour.endsAtMs() - resumedWorkMs + restoreMs;
+    }
+
+    /** Returns the newest checkpoint; stopping a run saves all of its work. */
+    String checkpoint(long nowMs, boolean isStopped) {
+      if (!behaviour.isCheckpointing()) {
+        return "";
+      }
+      long workMs = Math.max(0, nowMs - runStartMs - restoreMs);
+      long savedMs = resumedWorkMs + workMs - (isStopped ? 0 : workMs % CHECKPOINT_INTERVAL_MS);
+      return savedMs == 0 ? "" : String.format(Locale.ROOT, "%08x%08x", savedMs, task.hashCode());
     }
   }
 
   private final String id;
   private final String service;
-  private final String rack;
+  private final WorkerProfile profile;
   private final double clockRate;
   private final Observer observer;
-  private final Map<String, Run> running = new LinkedHashMap<>();
+  private final Map<RunKey, Run> running = new LinkedHashMap<>();
   private final List<EndedTask> ended = new ArrayList<>();
   private final Map<String, Long> highestRunByTask = new LinkedHashMap<>();
   private long startedAtMs;
@@ -118,9 +170,25 @@
    */
   public SimulatedWorker(
       String id, String service, String rack, long nowMs, double clockRate, Observer observer) {
+    this(
+        id,
+        service,
+        new WorkerProfile(rack, "dc", CAPACITY, STOP_DURATION_MS, STOP_DURATION_MS),
+        nowMs,
+        clockRate,
+        observer);
+  }
+
+  SimulatedWorker(
+      String id,
+      String service,
+      WorkerProfile profile,
+      long nowMs,
+      double clockRate,
+      Observer observer) {
     this.id = id;
     this.service = service;
-    this.rack = rack;
+    this.profile = profile;
     this.startedAtMs = nowMs;
     this.clockRate = clockRate;
     this.observer = observer;
@@ -138,60 +206,69 @@
 
   /** Returns the rack of the worker. */
   public String rack() {
-    return rack;
+    return profile.rack();
+  }
+
+  /** Returns the data centre of the worker. */
+  String dataCentre() {
+    return profile.dataCentre();
+  }
+
+  Resources capacity() {
+    return profile.capacity();
   }
 
   /** Announces that the worker leaves, but not before {@code earliestMs}. */
-  void announceLeave(long earliestMs) {
+  synchronized void announceLeave(long earliestMs) {
     leavesFromMs = OptionalLong.of(earliestMs);
   }
 
   /** Returns whether the worker has announced that it leaves; it should get no new tasks. */
-  boolean isLeaving() {
+  synchronized boolean isLeaving() {
     return leavesFromMs.isPresent();
   }
 
   /** Returns the minimum time until the worker leaves; 0 if it has not announced that. */
-  long remainingMs(long nowMs) {
+  synchronized long remainingMs(long nowMs) {
     return Math.max(0, leavesFromMs.orElse(nowMs) - nowMs);
   }
 
   /** Returns when the current incarnation started. */
-  public long startedAtMs() {
+  public synchronized long startedAtMs() {
     return startedAtMs;
   }
 
   /** Returns the names of the running tasks. */
-  public List<String> runningTasks() {
-    return List.copyOf(running.keySet());
+  public synchronized List<String> runningTasks() {
+    return running.keySet().stream().map(RunKey::task).toList();
   }
 
   /** Returns whether ends are listed that have not been acknowledged. */
-  public boolean hasUnacknowledgedEnds() {
+  public synchronized boolean hasUnacknowledgedEnds() {
     return !ended.isEmpty();
   }
 
   /** Returns the worker's entry in the registry. */
-  public WorkerListing listing() {
+  public synchronized WorkerListing listing() {
     return new WorkerListing(
         id,
         service,
         new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-        "dc",
-        CAPACITY,
-        List.of("a", rack),
+        profile.dataCentre(),
+        profile.capacity(),
+        List.of("a", profile.rack()),
         false,
         0,
         startedAtMs);
   }
 
   /** Returns the reading of the worker's monotonic clock. */
-  public long clockMs(long nowMs) {
+  public synchronized long clockMs(long nowMs) {
     return (long) ((nowMs - startedAtMs) * clockRate);
   }
 
   /** Starts a new incarnation without any state of the previous one. */
-  public void crash(long nowMs) {
+  public synchronized void crash(long nowMs) {
     running.values().forEach(run -> observer.onLost(this, run.task, run.run));
     running.clear();
     ended.clear();
@@ -205,33 +282,35 @@
   }
 
   /** Ends the runs that are complete, were stopped or have lost their lease. */
-  public void advance(long nowMs) {
+  public synchronized void advance(long nowMs) {
     boolean isLapsed = clockMs(nowMs) > leaseEndMs;
     List<Run> finished = new ArrayList<>();
     for (Run run : running.values()) {
       if (isLapsed) {
-        end(run, EndKind.LAPSED, finished);
+        end(run, EndKind.LAPSED, nowMs, finished);
       } else if (run.stopsAtMs <= nowMs) {
-        end(run, EndKind.STOPPED, finished);
-      } else if (run.behaviour.endsAtMs() <= nowMs) {
-        end(run, run.behaviour.isFailing() ? EndKind.FAILED : EndKind.DONE, finished);
+        end(run, EndKind.STOPPED, nowMs, finished);
+      } else if (run.endsAtMs() <= nowMs) {
+        end(run, run.behaviour.isFailing() ? EndKind.FAILED : EndKind.DONE, nowMs, finished);
       }
     }
     if (isLapsed) {
       lastEndBeforeLapse = nextEndNumber - 1;
     }
-    finished.forEach(run -> running.remove(run.task));
+    finished.forEach(run -> running.remove(new RunKey(run.task, run.run)));
   }
 
-  private void end(Run run, EndKind how, List<Run> finished) {
+  private void end(Run run, EndKind how, long nowMs, List<Run> finished) {
     finished.add(run);
-    EndedTask end = new EndedTask(nextEndNumber++, run.task, run.run, how, "");
+    String checkpoint = how == EndKind.DONE ? "" : run.checkpoint(nowMs, how == EndKind.STOPPED);
+    EndedTask end = new EndedTask(nextEndNumber++, run.task, run.run, how, checkpoint);
     ended.add(end);
     observer.onEnd(this, end);
   }
 
   /** Executes or refuses a start order. */
-  public OrderReply start(Order.Start order, long token, Behaviour behaviour, long nowMs) {
+  public synchronized OrderReply start(
+      Order.Start order, long token, Behaviour behaviour, long nowMs) {
     advance(nowMs);
     if (token < highestToken) {
       return reply(Outcome.FENCED, nowMs);
@@ -241,8 +320,8 @@
       return reply(Outcome.LATE, nowMs);
     }
     extendLease(order.leaseEndClockMs(), nowMs);
-    Run current = running.get(order.taskName());
-    if (current != null && current.run == order.run()) {
+    RunKey key = new RunKey(order.taskName(), order.run());
+    if (running.containsKey(key)) {
       return reply(Outcome.OBEYED, nowMs);
     }
     if (order.run() <= highestRunByTask.getOrDefault(order.taskName(), 0L)) {
@@ -252,14 +331,14 @@
       return reply(Outcome.NO_ROOM, nowMs);
     }
     highestRunByTask.put(order.taskName(), order.run());
-    running.put(order.taskName(), new Run(order.taskName(), order.run(), nowMs, behaviour));
+    running.put(key, new Run(order, nowMs, behaviour));
     observer.onStart(this, order.taskName(), order.run());
     return reply(Outcome.OBEYED, nowMs);
   }
 
   /** Returns the capacity that no running task has reserved. */
-  Resources freeCapacity() {
-    Resources freeCapacity = CAPACITY;
+  synchronized Resources freeCapacity() {
+    Resources freeCapacity = profile.capacity();
     for (Run run : running.values()) {
       freeCapacity = freeCapacity.minus(run.behaviour.need());
     }
@@ -267,16 +346,17 @@
   }
 
   /** Stops a run, or prevents it from starting later. */
-  public OrderReply stop(Order.Stop order, long token, long nowMs) {
+  public synchronized OrderReply stop(Order.Stop order, long token, long nowMs) {
     advance(nowMs);
     if (token < highestToken) {
       return reply(Outcome.FENCED, nowMs);
     }
     highestToken = token;
     highestRunByTask.merge(order.taskName(), order.run(), Math::max);
-    Run current = running.get(order.taskName());
-    if (current != null && current.run == order.run()) {
-      current.stopsAtMs = Math.min(current.stopsAtMs, nowMs + STOP_DURATION_MS);
+    Run current = running.get(new RunKey(order.taskName(), order.run()));
+    if (current != null) {
+      current.stopsAtMs =
+          Math.min(current.stopsAtMs, nowMs + profile.stopMs(current.task, current.run));
     }
     return reply(Outcome.OBEYED, nowMs);
   }
@@ -285,7 +365,7 @@
    * Extends the lease, acknowledges ends and returns the report; null if a higher token has been
    * seen.
    */
-  public WorkerReport renew(Renewal renewal, long token, long nowMs) {
+  public synchronized WorkerReport renew(Renewal renewal, long token, long nowMs) {
     advance(nowMs);
     if (token < highestToken) {
       return null;
@@ -311,13 +391,17 @@
   }
 
   /** Returns the running tasks and the ends that are not acknowledged. */
-  public WorkerReport report(long nowMs) {
+  public synchronized WorkerReport report(long nowMs) {
     List<RunningTask> list = new ArrayList<>();
     for (Run run : running.values()) {
       int percent = nowMs - run.runStartMs >= STARTUP_MS ? 100 : 0;
-      list.add(new RunningTask(run.task, run.run, "", percent, 0));
+      list.add(new RunningTask(run.task, run.run, run.checkpoint(nowMs, false), percent, 0));
     }
-    return new WorkerReport(clockMs(nowMs), startedAtMs, list, ended);
+    return new WorkerReport(
+        clockMs(nowMs),
+        startedAtMs,
+        list,
+        ended.subList(0, Math.min(MAX_LISTED_ENDS, ended.size())));
   }
 
   private void extendLease(long deadlineClockMs, long nowMs) {
--- a/src/main/java/org/laburnumarch/internal/platform/standin/TaskHistory.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/TaskHistory.java
@@ -2,33 +2,50 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** What workers have shown of the runs of one task. */
 final class TaskHistory {
-  final Map<String, Long> runsByWorker = new HashMap<>();
+
+  /** Identifies a run on one process of a worker. */
+  private record RunKey(String worker, long startedAtMs, long run) {}
+
+  private final Map<RunKey, ObservedRun> runs = new HashMap<>();
+  final Set<ObservedRun> running = new LinkedHashSet<>();
   final Set<Long> failedRuns = new HashSet<>();
 
   /** Number of runs that ended with their worker's process, without an announcement. */
   int crashedRuns;
 
-  /** Runs that ended successfully; a worker that restarts may lose such an end. */
-  final Set<Long> successfulRuns = new HashSet<>();
+  /** When the last run ended; negative if none has. */
+  long lastEndAtMs = -1;
 
-  /** Successful runs after whose end another run started. */
-  final Set<Long> supersededRuns = new HashSet<>();
+  ObservedRun run(SimulatedWorker worker, String task, long run) {
+    return runs.computeIfAbsent(
+        new RunKey(worker.id(), worker.startedAtMs(), run),
+        key -> new ObservedRun(worker, task, run));
+  }
 
-  boolean isDoneAcknowledged;
+  /** Records the start of a run after those that have ended successfully. */
+  void supersede(ObservedRun later) {
+    runs.values().stream()
+        .filter(ObservedRun::isSuccessful)
+        .forEach(earlier -> earlier.supersede(later));
+  }
 
-  /** When the last run ended; negative if none has. */
-  long lastEndAtMs = -1;
+  /** Returns a run whose successful end was acknowledged. */
+  Optional<ObservedRun> acknowledgedSuccess() {
+    return runs.values().stream().filter(ObservedRun::isSuccessAcknowledged).findFirst();
+  }
 
   boolean isDone() {
-    return !successfulRuns.isEmpty();
+    return runs.values().stream().anyMatch(ObservedRun::isSuccessful);
   }
 
   boolean isRunning() {
-    return !runsByWorker.isEmpty();
+    return !running.isEmpty();
   }
 }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
@@ -34,6 +34,7 @@
 
 /**
  * Serves the worker protocol on the port of one instance, which runs at most one worker at a time.
+ * Thread-safe; a {@linkplain #concurrent concurrent} one runs on a thread of its own.
  */
 final class WorkerStandIn implements AutoCloseable {
 
@@ -44,9 +45,40 @@
   private static final HttpResponseStatus MISDIRECTED =
       HttpResponseStatus.of(421, "Misdirected Request");
 
-  /** Determines what a task does from its name and run number. */
+  private static final long TICK_INTERVAL_MS = 20;
+
+  private static final int MAX_USUAL_DELAY_MS = 20;
+  private static final int MIN_LONG_DELAY_MS = 50;
+  private static final int MAX_LONG_DELAY_MS = 600;
+
+  /** One in this many responses takes a long time. */
+  private static final int ONE_LONG_DELAY_IN = 40;
+
+  /** Longest time between the reading of the lists and the reading of the clock. */
+  private static final int MAX_CLOCK_DELAY_MS = 50;
+
+  /** A kind of order. */
+  enum OrderKind {
+    START("start ordered"),
+    STOP("stop ordered");
+
+    private final String label;
+
+    OrderKind(String label) {
+      this.label = label;
+    }
+
+    String label() {
+      return label;
+    }
+  }
+
+  /** Determines what a task does from its name and run number, and is told of orders. */
   interface TaskBehaviours {
     Behaviour behaviour(String task, long run, long nowMs);
+
+    /** An order has arrived; it may be refused, or carried out later. */
+    void onOrder(SimulatedWorker worker, OrderKind kind, String task, long run, long fencingToken);
   }
 
   private final InetSocketAddress address;
@@ -55,9 +87,12 @@
   private final TaskBehaviours taskBehaviours;
   private final Random random;
   private final HttpServerContext server;
+  private final boolean isConcurrent;
   private final List<CompletableFuture<Boolean>> waitingRenewals = new ArrayList<>();
   private Optional<SimulatedWorker> currentWorker = Optional.empty();
   private double lateOrderFraction;
+  private boolean areReportsSlow;
+  private boolean isClosed;
 
   /** Binds the address. Must not be called on the event loop's thread, unlike all other methods. */
   WorkerStandIn(
@@ -67,6 +102,18 @@
       TaskBehaviours taskBehaviours,
       long seed)
       throws Exception {
+    this(address, loop, clock, taskBehaviours, seed, false);
+  }
+
+  private WorkerStandIn(
+      InetSocketAddress address,
+      EventLoopThread loop,
+      SuspendAwareClock clock,
+      TaskBehaviours taskBehaviours,
+      long seed,
+      boolean isConcurrent)
+      throws Exception {
+    this.isConcurrent = isConcurrent;
     this.address = address;
     this.loop = loop;
     this.clock = clock;
@@ -75,13 +122,33 @@
     this.server = EventLoopHttpServers.listen(address, loop, this::handle);
   }
 
+  /**
+   * Binds the address and starts a thread on which the worker's time advances. The responses are
+   * late by random times, so that one may overtake another on a different connection.
+   */
+  static WorkerStandIn concurrent(
+      InetSocketAddress address, TaskBehaviours taskBehaviours, long seed) throws Exception {
+    WorkerStandIn workerStandIn =
+        new WorkerStandIn(
+            address, new EventLoopThread(), new SuspendAwareClock(), taskBehaviours, seed, true);
+    workerStandIn.loop.execute(workerStandIn::tick);
+    return workerStandIn;
+  }
+
+  private synchronized void tick() {
+    if (!isClosed) {
+      advance(clock.nowMs());
+      loop.schedule(TICK_INTERVAL_MS, this::tick);
+    }
+  }
+
   /** Starts a worker on the instance. */
-  void startWorker(SimulatedWorker worker) {
+  synchronized void startWorker(SimulatedWorker worker) {
     currentWorker = Optional.of(worker);
   }
 
   /** Terminates the current worker; its runs are lost. */
-  void terminateWorker(long nowMs) {
+  synchronized void terminateWorker(long nowMs) {
     currentWorker.ifPresent(worker -> worker.crash(nowMs));
     currentWorker = Optional.empty();
   }
@@ -92,20 +159,28 @@
   }
 
   /** Returns the worker that runs here now. */
-  Optional<SimulatedWorker> worker() {
+  synchronized Optional<SimulatedWorker> worker() {
     return currentWorker;
   }
 
   /** Sets the fraction of orders that are carried out seconds later without a response. */
-  void delayOrders(double fraction) {
+  synchronized void delayOrders(double fraction) {
     this.lateOrderFraction = fraction;
   }
 
+  /**
+   * Makes reports state the time at which they are written, which is later than the time of their
+   * lists.
+   */
+  synchronized void setReportsSlow(boolean areSlow) {
+    this.areReportsSlow = areSlow;
+  }
+
   /**
    * Advances the worker's time; completes waiting renewals once a run has ended or the worker was
    * terminated.
    */
-  void advance(long nowMs) {
+  synchronized void advance(long nowMs) {
     currentWorker.ifPresent(worker -> worker.advance(nowMs));
     if (currentWorker.map(SimulatedWorker::hasUnacknowledgedEnds).orElse(true)
         && !waitingRenewals.isEmpty()) {
@@ -115,7 +190,7 @@
     }
   }
 
-  private Single<HttpResponse> handle(
+  private synchronized Single<HttpResponse> handle(
       HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
     String target = String.valueOf(request.headers().get(TARGET_HEADER));
     Optional<SimulatedWorker> addressed =
@@ -126,13 +201,41 @@
     SimulatedWorker worker = addressed.get();
     JsonNode body = HttpBodies.parseJson(request);
     return switch (request.path()) {
-      case "/v1/run-start" -> execute(worker, responses, () -> start(worker, body));
-      case "/v1/run-stop" -> execute(worker, responses, () -> stop(worker, body));
+      case "/v1/run-start" -> {
+        notifyOfOrder(worker, OrderKind.START, body);
+        yield execute(worker, responses, () -> start(worker, body));
+      }
+      case "/v1/run-stop" -> {
+        notifyOfOrder(worker, OrderKind.STOP, body);
+        yield execute(worker, responses, () -> stop(worker, body));
+      }
       case "/v1/hold" -> renew(worker, body, responses);
       default -> Single.succeeded(responses.notFound());
     };
   }
 
+  private void notifyOfOrder(SimulatedWorker worker, OrderKind kind, JsonNode body) {
+    taskBehaviours.onOrder(
+        worker,
+        kind,
+        body.path("task").asText(),
+        body.path("run").asLong(),
+        body.path("fenceToken").asLong());
+  }
+
+  private Single<HttpResponse> respond(HttpResponse response) {
+    if (!isConcurrent) {
+      return Single.succeeded(response);
+    }
+    CompletableFuture<HttpResponse> late = new CompletableFuture<>();
+    long delayMs =
+        random.nextInt(ONE_LONG_DELAY_IN) == 0
+            ? MIN_LONG_DELAY_MS + random.nextInt(MAX_LONG_DELAY_MS - MIN_LONG_DELAY_MS)
+            : random.nextInt(1 + random.nextInt(MAX_USUAL_DELAY_MS));
+    loop.schedule(delayMs, () -> late.complete(response));
+    return Single.fromStage(late);
+  }
+
   /**
    * Executes an order, or lets it wait in the memory of the worker's process. What waits there is
    * lost when the process ends: the next one knows nothing of it.
@@ -143,17 +246,20 @@
       long receivedByStartedAtMs = worker.startedAtMs();
       loop.schedule(
           1 + random.nextLong(MAX_ORDER_DELAY_MS),
-          () -> {
-            boolean isSameProcess =
-                currentWorker.filter(current -> current == worker).isPresent()
-                    && worker.startedAtMs() == receivedByStartedAtMs;
-            if (isSameProcess) {
-              OrderReply unused = operation.get();
-            }
-          });
+          () -> executeLate(worker, receivedByStartedAtMs, operation));
       return Single.never();
     }
-    return Single.succeeded(toResponse(operation.get(), responses));
+    return respond(toResponse(operation.get(), responses));
+  }
+
+  private synchronized void executeLate(
+      SimulatedWorker worker, long receivedByStartedAtMs, Supplier<OrderReply> operation) {
+    boolean isSameProcess =
+        currentWorker.filter(current -> current == worker).isPresent()
+            && worker.startedAtMs() == receivedByStartedAtMs;
+    if (isSameProcess) {
+      OrderReply unused = operation.get();
+    }
   }
 
   private OrderReply start(SimulatedWorker worker, JsonNode body) {
@@ -208,22 +314,35 @@
     long token = body.path("fenceToken").asLong();
     WorkerReport report = worker.renew(renewal, token, clock.nowMs());
     if (report == null) {
-      return Single.succeeded(
+      return respond(
           toResponse(new OrderReply(Outcome.FENCED, worker.clockMs(clock.nowMs())), responses));
     }
     if (!report.ended().isEmpty() || renewal.waitMs() == 0) {
-      return Single.succeeded(HttpBodies.withJson(responses.ok(), reportBody(report)));
+      return respond(worker, report, responses);
     }
     CompletableFuture<Boolean> ready = new CompletableFuture<>();
     waitingRenewals.add(ready);
     loop.schedule(renewal.waitMs(), () -> ready.complete(false));
-    return Single.fromStage(
-        ready.thenApply(
-            ignored ->
-                HttpBodies.withJson(responses.ok(), reportBody(worker.report(clock.nowMs())))));
+    return Single.fromStage(ready)
+        .flatMap(ignored -> respond(worker, worker.report(clock.nowMs()), responses));
   }
 
-  private static Map<String, Object> reportBody(WorkerReport report) {
+  private synchronized Single<HttpResponse> respond(
+      SimulatedWorker worker, WorkerReport report, HttpResponseFactory responses) {
+    if (!areReportsSlow) {
+      return respond(
+          HttpBodies.withJson(responses.ok(), reportBody(report, report.workerClockMs())));
+    }
+    CompletableFuture<Long> clockReading = new CompletableFuture<>();
+    loop.schedule(
+        1 + random.nextInt(MAX_CLOCK_DELAY_MS),
+        () -> clockReading.complete(worker.clockMs(clock.nowMs())));
+    return Single.fromStage(clockReading)
+        .flatMap(
+            clockMs -> respond(HttpBodies.withJson(responses.ok(), reportBody(report, clockMs))));
+  }
+
+  private static Map<String, Object> reportBody(WorkerReport report, long clockMs) {
     List<List<Object>> running = new ArrayList<>();
     for (RunningTask task : report.running()) {
       running.add(
@@ -240,18 +359,11 @@
               endedTask.checkpoint()));
     }
     return Map.of(
-        "clockMs",
-        report.workerClockMs(),
-        "born",
-        report.startedEpochMs(),
-        "running",
-        running,
-        "finished",
-        ended);
+        "clockMs", clockMs, "born", report.startedEpochMs(), "running", running, "finished", ended);
   }
 
   /** Returns the worker's entry in the registry. */
-  Optional<byte[]> registryEntry(
+  synchronized Optional<byte[]> registryEntry(
       long heartbeatNumber, UnaryOperator<InetSocketAddress> advertisedAddress) {
     InetSocketAddress reachableAddress = advertisedAddress.apply(address);
     return currentWorker.map(
@@ -259,7 +371,7 @@
           Map<String, Object> entry = new LinkedHashMap<>();
           entry.put("service", worker.service());
           entry.put("address", HttpBodies.formatAddress(reachableAddress));
-          entry.put("zone", "north");
+          entry.put("zone", worker.dataCentre());
           entry.put("state", worker.isLeaving() ? "draining" : "ready");
           if (worker.isLeaving()) {
             entry.put("remainingMs", worker.remainingMs(clock.nowMs()));
@@ -269,8 +381,8 @@
           entry.put(
               "capacity",
               Map.of(
-                  "cpu", SimulatedWorker.CAPACITY.cpuMillis(),
-                  "memMb", SimulatedWorker.CAPACITY.memoryMb(),
+                  "cpu", worker.capacity().cpuMillis(),
+                  "memMb", worker.capacity().memoryMb(),
                   "gpus", 0));
           entry.put("labels", List.of("a", worker.rack()));
           return Json.encode(entry);
@@ -279,7 +391,11 @@
 
   /** Stops the server; the address refuses connections from now on. */
   @Override
-  public void close() {
+  public synchronized void close() {
+    isClosed = true;
     server.closeAsync().subscribe();
+    if (isConcurrent) {
+      loop.close();
+    }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
@@ -3,18 +3,16 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeoutException;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.job.JobSpec;
-import org.laburnumarch.internal.job.Resources;
-import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.CallerClient;
 import org.laburnumarch.internal.platform.CallerClient.Reply;
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
+import org.laburnumarch.internal.platform.standin.PlatformLayout;
 import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 import org.laburnumarch.spi.PlatformException;
@@ -25,7 +23,6 @@
  */
 final class SoakCallers implements AutoCloseable {
 
-  private static final long SUBMIT_INTERVAL_MS = 60;
   private static final long POLL_INTERVAL_MS = 400;
 
   /** Number of status requests per interval. */
@@ -44,14 +41,6 @@
   /** Maximum number of attempts to submit one job. */
   private static final int MAX_ATTEMPTS = 12;
 
-  /** One in this many batch jobs is cancelled. */
-  private static final int ONE_CANCELLATION_IN = 12;
-
-  private static final int LONG_RUNNING_JOBS = 4;
-
-  /** Memory that every task needs. */
-  private static final long TASK_MEMORY_MB = 1_000;
-
   // Status codes of daemons.
   private static final int OK = 200;
   private static final int GONE = 410;
@@ -62,17 +51,29 @@
   private final SuspendAwareClock clock;
   private final InvariantChecker checker;
   private final Random random;
+  private final PlatformLayout layout;
+  private final JobSource jobs;
   private final boolean mustBeAnswered;
   private final List<CallerClient> clients = new ArrayList<>();
   private final Map<String, String> teamsByJob = new LinkedHashMap<>();
   private long responses;
   private long unanswered;
   private long maxResponseMs;
-  private int submittedLongRunningJobs;
-  private int nextJobNumber;
+  private long startedAtMs;
   private boolean isSubmitting = true;
   private boolean isClosed;
 
+  /** Creates callers that submit short tasks and send nothing yet. */
+  SoakCallers(
+      List<DaemonProcess> daemons,
+      EventLoopThread loop,
+      SuspendAwareClock clock,
+      InvariantChecker checker,
+      long seed,
+      boolean mustBeAnswered) {
+    this(daemons, loop, clock, checker, SoakLoad.SHORT_TASKS, seed, mustBeAnswered);
+  }
+
   /**
    * Creates callers that send nothing yet.
    *
@@ -83,12 +84,15 @@
       EventLoopThread loop,
       SuspendAwareClock clock,
       InvariantChecker checker,
+      SoakLoad load,
       long seed,
       boolean mustBeAnswered) {
     this.loop = loop;
     this.clock = clock;
     this.checker = checker;
     this.random = new Random(seed);
+    this.layout = load.layout();
+    this.jobs = load.jobs(random, clock);
     this.mustBeAnswered = mustBeAnswered;
     for (DaemonProcess daemon : daemons) {
       for (int i = 0; i < CALLERS; i++) {
@@ -100,6 +104,7 @@
   }
 
   void start() {
+    startedAtMs = clock.nowMs();
     submitNext();
     pollJobs();
   }
@@ -132,38 +137,12 @@
     if (isClosed || !isSubmitting) {
       return;
     }
-    JobSpec job = newJob();
-    String service =
-        job.queue().equals(PlatformStandIn.BATCH_QUEUE)
-            ? PlatformStandIn.BATCH_POOL
-            : PlatformStandIn.LONG_RUNNING_POOL;
-    teamsByJob.put(job.id(), job.team());
-    checker.onSubmit(job, service);
-    submit(job, 1, true);
-    loop.schedule(SUBMIT_INTERVAL_MS, this::submitNext);
-  }
-
-  private JobSpec newJob() {
-    String id = String.format(Locale.ROOT, "%08x%08x", random.nextInt(), nextJobNumber++);
-    String team = PlatformStandIn.TEAMS.get(random.nextInt(PlatformStandIn.TEAMS.size()));
-    boolean isLongRunning = submittedLongRunningJobs < LONG_RUNNING_JOBS && nextJobNumber > 5;
-    List<StepSpec> steps = new ArrayList<>();
-    if (isLongRunning) {
-      submittedLongRunningJobs++;
-      steps.add(StepSpec.ofLongRunningTasks(4, new Resources(500, TASK_MEMORY_MB, 0), "", 0, 1));
-    } else {
-      steps.add(batchStep(1 + random.nextInt(6), 500, 100 + random.nextInt(600)));
-      if (random.nextInt(3) == 0) {
-        steps.add(batchStep(1 + random.nextInt(3), 1_000, 100 + random.nextInt(300), 0));
-      }
+    for (JobSpec job : jobs.next(clock.nowMs() - startedAtMs)) {
+      teamsByJob.put(job.id(), job.team());
+      checker.onSubmit(job, layout.poolOf(job.queue()));
+      submit(job, 1, true);
     }
-    String queue = isLongRunning ? PlatformStandIn.LONG_RUNNING_QUEUE : PlatformStandIn.BATCH_QUEUE;
-    return new JobSpec(id, queue, team, "soak", steps, 0, 0, 0, clock.epochMs());
-  }
-
-  private static StepSpec batchStep(int count, long cpuMillis, long runMs, Integer... after) {
-    return StepSpec.ofTasks(
-        count, new Resources(cpuMillis, TASK_MEMORY_MB, 0), runMs, List.of(after));
+    loop.schedule(jobs.intervalMs(), this::submitNext);
   }
 
   /**
@@ -176,7 +155,8 @@
       return;
     }
     long sentAtMs = clock.nowMs();
-    anyClient()
+    CallerClient client = anyClient();
+    client
         .submit(job, job.team())
         .whenComplete(
             (reply, failure) -> {
@@ -185,7 +165,7 @@
                   failure == null
                       && (reply.code() == TOO_MANY_REQUESTS || reply.code() == SERVICE_UNAVAILABLE);
               if (failure == null && reply.code() == OK) {
-                onAccepted(job);
+                onAccepted(job, client);
               } else if (attempt < MAX_ATTEMPTS) {
                 loop.schedule(
                     retryDelayMs(reply),
@@ -224,12 +204,31 @@
         && !(call.getCause() instanceof TimeoutException);
   }
 
-  private void onAccepted(JobSpec job) {
+  private void onAccepted(JobSpec job, CallerClient client) {
     checker.onAccepted(job.id());
-    if (random.nextInt(ONE_CANCELLATION_IN) == 0
-        && job.queue().equals(PlatformStandIn.BATCH_QUEUE)) {
-      loop.schedule(random.nextInt(1_500), () -> cancel(job));
+    jobs.cancelDelayMs(job)
+        .ifPresent(
+            delayMs -> {
+              loop.schedule(delayMs, () -> cancel(job));
+            });
+    jobs.repeatDelayMs(job)
+        .ifPresent(
+            delayMs -> {
+              loop.schedule(delayMs, () -> submitAgain(job, client));
+            });
+  }
+
+  /** Submits an accepted job to another daemon than the one that has accepted it. */
+  private void submitAgain(JobSpec job, CallerClient accepting) {
+    if (isClosed) {
+      return;
     }
+    int otherDaemon = CALLERS * (1 + random.nextInt(Math.max(1, clients.size() / CALLERS - 1)));
+    CallerClient client = clients.get((clients.indexOf(accepting) + otherDaemon) % clients.size());
+    long sentAtMs = clock.nowMs();
+    client
+        .submit(job, job.team())
+        .whenComplete((reply, failure) -> recordResponse(sentAtMs, failure));
   }
 
   private void cancel(JobSpec job) {
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -39,6 +39,12 @@
             "planned work in place of faults: rolling restarts, workers that are replaced")
     private boolean isPlanned;
 
+    @Parameter(names = "--kind", description = "what happens in each run")
+    private SoakKind kind = SoakKind.FAULTS;
+
+    @Parameter(names = "--load", description = "platform and jobs of each run")
+    private SoakLoad load = SoakLoad.SHORT_TASKS;
+
     @Parameter(names = "--directory", description = "directory for settings and logs")
     private String directory = "";
 
@@ -77,7 +83,8 @@
       try (PortBlock ports = PortBlock.reserve(PORTS_PER_RUN);
           SoakRun run =
               new SoakRun(
-                  options.isPlanned ? SoakKind.PLANNED_WORK : SoakKind.FAULTS,
+                  options.isPlanned ? SoakKind.PLANNED_WORK : options.kind,
+                  options.load,
                   seed,
                   options.daemons,
                   options.seconds * 1_000L,
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -16,6 +16,7 @@
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.platform.standin.DaemonSettingsFile;
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
+import org.laburnumarch.internal.platform.standin.PlatformLayout;
 import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 import org.tinylog.Logger;
@@ -44,16 +45,8 @@
   /** Longest time between the end of a worker and the start of its replacement. */
   private static final int MAX_ABSENT_MS = 4_000;
 
-  private static final Map<String, Integer> POOL_SIZES =
-      Map.of(
-          PlatformStandIn.BATCH_POOL,
-          5,
-          PlatformStandIn.LONG_RUNNING_POOL,
-          4,
-          PlatformStandIn.SPARE_POOL,
-          4);
-
   private final EventLoopThread loop;
+  private final PlatformLayout layout;
   private final PlatformStandIn platform;
   private final List<DaemonProcess> daemons = new ArrayList<>();
   private final Map<DaemonProcess, LoopbackProxy> storeProxies = new LinkedHashMap<>();
@@ -62,6 +55,27 @@
   private final RollingRestarts restarts;
   private boolean isClosed;
 
+  /** Prepares a fleet on a small platform. */
+  SoakFleet(
+      Path directory,
+      int firstPort,
+      int daemonCount,
+      EventLoopThread loop,
+      SuspendAwareClock clock,
+      InvariantChecker checker,
+      long seed)
+      throws Exception {
+    this(
+        directory,
+        firstPort,
+        daemonCount,
+        loop,
+        clock,
+        checker,
+        SoakLoad.SHORT_TASKS.layout(),
+        seed);
+  }
+
   /**
    * Binds all addresses and writes the daemons' settings; starts no process. Must not be called on
    * the event loop's thread.
@@ -77,14 +91,16 @@
       EventLoopThread loop,
       SuspendAwareClock clock,
       InvariantChecker checker,
+      PlatformLayout layout,
       long seed)
       throws Exception {
     this.loop = loop;
+    this.layout = layout;
     InetSocketAddress store = new InetSocketAddress(InetAddress.getLoopbackAddress(), firstPort);
     InetSocketAddress instanceService =
         new InetSocketAddress(
             InetAddress.getLoopbackAddress(), firstPort + INSTANCE_SERVICE_PORT_OFFSET);
-    int workers = POOL_SIZES.values().stream().mapToInt(Integer::intValue).sum();
+    int workers = layout.instances();
     for (int number = 0; number < workers; number++) {
       InetSocketAddress workerAddress =
           new InetSocketAddress(
@@ -105,7 +121,7 @@
             clock,
             address -> proxyAddresses.getOrDefault(address, address),
             checker,
-            POOL_SIZES,
+            layout,
             seed);
     for (int number = 0; number < daemonCount; number++) {
       addDaemon(directory, firstPort, number, store, instanceService);
@@ -135,7 +151,9 @@
             firstPort + READINESS_PORT_OFFSET,
             firstPort + LINK_PORT_OFFSET,
             storeProxyAddress,
-            instanceService));
+            instanceService),
+        layout.dataCentres().get(number % layout.dataCentres().size()),
+        layout.stopTimeoutMs());
     DaemonProcess daemon =
         new DaemonProcess(
             name,
@@ -163,6 +181,11 @@
     return List.copyOf(workerProxies.values());
   }
 
+  /** Returns how many addresses are left for workers that replace others. */
+  int freeWorkerAddresses() {
+    return FIRST_WORKER_PROXY_PORT_OFFSET - FIRST_WORKER_PORT_OFFSET - layout.instances();
+  }
+
   RollingRestarts restarts() {
     return restarts;
   }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -17,6 +17,13 @@
     List<SoakEvent> events() {
       return List.of(PlannedWork.values());
     }
+  },
+  /** Nothing but the load. */
+  QUIET(1_000) {
+    @Override
+    List<SoakEvent> events() {
+      return List.of();
+    }
   };
 
   private final int maxIntervalMs;
@@ -34,6 +41,6 @@
 
   /** Returns whether nothing unplanned happens, so that no request and no start may be lost. */
   boolean isPlanned() {
-    return this == PLANNED_WORK;
+    return this == PLANNED_WORK || this == QUIET;
   }
 }
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
@@ -0,0 +1,97 @@
+package org.laburnumarch.internal.soak;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.platform.standin.PlatformLayout;
+import org.laburnumarch.internal.platform.standin.PlatformStandIn;
+import org.laburnumarch.internal.time.SuspendAwareClock;
+
+/** The platform and the jobs of a run. */
+enum SoakLoad {
+  /** Two small pools with tasks that last less than a second; all workers share one thread. */
+  SHORT_TASKS(20_000) {
+    @Override
+    PlatformLayout layout() {
+      return PlatformLayout.small(
+          Map.of(
+              PlatformStandIn.BATCH_POOL,
+              5,
+              PlatformStandIn.LONG_RUNNING_POOL,
+              4,
+              PlatformStandIn.SPARE_POOL,
+              4));
+    }
+
+    @Override
+    JobSource jobs(Random random, SuspendAwareClock clock) {
+      return new ShortJobs(random, clock);
+    }
+  },
+  /**
+   * Several pools with tasks that last seconds, so that a second run of a task overlaps with the
+   * first; each worker has a thread of its own.
+   */
+  OVERLAPPING_TASKS(90_000) {
+    @Override
+    PlatformLayout layout() {
+      Map<String, Integer> poolSizes = new HashMap<>();
+      Arrays.stream(WaveJobs.Queue.values())
+          .forEach(queue -> poolSizes.put(queue.pool(), WORKERS_PER_POOL));
+      poolSizes.put(PlatformStandIn.SPARE_POOL, SPARE_INSTANCES);
+      return new PlatformLayout(
+          poolSizes,
+          Arrays.stream(WaveJobs.Queue.values()).flatMap(queue -> queue.routes().stream()).toList(),
+          PlatformStandIn.SPARE_POOL,
+          List.of("north", "central", "south"),
+          4,
+          new Resources(32_000, 65_536, 0),
+          20,
+          900,
+          1_000,
+          0.98,
+          true,
+          400_000,
+          40);
+    }
+
+    @Override
+    JobSource jobs(Random random, SuspendAwareClock clock) {
+      return new WaveJobs(random, clock);
+    }
+
+    @Override
+    List<SoakEvent> faults() {
+      return List.of(WorkerFault.values());
+    }
+  };
+
+  private static final int WORKERS_PER_POOL = 10;
+  private static final int SPARE_INSTANCES = 8;
+
+  private final long maxSettleMs;
+
+  SoakLoad(long maxSettleMs) {
+    this.maxSettleMs = maxSettleMs;
+  }
+
+  abstract PlatformLayout layout();
+
+  abstract JobSource jobs(Random random, SuspendAwareClock clock);
+
+  /**
+   * Returns the time after the last fault in which every accepted job must finish and every
+   * long-running task must run again. It covers the longest lease, a takeover and the longest job.
+   */
+  long maxSettleMs() {
+    return maxSettleMs;
+  }
+
+  /** Returns the faults that only this load can show. */
+  List<SoakEvent> faults() {
+    return List.of();
+  }
+}
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -29,12 +29,6 @@
   private static final long MIN_FAULT_MS = 200;
   private static final int MAX_FAULT_MS = 4_500;
 
-  /**
-   * Time after the last fault in which every accepted job must finish and every long-running task
-   * must run again. It covers the longest lease, a takeover and the longest job.
-   */
-  private static final long MAX_SETTLE_MS = 20_000;
-
   private static final long CHECK_INTERVAL_MS = 250;
 
   /** Longest time after the last event until all daemons are ready again. */
@@ -61,6 +55,8 @@
       long settledAfterMs) {}
 
   private final SoakKind kind;
+  private final SoakLoad load;
+  private final List<SoakEvent> possibleEvents = new ArrayList<>();
   private final long seed;
   private final long faultsMs;
   private final EventLoopThread loop = new EventLoopThread();
@@ -79,29 +75,49 @@
   private int activeFaults;
   private boolean isClosed;
 
+  /** Prepares a run with short tasks. */
+  SoakRun(SoakKind kind, long seed, int daemons, long faultsMs, Path directory, int firstPort)
+      throws Exception {
+    this(kind, SoakLoad.SHORT_TASKS, seed, daemons, faultsMs, directory, firstPort);
+  }
+
   /**
    * Prepares a run.
    *
    * @param faultsMs how long faults are injected
    * @throws Exception if an address cannot be bound or a file cannot be written
    */
-  SoakRun(SoakKind kind, long seed, int daemons, long faultsMs, Path directory, int firstPort)
+  SoakRun(
+      SoakKind kind,
+      SoakLoad load,
+      long seed,
+      int daemons,
+      long faultsMs,
+      Path directory,
+      int firstPort)
       throws Exception {
     this.kind = kind;
+    this.load = load;
+    this.possibleEvents.addAll(kind.events());
+    if (!kind.isPlanned()) {
+      this.possibleEvents.addAll(load.faults());
+    }
     this.seed = seed;
     this.faultsMs = faultsMs;
     this.random = new Random(seed);
     this.events =
         new PrintStream(
             Files.newOutputStream(directory.resolve(EVENTS_FILE)), false, StandardCharsets.UTF_8);
-    this.checker = new InvariantChecker(clock, events::println);
+    this.checker = new InvariantChecker(new SuspendAwareClock(), events::println, load.layout());
     this.startDelays = new StartDelayChecker(checker);
     this.fleet =
-        new SoakFleet(directory, firstPort, daemons, loop, clock, checker, random.nextLong());
+        new SoakFleet(
+            directory, firstPort, daemons, loop, clock, checker, load.layout(), random.nextLong());
     this.callers =
-        new SoakCallers(fleet.daemons(), loop, clock, checker, random.nextLong(), kind.isPlanned());
+        new SoakCallers(
+            fleet.daemons(), loop, clock, checker, load, random.nextLong(), kind.isPlanned());
     if (kind.isPlanned()) {
-      fleet.platform().bindReplacements(REPLACEMENT_WORKERS);
+      fleet.platform().bindReplacements(Math.min(REPLACEMENT_WORKERS, fleet.freeWorkerAddresses()));
     }
     Runtime.getRuntime().addShutdownHook(shutdownHook);
   }
@@ -151,7 +167,10 @@
   }
 
   private void injectFault() {
-    SoakEvent fault = kind.events().get(random.nextInt(kind.events().size()));
+    if (possibleEvents.isEmpty()) {
+      return;
+    }
+    SoakEvent fault = possibleEvents.get(random.nextInt(possibleEvents.size()));
     long durationMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS);
     injectedFaults.add(clock.epochMs() + " " + fault + " for " + durationMs + " ms");
     Logger.info("soak: seed={} fault={} lastsMs={}", seed, fault, durationMs);
@@ -185,7 +204,7 @@
    */
   private long awaitSettled() throws Exception {
     long startedAtMs = System.currentTimeMillis();
-    while (System.currentTimeMillis() - startedAtMs < MAX_SETTLE_MS) {
+    while (System.currentTimeMillis() - startedAtMs < load.maxSettleMs()) {
       if (loop.call(checker::unfinishedWork).isEmpty()) {
         return System.currentTimeMillis() - startedAtMs;
       }
@@ -196,7 +215,7 @@
           checker.unfinishedWork().forEach(unfinished -> checker.recordBreach("LOST", unfinished));
           return null;
         });
-    return MAX_SETTLE_MS;
+    return load.maxSettleMs();
   }
 
   private Result result(long settledAfterMs) {
--- /dev/null
+++ b/src/main/java/org/laburnumarch/internal/soak/WorkerFault.java
@@ -0,0 +1,17 @@
+package org.laburnumarch.internal.soak;
+
+import java.util.Random;
+
+/** Faults of workers that run on threads of their own. */
+enum WorkerFault implements SoakEvent {
+  /**
+   * Makes reports state the time at which they are written, some time after their lists were read.
+   */
+  SLOW_REPORTS {
+    @Override
+    public Runnable inject(SoakFleet fleet, Random random) {
+      fleet.platform().setReportsSlow(true);
+      return () -> fleet.platform().setReportsSlow(false);
+    }
+  }
+}
