--- a/src/main/java/org/laburnumarch/internal/platform/standin/HttpBodies.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/HttpBodies.java
@@ -34,6 +34,10 @@
   static JsonNode parseJson(HttpRequest request) {
     byte[] content = new byte[request.payloadBody().readableBytes()];
     request.payloadBody().readBytes(content);
+    return parseJson(content);
+  }
+
+  static JsonNode parseJson(byte[] content) {
     try {
       return Json.parse(content);
     } catch (MalformedMessageException e) {
--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -1,8 +1,10 @@
 package org.laburnumarch.internal.platform.standin;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -184,6 +186,27 @@
         .toList();
   }
 
+  /** Returns the addresses of the workers in a pool. */
+  public List<InetSocketAddress> workerAddresses(String pool) {
+    return instancesByName.values().stream()
+        .map(instance -> instance.workerStandIn)
+        .filter(standIn -> standIn.worker().filter(it -> it.service().equals(pool)).isPresent())
+        .map(WorkerStandIn::address)
+        .toList();
+  }
+
+  /** Writes the registry entry of an instance's worker without some fields, as another process. */
+  public void writeEntryWithout(String instanceName, Collection<String> fields) {
+    WorkerStandIn workerStandIn = instancesByName.get(instanceName).workerStandIn;
+    Optional<byte[]> entry = workerStandIn.registryEntry(heartbeatNumber, advertisedAddress);
+    if (entry.isPresent()) {
+      ObjectNode root = (ObjectNode) HttpBodies.parseJson(entry.get());
+      root.remove(fields);
+      String id = workerStandIn.worker().orElseThrow().id();
+      store.write(StoreClient.WORKER_REGISTRY_LOG, id, Optional.of(Json.encode(root)));
+    }
+  }
+
   private String startWorker(String instanceName, String pool) {
     if (pool.equals(SPARE_POOL)) {
       return "";
@@ -244,6 +267,25 @@
     return left.address();
   }
 
+  /**
+   * Ends a worker without an announcement. The registry lists it until heartbeats are missed; its
+   * address, which is returned, refuses connections. Empty if the instance has no worker, or if no
+   * address for another one is left.
+   */
+  public Optional<InetSocketAddress> crashWorker(String instanceName) {
+    if (replacements.isEmpty() || !instanceService.onWorkerLeaving(instanceName)) {
+      return Optional.empty();
+    }
+    Instance instance = instancesByName.get(instanceName);
+    instance.replacement = replacements.remove();
+    String id = instanceService.workerOf(instanceName);
+    instance.workerStandIn.terminateWorker(clock.nowMs());
+    loop.schedule(
+        MISSED_HEARTBEATS_UNTIL_REMOVAL * HEARTBEAT_INTERVAL_MS,
+        () -> store.write(StoreClient.WORKER_REGISTRY_LOG, id, Optional.empty()));
+    return Optional.of(removeWorker(instanceName));
+  }
+
   /** Starts a worker under another id and address on an instance whose worker was removed. */
   public void replaceWorker(String instanceName) {
     Instance instance = instancesByName.get(instanceName);
--- a/src/main/java/org/laburnumarch/internal/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/StoreStandIn.java
@@ -66,6 +66,7 @@
   private final List<PendingRead> pendingReads = new ArrayList<>();
   private final HttpServerContext server;
   private Fault fault = Fault.NONE;
+  private Optional<String> refusedLog = Optional.empty();
 
   /**
    * Starts the stand-in. Must not be called on the event loop's thread, unlike all other methods.
@@ -88,6 +89,11 @@
     this.fault = newFault;
   }
 
+  /** Rejects the calls of daemons that concern one log and serves all others; empty to end that. */
+  public void setRefusedLog(Optional<String> log) {
+    this.refusedLog = log;
+  }
+
   /**
    * Writes a record on behalf of operators or workers; returns false if the store rejects calls.
    */
@@ -109,9 +115,14 @@
     }
   }
 
+  private boolean isRefused(HttpRequest request) {
+    return refusedLog.isPresent()
+        && refusedLog.equals(Optional.ofNullable(request.queryParameter("topic")));
+  }
+
   private Single<HttpResponse> handle(
       HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
-    if (fault == Fault.REFUSING) {
+    if (fault == Fault.REFUSING || isRefused(request)) {
       return Single.succeeded(responses.serviceUnavailable());
     }
     CompletionStage<HttpResponse> response =
--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -3,9 +3,17 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.laburnumarch.Laburnumarch;
 import org.laburnumarch.internal.platform.NodeSettings;
 import org.tinylog.Logger;
@@ -15,11 +23,17 @@
 
   private static final long TERMINATION_TIMEOUT_S = 10;
 
+  /** A line of /proc/net/tcp, with the local port and the inode. */
+  private static final Pattern SOCKET =
+      Pattern.compile(" *\\d+: \\p{XDigit}+:(\\p{XDigit}+) +(?:\\S+ +){7}(\\d+)");
+
   private final String name;
   private final Path settings;
   private final File output;
   private final InetSocketAddress callerAddress;
   private final InetSocketAddress readinessAddress;
+  private List<String> program =
+      List.of("-cp", System.getProperty("java.class.path"), Laburnumarch.class.getName());
   private Process process;
   private boolean isPaused;
 
@@ -50,23 +64,27 @@
     return readinessAddress;
   }
 
+  /** Makes the next process run another build in place of this class path. */
+  void useJar(Path jar) {
+    program = List.of("-jar", jar.toString());
+  }
+
   /** Starts the process unless it runs already. */
   void start() throws IOException {
     if (process != null && process.isAlive()) {
       return;
     }
-    ProcessBuilder builder =
-        new ProcessBuilder(
+    List<String> command =
+        new ArrayList<>(
             List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx96m",
                 "-Xss256k",
                 "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                Laburnumarch.class.getName(),
-                "node"));
+                "-XX:TieredStopAtLevel=1"));
+    command.addAll(program);
+    command.add("node");
+    ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put(NodeSettings.PATH_VARIABLE, settings.toString());
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(output));
     process = builder.start();
@@ -82,6 +100,32 @@
     return process != null && !process.isAlive();
   }
 
+  /** Returns the local ports of the sockets that the process has open; needs Linux. */
+  Set<Integer> localPorts() {
+    Set<Integer> ports = new HashSet<>();
+    if (process == null || !process.isAlive()) {
+      return ports;
+    }
+    Path state = Path.of("/proc", Long.toString(process.pid()));
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(state.resolve("fd"))) {
+      Set<String> sockets = new HashSet<>();
+      for (Path file : files) {
+        sockets.add(Files.readSymbolicLink(file).toString());
+      }
+      for (String table : List.of("net/tcp", "net/tcp6")) {
+        for (String line : Files.readAllLines(state.resolve(table))) {
+          Matcher socket = SOCKET.matcher(line);
+          if (socket.lookingAt() && sockets.contains("socket:[" + socket.group(2) + ']')) {
+            ports.add(Integer.parseInt(socket.group(1), 16));
+          }
+        }
+      }
+    } catch (IOException | DirectoryIteratorException e) {
+      Logger.debug("soak: the sockets of {} cannot be listed: {}", name, e.getMessage());
+    }
+    return ports;
+  }
+
   /** Sends SIGKILL. */
   void kill() {
     if (process != null) {
--- a/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
+++ b/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -16,10 +17,14 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.tinylog.Logger;
 
 /**
  * Forwards TCP connections on a loopback address and injects connection faults. Methods must be
@@ -40,16 +45,31 @@
     /** Holds back both directions. */
     SILENT,
     /** Resets open connections and every new one. */
-    RESET
+    RESET,
+    /** Resets open connections and refuses new ones, as the address has no listener. */
+    REFUSE,
+    /** Holds back what the server sends for the time that {@link #delayAnswers} sets. */
+    DELAY_ANSWERS,
+    /** Drops what the server sends on every second connection, also after the mode has changed. */
+    LOSE_ANSWERS
   }
 
   private static final long DELAY_MS = 120;
 
+  /** Time in which a request that consists of several segments reaches the server. */
+  private static final long REQUEST_MS = 5;
+
   private final InetSocketAddress target;
   private final EventLoopGroup group;
-  private final Channel listener;
+  private final ServerBootstrap bootstrap;
+  private final InetSocketAddress address;
+  private Channel listener;
   private final Set<ProxiedConnection> connections = new HashSet<>();
   private Mode mode = Mode.FORWARD;
+  private Predicate<InetSocketAddress> affectedCallers = caller -> true;
+  private long answerDelayMs;
+  private int acceptedConnections;
+  private boolean isClosed;
 
   /**
    * Binds the address and starts the proxy. Must not be called on the group's thread, unlike all
@@ -60,9 +80,10 @@
    */
   LoopbackProxy(InetSocketAddress address, InetSocketAddress target, EventLoopGroup group)
       throws InterruptedException {
+    this.address = address;
     this.target = target;
     this.group = group;
-    this.listener =
+    this.bootstrap =
         new ServerBootstrap()
             .group(group)
             .channel(
@@ -77,25 +98,75 @@
                   protected void initChannel(Channel caller) {
                     accept(caller);
                   }
-                })
-            .bind(address)
-            .sync()
-            .channel();
+                });
+    this.listener = bootstrap.bind(address).sync().channel();
   }
 
   /** Applies a mode to open and new connections. */
   void setMode(Mode newMode) {
+    setMode(newMode, caller -> true);
+  }
+
+  /**
+   * Applies a mode other than {@link Mode#REFUSE}, for which there is one listener, to the
+   * connections of some callers and forwards those of all others.
+   *
+   * @param callers selects callers by the address of their end of the connection
+   */
+  void setMode(Mode newMode, Predicate<InetSocketAddress> callers) {
+    if (newMode == Mode.REFUSE) {
+      ignoreResult(listener.close());
+    } else if (mode == Mode.REFUSE) {
+      listen();
+    }
     mode = newMode;
-    Set.copyOf(connections).forEach(connection -> connection.apply(newMode));
+    affectedCallers = callers;
+    for (ProxiedConnection connection : Set.copyOf(connections)) {
+      connection.select();
+      connection.applyMode();
+    }
   }
 
-  private void accept(Channel caller) {
-    if (mode == Mode.RESET) {
-      reset(caller);
+  /** Resets the connections that are open now, each shortly after its next request if wanted. */
+  void resetConnections(boolean isAfterRequest) {
+    for (ProxiedConnection connection : Set.copyOf(connections)) {
+      if (isAfterRequest) {
+        connection.isResetAfterRequest = true;
+      } else {
+        connection.reset();
+      }
+    }
+  }
+
+  /** Holds back the server's answers until the mode changes. */
+  void delayAnswers(long delayMs) {
+    answerDelayMs = delayMs;
+    setMode(Mode.DELAY_ANSWERS);
+  }
+
+  private void listen() {
+    if (isClosed) {
       return;
     }
-    ProxiedConnection connection = new ProxiedConnection(caller);
+    ChannelFuture bound = bootstrap.bind(address);
+    listener = bound.channel();
+    ignoreResult(
+        bound.addListener(
+            result -> {
+              if (!result.isSuccess()) {
+                Logger.error(result.cause(), "soak: {} cannot be bound again", address);
+              }
+            }));
+  }
+
+  private void accept(Channel caller) {
+    ProxiedConnection connection = new ProxiedConnection(caller, acceptedConnections++);
     connections.add(connection);
+    connection.select();
+    if (connection.mode() == Mode.RESET || connection.mode() == Mode.REFUSE) {
+      connection.reset();
+      return;
+    }
     ignoreResult(
         new Bootstrap()
             .group(group)
@@ -112,7 +183,7 @@
                     connected -> {
                       if (connected.isSuccess()) {
                         connection.server = connected.channel();
-                        connection.apply(mode);
+                        connection.onConnected();
                       } else {
                         connection.close();
                       }
@@ -131,6 +202,7 @@
   /** Stops listening and closes all connections. */
   @Override
   public void close() {
+    isClosed = true;
     ignoreResult(listener.close());
     Set.copyOf(connections).forEach(ProxiedConnection::close);
   }
@@ -138,23 +210,72 @@
   /** One forwarded connection. */
   private final class ProxiedConnection {
     private final Channel caller;
+    private final int number;
     private Channel server;
+    private boolean isAffected;
+    private boolean isResetAfterRequest;
+    private boolean areAnswersDropped;
 
-    ProxiedConnection(Channel caller) {
+    ProxiedConnection(Channel caller, int number) {
       this.caller = caller;
+      this.number = number;
+    }
+
+    /** Updates whether the proxy's mode applies to this connection. */
+    void select() {
+      // A connection that was just closed has no remote address.
+      isAffected =
+          caller.remoteAddress() instanceof InetSocketAddress source
+              && affectedCallers.test(source);
     }
 
-    void apply(Mode newMode) {
-      if (newMode == Mode.RESET) {
-        connections.remove(this);
-        reset(caller);
-        if (server != null) {
-          reset(server);
-        }
-      } else if (server != null) {
-        caller.config().setAutoRead(newMode != Mode.SILENT && newMode != Mode.SILENT_TO_SERVER);
-        server.config().setAutoRead(newMode != Mode.SILENT && newMode != Mode.SILENT_TO_CALLER);
+    Mode mode() {
+      return isAffected ? mode : Mode.FORWARD;
+    }
+
+    void onConnected() {
+      if (!connections.contains(this)) {
+        close();
+        return;
       }
+      applyMode();
+    }
+
+    void applyMode() {
+      Mode applied = mode();
+      if (applied == Mode.RESET || applied == Mode.REFUSE) {
+        reset();
+        return;
+      }
+      areAnswersDropped |= applied == Mode.LOSE_ANSWERS && number % 2 == 0;
+      if (server != null) {
+        caller.config().setAutoRead(applied != Mode.SILENT && applied != Mode.SILENT_TO_SERVER);
+        server.config().setAutoRead(applied != Mode.SILENT && applied != Mode.SILENT_TO_CALLER);
+      }
+    }
+
+    void reset() {
+      connections.remove(this);
+      LoopbackProxy.reset(caller);
+      if (server != null) {
+        LoopbackProxy.reset(server);
+      }
+    }
+
+    /** Resets the caller's side once a request has reached the server, which executes it. */
+    void resetAfterRequest() {
+      isResetAfterRequest = false;
+      areAnswersDropped = true;
+      caller.config().setOption(ChannelOption.SO_LINGER, 0);
+      ignoreResult(caller.eventLoop().schedule(this::close, REQUEST_MS, TimeUnit.MILLISECONDS));
+    }
+
+    long delayMs(boolean isFromCaller) {
+      return switch (mode) {
+        case DELAY -> DELAY_MS;
+        case DELAY_ANSWERS -> isFromCaller ? 0 : answerDelayMs;
+        default -> 0;
+      };
     }
 
     void close() {
@@ -167,9 +288,11 @@
   }
 
   /** Forwards what one side of a connection sends to the other side. */
-  private final class ForwardingHandler extends ChannelInboundHandlerAdapter {
+  private static final class ForwardingHandler extends ChannelInboundHandlerAdapter {
     private final ProxiedConnection connection;
     private final boolean isFromCaller;
+    private long lastDueNanos = System.nanoTime();
+    private final Deque<ByteBuf> delayedMessages = new ArrayDeque<>();
 
     ForwardingHandler(ProxiedConnection connection, boolean isFromCaller) {
       this.connection = connection;
@@ -180,17 +303,29 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
       Channel other = isFromCaller ? connection.server : connection.caller;
       ByteBuf bytes = (ByteBuf) message;
-      if (mode == Mode.DELAY) {
+      if (!isFromCaller && connection.areAnswersDropped) {
+        bytes.release();
+        return;
+      }
+      long nowNanos = System.nanoTime();
+      long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(connection.delayMs(isFromCaller));
+      // Later bytes must not overtake delayed ones when the mode changes.
+      lastDueNanos = Math.max(lastDueNanos, dueNanos);
+      if (lastDueNanos > nowNanos || !delayedMessages.isEmpty()) {
+        delayedMessages.add(bytes);
         ignoreResult(
             context
                 .executor()
                 .schedule(
-                    () -> ignoreResult(other.writeAndFlush(bytes)),
-                    DELAY_MS,
-                    TimeUnit.MILLISECONDS));
+                    () -> ignoreResult(other.writeAndFlush(delayedMessages.remove())),
+                    lastDueNanos - nowNanos,
+                    TimeUnit.NANOSECONDS));
       } else {
         ignoreResult(other.writeAndFlush(bytes));
       }
+      if (isFromCaller && connection.isResetAfterRequest) {
+        connection.resetAfterRequest();
+      }
     }
 
     @Override
--- a/src/main/java/org/laburnumarch/internal/soak/RollingRestarts.java
+++ b/src/main/java/org/laburnumarch/internal/soak/RollingRestarts.java
@@ -32,6 +32,7 @@
   /** Longest time between two signals to the same daemon. */
   private static final int MAX_SECOND_SIGNAL_MS = 3_500;
 
+  private static final long NO_SECOND_SIGNAL_MS = Long.MAX_VALUE / 2;
   private static final long CHECK_INTERVAL_MS = 50;
   private static final long READINESS_TIMEOUT_MS = 500;
   private static final int OK = 200;
@@ -78,7 +79,7 @@
     Collections.shuffle(order, random);
     long pauseMs = random.nextInt(random.nextBoolean() ? MAX_PAUSE_MS / 10 : MAX_PAUSE_MS);
     long secondSignalMs =
-        isSignalledTwice ? 1L + random.nextInt(MAX_SECOND_SIGNAL_MS) : Long.MAX_VALUE / 2;
+        isSignalledTwice ? 1L + random.nextInt(MAX_SECOND_SIGNAL_MS) : NO_SECOND_SIGNAL_MS;
     restartNext(new ArrayDeque<>(order), groupSize, pauseMs, secondSignalMs);
   }
 
@@ -103,6 +104,13 @@
         () -> restartNext(remaining, groupSize, pauseMs, secondSignalMs));
   }
 
+  /** Restarts one daemon, unless it restarts already or too few others would be left. */
+  void restart(DaemonProcess daemon) {
+    if (!restarting.contains(daemon) && daemons.size() - restarting.size() > daemons.size() / 2) {
+      restart(daemon, NO_SECOND_SIGNAL_MS);
+    }
+  }
+
   private void restart(DaemonProcess daemon, long secondSignalMs) {
     restarting.add(daemon);
     Logger.info("soak: {} gets SIGTERM", daemon.name());
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -39,6 +39,14 @@
             "planned work in place of faults: rolling restarts, workers that are replaced")
     private boolean isPlanned;
 
+    @Parameter(names = "--kind", description = "what happens in each run")
+    private SoakKind kind = SoakKind.FAULTS;
+
+    @Parameter(
+        names = "--daemon-jar",
+        description = "build that the daemons run; default: this one")
+    private Path daemonJar;
+
     @Parameter(names = "--directory", description = "directory for settings and logs")
     private String directory = "";
 
@@ -62,6 +70,11 @@
       out.print(usage);
       return ResultCode.OK.outcome().exitStatus();
     }
+    if (options.daemonJar != null && !Files.isRegularFile(options.daemonJar)) {
+      err.println(
+          ResultCode.USAGE.number() + " USAGE: --daemon-jar: no such file: " + options.daemonJar);
+      return ResultCode.USAGE.outcome().exitStatus();
+    }
     boolean areInvariantsKept = true;
     for (long seed = options.seed; seed < options.seed + options.runs; seed++) {
       areInvariantsKept &= runSeed(seed, options, out, err);
@@ -77,12 +90,15 @@
       try (PortBlock ports = PortBlock.reserve(PORTS_PER_RUN);
           SoakRun run =
               new SoakRun(
-                  options.isPlanned ? SoakKind.PLANNED_WORK : SoakKind.FAULTS,
+                  options.isPlanned ? SoakKind.PLANNED_WORK : options.kind,
                   seed,
                   options.daemons,
                   options.seconds * 1_000L,
                   directory,
                   ports.first())) {
+        if (options.daemonJar != null) {
+          run.useDaemonJar(options.daemonJar);
+        }
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
@@ -1,5 +1,6 @@
 package org.laburnumarch.internal.soak;
 
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
 import org.laburnumarch.internal.platform.standin.StoreStandIn;
@@ -170,8 +171,8 @@
   }
 
   private static Runnable disrupt(List<LoopbackProxy> proxies, Random random) {
-    Mode[] modes = Mode.values();
-    Mode mode = modes[1 + random.nextInt(modes.length - 1)];
+    List<Mode> modes = List.copyOf(EnumSet.range(Mode.DELAY, Mode.RESET));
+    Mode mode = modes.get(random.nextInt(modes.size()));
     proxies.forEach(proxy -> proxy.setMode(mode));
     return () -> proxies.forEach(proxy -> proxy.setMode(Mode.FORWARD));
   }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -54,12 +54,14 @@
           4);
 
   private final EventLoopThread loop;
+  private final int firstPort;
   private final PlatformStandIn platform;
   private final List<DaemonProcess> daemons = new ArrayList<>();
   private final Map<DaemonProcess, LoopbackProxy> storeProxies = new LinkedHashMap<>();
   private final Map<InetSocketAddress, InetSocketAddress> proxyAddresses = new HashMap<>();
   private final Map<InetSocketAddress, LoopbackProxy> workerProxies = new LinkedHashMap<>();
   private final RollingRestarts restarts;
+  private int pendingSteps;
   private boolean isClosed;
 
   /**
@@ -80,22 +82,14 @@
       long seed)
       throws Exception {
     this.loop = loop;
+    this.firstPort = firstPort;
     InetSocketAddress store = new InetSocketAddress(InetAddress.getLoopbackAddress(), firstPort);
     InetSocketAddress instanceService =
         new InetSocketAddress(
             InetAddress.getLoopbackAddress(), firstPort + INSTANCE_SERVICE_PORT_OFFSET);
     int workers = POOL_SIZES.values().stream().mapToInt(Integer::intValue).sum();
     for (int number = 0; number < workers; number++) {
-      InetSocketAddress workerAddress =
-          new InetSocketAddress(
-              InetAddress.getLoopbackAddress(), firstPort + FIRST_WORKER_PORT_OFFSET + number);
-      InetSocketAddress proxyAddress =
-          new InetSocketAddress(
-              InetAddress.getLoopbackAddress(),
-              firstPort + FIRST_WORKER_PROXY_PORT_OFFSET + number);
-      workerProxies.put(
-          workerAddress, new LoopbackProxy(proxyAddress, workerAddress, loop.group()));
-      proxyAddresses.put(workerAddress, proxyAddress);
+      addWorkerProxy();
     }
     this.platform =
         new PlatformStandIn(
@@ -113,6 +107,30 @@
     this.restarts = new RollingRestarts(daemons, this::start, loop, clock);
   }
 
+  private void addWorkerProxy() throws InterruptedException {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    int number = workerProxies.size();
+    InetSocketAddress worker =
+        new InetSocketAddress(loopback, firstPort + FIRST_WORKER_PORT_OFFSET + number);
+    InetSocketAddress proxy =
+        new InetSocketAddress(loopback, firstPort + FIRST_WORKER_PROXY_PORT_OFFSET + number);
+    workerProxies.put(worker, new LoopbackProxy(proxy, worker, loop.group()));
+    proxyAddresses.put(worker, proxy);
+  }
+
+  /**
+   * Binds addresses and proxies for workers that replace others. Must not be called on the event
+   * loop's thread.
+   *
+   * @throws Exception if an address cannot be bound
+   */
+  void bindReplacements(int count) throws Exception {
+    for (int i = 0; i < count; i++) {
+      addWorkerProxy();
+    }
+    platform.bindReplacements(count);
+  }
+
   private void addDaemon(
       Path directory,
       int firstPort,
@@ -163,6 +181,29 @@
     return List.copyOf(workerProxies.values());
   }
 
+  /** Returns the proxies of the workers in a pool. */
+  List<LoopbackProxy> workerProxies(String pool) {
+    return platform.workerAddresses(pool).stream().map(workerProxies::get).toList();
+  }
+
+  /** Executes a later step of an event, unless the run is closed by then. */
+  void after(long delayMs, Runnable step) {
+    pendingSteps++;
+    loop.schedule(
+        delayMs,
+        () -> {
+          pendingSteps--;
+          if (!isClosed) {
+            step.run();
+          }
+        });
+  }
+
+  /** Returns whether no step of an event is outstanding and no daemon restarts. */
+  boolean isQuiet() {
+    return pendingSteps == 0 && restarts.isIdle();
+  }
+
   RollingRestarts restarts() {
     return restarts;
   }
@@ -194,6 +235,21 @@
         });
   }
 
+  /**
+   * Ends an instance's worker and its address without an announcement, and starts another one in
+   * its place some time later.
+   */
+  void crashWorker(String instanceName, Random random) {
+    long absentMs = 1L + random.nextInt(MAX_ABSENT_MS);
+    platform
+        .crashWorker(instanceName)
+        .ifPresent(
+            address -> {
+              workerProxies.get(address).close();
+              after(absentMs, () -> platform.replaceWorker(instanceName));
+            });
+  }
+
   DaemonProcess randomDaemon(Random random) {
     return daemons.get(random.nextInt(daemons.size()));
   }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -1,6 +1,8 @@
 package org.laburnumarch.internal.soak;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 
 /** What happens in a run. */
 enum SoakKind {
@@ -17,6 +19,31 @@
     List<SoakEvent> events() {
       return List.of(PlannedWork.values());
     }
+  },
+  /** Series of a few faults, each followed by a calm span, so that the effect of a fault shows. */
+  ISOLATED_FAULTS(1_500) {
+    @Override
+    List<SoakEvent> events() {
+      List<SoakEvent> events = new ArrayList<>(List.of(IsolatedFault.values()));
+      events.add(SoakFault.RESTART_WORKERS);
+      events.add(SoakFault.DARK_WORKERS);
+      return events;
+    }
+
+    @Override
+    int seriesLength(Random random) {
+      return 1 + random.nextInt(3);
+    }
+
+    @Override
+    Random eventRandom(Random random) {
+      return new Random(random.nextLong());
+    }
+
+    @Override
+    long calmMs(Random random) {
+      return 3_000L + random.nextInt(3_000);
+    }
   };
 
   private final int maxIntervalMs;
@@ -27,6 +54,24 @@
 
   abstract List<SoakEvent> events();
 
+  /** Chooses the number of events until the next calm span. */
+  int seriesLength(Random unused) {
+    return Integer.MAX_VALUE;
+  }
+
+  /**
+   * Returns the source of an event's random choices; one of its own keeps choices that depend on
+   * the state of the fleet from changing later events.
+   */
+  Random eventRandom(Random random) {
+    return random;
+  }
+
+  /** Chooses the length of the calm span that follows the end of all events of a series. */
+  long calmMs(Random unused) {
+    return 0;
+  }
+
   /** Returns the longest pause between two events; most events take longer. */
   int maxIntervalMs() {
     return maxIntervalMs;
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -26,8 +26,8 @@
 
   private static final long FAULT_FREE_START_MS = 5_000;
 
-  private static final long MIN_FAULT_MS = 200;
-  private static final int MAX_FAULT_MS = 4_500;
+  /** Time after the end of an event until all daemons that have exited are started. */
+  private static final long START_DELAY_MS = 4_500;
 
   /**
    * Time after the last fault in which every accepted job must finish and every long-running task
@@ -100,12 +100,17 @@
         new SoakFleet(directory, firstPort, daemons, loop, clock, checker, random.nextLong());
     this.callers =
         new SoakCallers(fleet.daemons(), loop, clock, checker, random.nextLong(), kind.isPlanned());
-    if (kind.isPlanned()) {
-      fleet.platform().bindReplacements(REPLACEMENT_WORKERS);
+    if (kind != SoakKind.FAULTS) {
+      fleet.bindReplacements(REPLACEMENT_WORKERS);
     }
     Runtime.getRuntime().addShutdownHook(shutdownHook);
   }
 
+  /** Runs the daemons from another build; must be called before {@link #run}. */
+  void useDaemonJar(Path jar) {
+    fleet.daemons().forEach(daemon -> daemon.useJar(jar));
+  }
+
   private void killDaemons() {
     fleet.daemons().forEach(DaemonProcess::kill);
   }
@@ -125,19 +130,14 @@
     TimeUnit.MILLISECONDS.sleep(FAULT_FREE_START_MS);
     long faultsUntilMs = System.currentTimeMillis() + faultsMs;
     while (System.currentTimeMillis() < faultsUntilMs) {
-      loop.call(
-          () -> {
-            injectFault();
-            return null;
-          });
-      TimeUnit.MILLISECONDS.sleep(random.nextInt(kind.maxIntervalMs()));
+      injectSeries(faultsUntilMs);
+      if (System.currentTimeMillis() < faultsUntilMs) {
+        awaitEndOfFaults();
+        TimeUnit.MILLISECONDS.sleep(kind.calmMs(random));
+      }
     }
     loop.execute(fleet.restarts()::endSeries);
-    long readyUntilMs = System.currentTimeMillis() + MAX_RESTART_MS;
-    while (loop.call(() -> activeFaults > 0 || !fleet.restarts().isIdle())
-        && System.currentTimeMillis() < readyUntilMs) {
-      TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL_MS);
-    }
+    awaitEndOfFaults();
     loop.call(
         () -> {
           if (!fleet.restarts().isIdle()) {
@@ -150,12 +150,32 @@
     return loop.call(() -> result(settledAfterMs));
   }
 
+  private void injectSeries(long untilMs) throws Exception {
+    int remaining = kind.seriesLength(random);
+    while (remaining-- > 0 && System.currentTimeMillis() < untilMs) {
+      loop.call(
+          () -> {
+            injectFault();
+            return null;
+          });
+      TimeUnit.MILLISECONDS.sleep(random.nextInt(kind.maxIntervalMs()));
+    }
+  }
+
+  private void awaitEndOfFaults() throws Exception {
+    long untilMs = System.currentTimeMillis() + MAX_RESTART_MS;
+    while (loop.call(() -> activeFaults > 0 || !fleet.isQuiet())
+        && System.currentTimeMillis() < untilMs) {
+      TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL_MS);
+    }
+  }
+
   private void injectFault() {
     SoakEvent fault = kind.events().get(random.nextInt(kind.events().size()));
-    long durationMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS);
+    long durationMs = fault.durationMs(random);
     injectedFaults.add(clock.epochMs() + " " + fault + " for " + durationMs + " ms");
     Logger.info("soak: seed={} fault={} lastsMs={}", seed, fault, durationMs);
-    Runnable end = fault.inject(fleet, random);
+    Runnable end = fault.inject(fleet, kind.eventRandom(random));
     activeFaults++;
     loop.schedule(
         durationMs,
@@ -163,7 +183,7 @@
           activeFaults--;
           end.run();
           // A daemon that received SIGTERM may still be shutting down now, so start it again later.
-          loop.schedule(MAX_FAULT_MS, () -> fleet.daemons().forEach(fleet::start));
+          loop.schedule(START_DELAY_MS, () -> fleet.daemons().forEach(fleet::start));
         });
   }
 
