--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -45,6 +45,11 @@
     @Parameter(names = "--load", description = "platform and jobs of each run")
     private SoakLoad load = SoakLoad.SHORT_TASKS;
 
+    @Parameter(
+        names = "--daemon-jar",
+        description = "build that the daemons run; default: this one")
+    private Path daemonJar;
+
     @Parameter(names = "--directory", description = "directory for settings and logs")
     private String directory = "";
 
@@ -68,6 +73,11 @@
       out.print(usage);
       return ResultCode.OK.outcome().exitStatus();
     }
+    if (options.daemonJar != null && !Files.isRegularFile(options.daemonJar)) {
+      err.println(
+          ResultCode.USAGE.number() + " USAGE: --daemon-jar: no such file: " + options.daemonJar);
+      return ResultCode.USAGE.outcome().exitStatus();
+    }
     boolean areInvariantsKept = true;
     for (long seed = options.seed; seed < options.seed + options.runs; seed++) {
       areInvariantsKept &= runSeed(seed, options, out, err);
@@ -90,6 +100,9 @@
                   options.seconds * 1_000L,
                   directory,
                   ports.first())) {
+        if (options.daemonJar != null) {
+          run.useDaemonJar(options.daemonJar);
+        }
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
