--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -201,7 +201,8 @@
 
   /** Returns how many addresses are left for workers that replace others. */
   int freeWorkerAddresses() {
-    return FIRST_WORKER_PROXY_PORT_OFFSET - FIRST_WORKER_PORT_OFFSET - layout.instances();
+    // The last port of the range keeps it reserved.
+    return FIRST_WORKER_PROXY_PORT_OFFSET - FIRST_WORKER_PORT_OFFSET - layout.instances() - 1;
   }
 
   /** Returns the proxies of the workers in a pool. */
