--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -143,7 +143,7 @@
   private final Map<RunKey, Run> running = new LinkedHashMap<>();
   private final List<EndedTask> ended = new ArrayList<>();
   private final Map<String, Long> highestRunByTask = new LinkedHashMap<>();
-  private long startedAtMs;
+  private volatile long startedAtMs;
   private long highestToken;
   private long leaseEndMs = -1;
   private long nextEndNumber = 1;
@@ -156,7 +156,7 @@
   private long lastEndBeforeLapse;
 
   /** Earliest time at which the worker leaves; empty before it has announced that. */
-  private OptionalLong leavesFromMs = OptionalLong.empty();
+  private volatile OptionalLong leavesFromMs = OptionalLong.empty();
 
   /** Creates a worker with an exact clock and without an observer. */
   public SimulatedWorker(String id, String service, String rack, long nowMs) {
@@ -219,22 +219,22 @@
   }
 
   /** Announces that the worker leaves, but not before {@code earliestMs}. */
-  synchronized void announceLeave(long earliestMs) {
+  void announceLeave(long earliestMs) {
     leavesFromMs = OptionalLong.of(earliestMs);
   }
 
   /** Returns whether the worker has announced that it leaves; it should get no new tasks. */
-  synchronized boolean isLeaving() {
+  boolean isLeaving() {
     return leavesFromMs.isPresent();
   }
 
   /** Returns the minimum time until the worker leaves; 0 if it has not announced that. */
-  synchronized long remainingMs(long nowMs) {
+  long remainingMs(long nowMs) {
     return Math.max(0, leavesFromMs.orElse(nowMs) - nowMs);
   }
 
   /** Returns when the current incarnation started. */
-  public synchronized long startedAtMs() {
+  public long startedAtMs() {
     return startedAtMs;
   }
 
--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -18,6 +18,13 @@
       return List.of(PlannedWork.values());
     }
   },
+  /** Only the faults that the load adds to the usual ones. */
+  FAULTS_OF_LOAD(1_800) {
+    @Override
+    List<SoakEvent> events() {
+      return List.of();
+    }
+  },
   /** Nothing but the load. */
   QUIET(1_000) {
     @Override
