--- a/src/test/java/org/laburnumarch/internal/platform/WorkerMessagesTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/WorkerMessagesTest.java
@@ -47,6 +47,14 @@
       assertThat(WorkerMessages.decodeOrderReply(status, bytes("{}")).outcome()).isEqualTo(outcome);
     }
 
+    /** Guards against a second run of a task whose start was executed and answered unreadably. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "{\"clockMs\":\"7\"}"})
+    void shouldTakeASuccessWithAnUnreadableBodyForExecuted(String body) {
+      assertThat(WorkerMessages.decodeOrderReply(200, bytes(body)))
+          .isEqualTo(new OrderReply(Outcome.OBEYED, -1));
+    }
+
     @Test
     void shouldReadReasonAndClockOfARefusal() {
       assertThat(WorkerMessages.decodeOrderReply(409, bytes("{\"reason\":\"room\",\"clockMs\":7}")))
