Show that a takeover does not outwait the lease of a worker that was idle

An owner computes the end of a lease from the last reading of the worker's clock and the time since. The clock may be 2% slow, and an idle worker is not asked for reports, so after minutes the lease is seconds longer than requested (up to the worker's maximum). The next owner waits for the requested length.

--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -46,7 +46,13 @@
   }
 
   void addWorker(String id) {
-    workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs, 1, new DoneTasks()));
+    addWorker(id, 1);
+  }
+
+  /** Adds a worker whose clock runs at a rate of 0.98 to 1. */
+  void addWorker(String id, double clockRate) {
+    workers.put(
+        id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs, clockRate, new DoneTasks()));
   }
 
   /** Keeps progress from being stored, so that a later owner does not find it. */
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -155,6 +155,30 @@
     }
   }
 
+  @Nested
+  class WhenAClockIsSlow {
+
+    private static final long IDLE_MS = 300_000;
+
+    /**
+     * Guards against a second run of a task whose worker was idle for a long time before, so that
+     * the owner expects its clock to be ahead of its actual reading and requests too long a lease.
+     */
+    @Test
+    void shouldWaitForTheLeaseOfAWorkerThatHasBeenIdle() {
+      TakeoverSeries slow = new TakeoverSeries(0);
+      slow.addWorker("w0", 0.98);
+      slow.addWorker("w1", 0.98);
+      slow.advance(IDLE_MS);
+      slow.accept(TestJobs.job("a", slow.nowMs, TestJobs.step(1, 1_000)), LONG_RUN_MS);
+      slow.advance(50);
+      slow.cutOff(slow.workerOf("a.0.0.0").orElseThrow());
+      slow.takeOver();
+      slow.advance(8_000);
+      assertThat(slow.runningTasks()).containsExactly("a.0.0.0");
+    }
+  }
+
   @Nested
   class InRandomOrder {
 
