Base the end of a lease on the lowest reading that the worker's clock can have

Cause: the end of a lease was computed from the last reading of the worker's clock plus the time since. A clock may be 2% slow, and idle workers are not asked for reports: after 5 minutes the lease was 6 s too long, up to the worker's maximum. The next owner waits for the requested length only.

Change: the end is computed from the lowest reading that the clock can have, so that no lease lasts longer than requested on the worker's clock. The reading of an idle worker is renewed every 30 s, because its age shortens the next lease.

Cost: one report per idle worker in 30 s. The first lease after an idle time is up to 0.6 s shorter; the next renewal follows within the report interval.

--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -38,6 +38,12 @@
    */
   private static final long IDLE_ACK_INTERVAL_MS = 600;
 
+  /**
+   * Maximum age of the reading of an idle worker's clock. Its drift since then shortens the lease
+   * of the next start.
+   */
+  private static final long MAX_IDLE_CLOCK_AGE_MS = 30_000;
+
   /**
    * Maximum age of a worker's last report for acknowledging ends. A worker that restarts under its
    * id numbers its ends from 1 again and must not receive an acknowledgement meant for its earlier
@@ -107,7 +113,9 @@
               && (sinceReportMs > IDLE_ACK_INTERVAL_MS
                   || (acknowledgement > 0 && sinceReportMs >= MIN_REPORT_INTERVAL_MS));
       boolean isProbeDue = worker.missedReports > 0 && sinceReportMs > retryAfterMissMs(worker);
-      return isAckDue || isProbeDue
+      boolean isClockReadingDue =
+          worker.acceptsTasks() && worker.clockAgeMs(nowMs) > MAX_IDLE_CLOCK_AGE_MS;
+      return isAckDue || isProbeDue || isClockReadingDue
           ? Optional.of(new Renewal(worker.id, -1, acknowledgement, 0))
           : Optional.empty();
     }
@@ -124,8 +132,7 @@
       // The worker does not reply, so a request that reaches it late must not extend its lease.
       return Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
-    long leaseEndClockMs = worker.clockMs(nowMs) + settings.leaseMs();
-    worker.leaseEndClockMs = Math.max(worker.leaseEndClockMs, leaseEndClockMs);
+    long leaseEndClockMs = worker.requestLease(settings.leaseMs(), nowMs);
     long waitMs = worker.hasUnacknowledgedEnds() ? 0 : MAX_REPORT_WAIT_MS;
     return Optional.of(new Renewal(worker.id, leaseEndClockMs, acknowledgement, waitMs));
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -210,8 +210,7 @@
   }
 
   private void start(Task task, Worker worker, long run, Map<String, String> stepTickets) {
-    long leaseEndClockMs = worker.clockMs(nowMs) + context.settings().leaseMs();
-    worker.leaseEndClockMs = Math.max(worker.leaseEndClockMs, leaseEndClockMs);
+    long leaseEndClockMs = worker.requestLease(context.settings().leaseMs(), nowMs);
     worker.ordersInFlight++;
     Attempt attempt = context.runTracker().registerStart(task, worker, run, nowMs, leaseEndClockMs);
     context
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -230,6 +230,22 @@
     return clockReadingMs + (long) Math.floor((atMs - clockReadAtMs) * rate);
   }
 
+  /** Returns the time since its clock was last read. */
+  long clockAgeMs(long nowMs) {
+    return hasClock() ? nowMs - clockReadAtMs : 0;
+  }
+
+  /**
+   * Sets the end of a lease that is about to be requested, and returns it. The lease lasts at most
+   * the requested time on the worker's clock, however slow that is, because a later owner waits no
+   * longer.
+   */
+  long requestLease(long leaseMs, long nowMs) {
+    long endClockMs = earliestClockMs(nowMs) + leaseMs;
+    leaseEndClockMs = Math.max(leaseEndClockMs, endClockMs);
+    return endClockMs;
+  }
+
   /** Returns whether every lease of the worker has certainly expired. */
   boolean isLeaseExpired(long nowMs) {
     return nowMs >= leasesExpireAtMs();
