Do not revive an ended run because of a report that arrives late

Two reports of a worker may be in flight at once and arrive in the other order. If the later one listed the end of a run and the earlier one listed it as going on, the owner adopted the ended run: its task waited for a further report and counted as available in the meantime, so that one more task of its step could be stopped.

Change: a task remembers the run whose end was listed last, and its worker; an entry for that run in the list of running ones is ignored.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -274,6 +274,9 @@
   private Optional<Order> onRunningReported(Worker worker, RunningTask running, long nowMs) {
     Attempt attempt = worker.attempts.get(Worker.attemptKey(running.taskName(), running.run()));
     if (attempt == null) {
+      if (hasEnded(worker, running)) {
+        return Optional.empty();
+      }
       attempt = adopt(worker, running, nowMs);
       if (attempt == null) {
         return Optional.of(new Order.Stop(worker.id, running.taskName(), running.run()));
@@ -303,6 +306,17 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns whether another report has listed the end of a run. Reports may arrive in another order
+   * than they were written.
+   */
+  private boolean hasEnded(Worker worker, RunningTask running) {
+    Task task = findTask(running.taskName());
+    return task != null
+        && task.lastEndedRun == running.run()
+        && task.lastEndedWorkerId.equals(worker.id);
+  }
+
   /** Registers a run that an earlier owner started; returns null if its job is unknown here. */
   private Attempt adopt(Worker worker, RunningTask running, long nowMs) {
     Task task = findTask(running.taskName());
@@ -373,6 +387,8 @@
       return lastBatchNumber(ended.taskName());
     }
     task.lastRun = Math.max(task.lastRun, ended.run());
+    task.lastEndedRun = ended.run();
+    task.lastEndedWorkerId = worker.id;
     boolean hasNoOtherRun = task.attempt == null;
     if (hasNoOtherRun && !ended.checkpoint().isEmpty()) {
       task.checkpoint = ended.checkpoint();
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -45,6 +45,12 @@
   /** Highest run number used so far. */
   long lastRun;
 
+  /** Number of the run whose end was listed last; -1 if none was. */
+  long lastEndedRun = -1;
+
+  /** Worker that listed that end. */
+  String lastEndedWorkerId = "";
+
   String checkpoint = "";
 
   /** Worker on which the last run failed or was refused; avoided while others have capacity. */
