Do not take a run as over whose end a full list may leave out

Cause: RunTracker.unregisterAbsent took each run that a report names neither as running nor as ended as over without an end, and TakeoverGuard took any report as a complete one. SimulatedWorker listed all ends at once, so no test met the limit.

Change: a report says whether it lists all ends; WorkerMessages, which knows the protocol, decides that. Only such a report shows by leaving a run out that it is over. Until then the run stays registered with its reservation, its lease and its team's quota, so that starts on a worker with a full list stop when its capacity is used up. It does not count as available, and a crash of the worker is not put down to it. At a takeover a worker counts once it has listed all its ends, without a limit in time as long as it answers, because this owner may renew its lease.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -298,7 +298,7 @@
           wait.tasks(),
           wait.unreportedWorkers(),
           wait.endedWorkers(),
-          wait.overAtMs() - nowMs);
+          Math.max(0, wait.overAtMs() - nowMs));
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/platform/WorkerMessages.java
+++ b/src/main/java/org/laburnumarch/internal/platform/WorkerMessages.java
@@ -38,6 +38,9 @@
   private static final int END_KIND = 3;
   private static final int END_CHECKPOINT = 4;
 
+  /** Maximum number of ends in a report; a worker with more leaves out the later ones. */
+  private static final int MAX_LISTED_ENDS = 500;
+
   private WorkerMessages() {}
 
   /** Decodes the reply to an order. */
@@ -103,7 +106,11 @@
               row.path(END_CHECKPOINT).asText()));
     }
     return new WorkerReport(
-        Json.number(root, "clockMs"), Json.numberOr(root, "born", 0), running, ended);
+        Json.number(root, "clockMs"),
+        Json.numberOr(root, "born", 0),
+        running,
+        ended,
+        ended.size() < MAX_LISTED_ENDS);
   }
 
   private static JsonNode rows(JsonNode root, String field) throws MalformedMessageException {
--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -29,6 +29,7 @@
 
   private static final long STOP_DURATION_MS = 100;
   private static final long MAX_LEASE_MS = 6_000;
+  private static final int MAX_LISTED_ENDS = 500;
 
   /** Time from a run's start until the worker reports 100 percent for it. */
   private static final long STARTUP_MS = 300;
@@ -310,14 +311,16 @@
         });
   }
 
-  /** Returns the running tasks and the ends that are not acknowledged. */
+  /** Returns the running tasks and the earliest ends that are not acknowledged. */
   public WorkerReport report(long nowMs) {
     List<RunningTask> list = new ArrayList<>();
     for (Run run : running.values()) {
       int percent = nowMs - run.runStartMs >= STARTUP_MS ? 100 : 0;
       list.add(new RunningTask(run.task, run.run, "", percent, 0));
     }
-    return new WorkerReport(clockMs(nowMs), startedAtMs, list, ended);
+    List<EndedTask> listedEnds = ended.subList(0, Math.min(ended.size(), MAX_LISTED_ENDS));
+    return new WorkerReport(
+        clockMs(nowMs), startedAtMs, list, listedEnds, listedEnds.size() < MAX_LISTED_ENDS);
   }
 
   private void extendLease(long deadlineClockMs, long nowMs) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -50,6 +50,12 @@
   /** Whether the worker has reported the run a while after its start. */
   boolean hasSurvivedStart;
 
+  /**
+   * Whether a report has shown that the run does not go on, but may have left out its end. The run
+   * stays registered until the end is known.
+   */
+  boolean isEndUnlisted;
+
   /** Whether nothing else may start on the worker for now. */
   boolean isIsolated;
 
@@ -148,6 +154,13 @@
     isStoppedAsUnanswered = true;
   }
 
+  /** Records that the run does not go on, so that it cannot crash its worker any more. */
+  void onEndUnlisted() {
+    isEndUnlisted = true;
+    hasSurvivedStart = true;
+    worker.endIsolation(this);
+  }
+
   /** Returns whether the run should be stopped. */
   boolean isStopWanted() {
     return isUnwanted || isStoppedAsUnanswered;
@@ -182,6 +195,7 @@
   boolean isAvailable() {
     return phase == Phase.RUNNING
         && !isStopWanted()
+        && !isEndUnlisted
         && worker.missedReports == 0
         && (!task.step.spec.isLongRunning() || percent >= 100);
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
@@ -58,7 +58,7 @@
     long newRuns = worker.attempts.values().stream().filter(run -> isNew(run, lostAtMs)).count();
     for (Attempt run : runs) {
       // A start without a reply yet may have been refused by the ended process.
-      if (run.phase != Attempt.Phase.ORDERED && run.task.attempt == run) {
+      if (run.phase != Attempt.Phase.ORDERED && !run.isEndUnlisted && run.task.attempt == run) {
         count(run, isNew(run, lostAtMs), newRuns);
       }
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTimeLearner.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTimeLearner.java
@@ -66,7 +66,9 @@
       return;
     }
     long listedAtMs = Math.max(attempt.orderedAtMs, attempt.reportedAtMs);
-    if (attempt.isStartUncertain || requestedAtMs - listedAtMs > MAX_UNKNOWN_MS) {
+    if (attempt.isStartUncertain
+        || attempt.isEndUnlisted
+        || requestedAtMs - listedAtMs > MAX_UNKNOWN_MS) {
       learnBound(attempt, listedAtMs - attempt.orderedAtMs);
       return;
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -14,8 +14,8 @@
  * Tracks each run from its start order to its end, from the replies and reports of workers.
  *
  * <p>A task gets a new run only when no earlier one can still be running: its end was reported, the
- * worker refused the start, a report taken after the start's deadline does not list it, the worker
- * began a new incarnation, or the worker's lease has expired.
+ * worker refused the start, a report of all ends taken after the start's deadline does not list it,
+ * the worker began a new incarnation, or the worker's lease has expired.
  */
 final class RunTracker {
 
@@ -190,6 +190,7 @@
     updateIncarnation(worker, report.startedEpochMs(), nowMs);
     worker.recordClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
+    worker.hasListedAllEnds |= report.listsAllEnds();
     worker.missedReports = 0;
     worker.process.reset();
     worker.lastReportAttemptMs = nowMs;
@@ -258,8 +259,14 @@
       // The confirmation may come from an earlier incarnation, whose clock tells nothing here.
       boolean isRequestedAfterConfirmation =
           attempt.confirmedAtMs >= 0 && requestedAtMs > attempt.confirmedAtMs;
-      if (!seen.contains(entry.getKey())
-          && (isRequestedAfterConfirmation || report.workerClockMs() > mustBeListedAfterClockMs)) {
+      boolean isOver =
+          !seen.contains(entry.getKey())
+              && (isRequestedAfterConfirmation
+                  || report.workerClockMs() > mustBeListedAfterClockMs);
+      if (isOver && !report.listsAllEnds()) {
+        attempt.onEndUnlisted();
+      }
+      if (isOver && report.listsAllEnds()) {
         if (attempt.isOfUnknownIncarnation) {
           crashTracker.onCrash(worker, List.of(attempt), nowMs);
         }
@@ -283,6 +290,7 @@
       }
     }
     attempt.isListed = true;
+    attempt.isEndUnlisted = false;
     attempt.isOfUnknownIncarnation = false;
     if (!attempt.hasSurvivedStart && nowMs - attempt.orderedAtMs >= START_SURVIVAL_MS) {
       attempt.hasSurvivedStart = true;
@@ -406,7 +414,8 @@
       return 0;
     }
     if (attempt != null && attempt.checkpoint.isEmpty()) {
-      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, nowMs));
+      long overAtMs = attempt.isEndUnlisted ? attempt.reportedAtMs : nowMs;
+      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, overAtMs));
       runTimeLearner.onDone(attempt, requestedAtMs, nowMs);
     }
     if (step.spec.isGang()) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -156,7 +156,7 @@
   /** Returns the work that waits because of the takeover, for each pool that has any. */
   public List<TakeoverWait> takeoverWaits() {
     Map<String, Integer> tasks = new TreeMap<>();
-    if (!takeoverGuard.isOver(ownershipProvenAtMs)) {
+    if (!takeoverGuard.isOver(workers, ownershipProvenAtMs)) {
       liveJobs
           .values()
           .forEach(
@@ -209,7 +209,7 @@
           .flatMap(name -> TaskKey.parse(name).stream())
           .forEach(key -> addLocation(workersByTask, key, worker));
     }
-    if (!takeoverGuard.isOver(ownershipProvenAtMs)) {
+    if (!takeoverGuard.isOver(workers, ownershipProvenAtMs)) {
       for (Job job : liveJobs.values()) {
         takeoverGuard.addUnresolved(
             job, service(job.spec), workers, workersByTask, ownershipProvenAtMs);
@@ -501,7 +501,7 @@
    * process has ended from one behind a cut that refuses connections.
    */
   public boolean needsInstanceList(long nowMs) {
-    boolean isTakeoverOver = takeoverGuard.isOver(ownershipProvenAtMs);
+    boolean isTakeoverOver = takeoverGuard.isOver(workers, ownershipProvenAtMs);
     return workers.all().stream()
         .anyMatch(
             worker ->
@@ -562,7 +562,9 @@
             && worker.attempts.values().stream()
                 .anyMatch(
                     attempt ->
-                        (attempt.phase == Attempt.Phase.UNANSWERED && attempt.isStopConfirmed)
+                        (attempt.phase == Attempt.Phase.UNANSWERED
+                                && attempt.isStopConfirmed
+                                && !attempt.isEndUnlisted)
                             || (worker.missedReports == 0
                                 && (attempt.isLookedUp() || attempt.isSurvivalUnknown(nowMs))));
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
@@ -769,7 +771,7 @@
     job.addDueOccurrences(epochMs);
     String service = queue.get().service();
     if (job.mayHaveHeldTasks) {
-      job.mayHaveHeldTasks = !takeoverGuard.isOver(ownershipProvenAtMs);
+      job.mayHaveHeldTasks = !takeoverGuard.isOver(workers, ownershipProvenAtMs);
       takeoverGuard.updateHeldTasks(job, service, workers, ownershipProvenAtMs);
       // A held task may be running, so its team is charged for it.
       heldTasks(job)
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -11,8 +11,10 @@
 /**
  * Prevents a second start of tasks that an earlier owner started on a worker that has not reported
  * yet. Such a task waits until the workers that may have it have reported, or until every lease
- * that the earlier owner may have requested has expired. Where the earlier owner has left the
- * locations of its runs, only these workers count; otherwise all of the pool do.
+ * that the earlier owner may have requested has expired. A worker with more ends than it reports at
+ * a time counts once it has reported all, because its leases are renewed until then. Where the
+ * earlier owner has left the locations of its runs, only these workers count; otherwise all of the
+ * pool do.
  *
  * <p>Earlier owners stop sending orders at one time, and the leases that they have requested expire
  * a lease later, for each worker as far as that is known. A worker whose process is known to have
@@ -25,14 +27,18 @@
   /** Factor by which a time on a worker's clock may take longer in real time. */
   private static final double SLOW_CLOCK_FACTOR = 1.03;
 
-  private final boolean hadEarlierOwner;
   private final long leaseWaitMs;
   private final long fullWaitMs;
   private final long authorityWaitMs;
 
-  /** Local time from which no run of an earlier owner can be going on unreported anywhere. */
+  /**
+   * Local time from which no run of an earlier owner can be going on at workers that have not
+   * reported.
+   */
   private long overAtMs;
 
+  private boolean isOver;
+
   /** Local time from which no earlier owner sends orders any more. */
   private long ordersOverAtMs;
 
@@ -40,38 +46,54 @@
   private boolean hasLocations;
 
   TakeoverGuard(SchedulerSettings settings, long nowMs, boolean hadEarlierOwner) {
-    this.hadEarlierOwner = hadEarlierOwner;
     this.leaseWaitMs = (long) (settings.leaseMs() * SLOW_CLOCK_FACTOR);
     this.fullWaitMs =
         (long) ((settings.earlierOwnerAuthorityMs() + settings.leaseMs()) * SLOW_CLOCK_FACTOR);
     this.authorityWaitMs = (long) (settings.earlierOwnerAuthorityMs() * SLOW_CLOCK_FACTOR);
     this.overAtMs = hadEarlierOwner ? nowMs + fullWaitMs : nowMs;
+    this.isOver = !hadEarlierOwner;
     this.ordersOverAtMs = hadEarlierOwner ? nowMs + authorityWaitMs : nowMs;
   }
 
-  boolean isOver(long nowMs) {
-    return !hadEarlierOwner || nowMs > overAtMs;
+  /** Returns whether no task can be held any more; once it can not, that stays so. */
+  boolean isOver(WorkerTable workers, long nowMs) {
+    isOver |=
+        nowMs > overAtMs
+            && workers.all().stream().noneMatch(worker -> mayHaveUnlistedEnds(worker, nowMs));
+    return isOver;
   }
 
-  /** Returns the local time at which no run of an earlier owner can be going on any more. */
+  private boolean mayHaveUnlistedEnds(Worker worker, long nowMs) {
+    return worker.isFenced && isUnreported(worker, nowMs);
+  }
+
+  /**
+   * Returns the local time from which no run of an earlier owner can be going on at workers that
+   * have not reported.
+   */
   long overAtMs() {
     return overAtMs;
   }
 
-  /** Returns whether runs of earlier owners may be going on unreported at a worker. */
+  /**
+   * Returns whether runs of earlier owners may be going on unreported at a worker, or may have
+   * ended there without their ends having been reported.
+   */
   boolean isUnreported(Worker worker, long nowMs) {
     // A process that has ended has no runs, unless a later one gets orders of an earlier owner.
     boolean hasEnded =
         worker.process.hasEndedAsShownSince(ordersOverAtMs) && nowMs >= ordersOverAtMs;
-    return !worker.isFenced
-        && !worker.isTerminated
-        && nowMs < worker.earlierRunsOverAtMs
-        && !hasEnded;
+    if (worker.hasListedAllEnds || worker.isTerminated || hasEnded) {
+      return false;
+    }
+    return worker.isFenced
+        ? worker.missedReports == 0 || leasesLeftMs(worker, nowMs) > 0
+        : nowMs < worker.earlierRunsOverAtMs;
   }
 
   /** Returns whether runs of earlier owners may be going on unreported in a pool. */
   boolean isBlocked(WorkerTable workers, String service, long nowMs) {
-    return !isOver(nowMs) && !unreported(workers, service, nowMs).isEmpty();
+    return !isOver(workers, nowMs) && !unreported(workers, service, nowMs).isEmpty();
   }
 
   /** Returns the workers of a pool at which runs of earlier owners may be going on unreported. */
@@ -86,14 +108,14 @@
    * The tasks of a gang wait together, since they start together.
    */
   void updateHeldTasks(Job job, String service, WorkerTable workers, long nowMs) {
-    boolean isOver = isOver(nowMs);
+    boolean isTakeoverOver = isOver(workers, nowMs);
     boolean isPoolBlocked = isBlocked(workers, service, nowMs);
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
         boolean isAnyHeld = false;
         for (Task task : step.tasks) {
           task.isHeld =
-              !isOver
+              !isTakeoverOver
                   && !task.isDone
                   && task.attempt == null
                   && mayHaveEarlierRun(task, isPoolBlocked, workers, nowMs);
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -45,6 +45,12 @@
   /** Whether it has reported under this owner's term, and so rejects orders of earlier owners. */
   boolean isFenced;
 
+  /**
+   * Whether it has reported all ends at once under this owner's term, so that it has no earlier
+   * owner's runs that this owner does not know of.
+   */
+  boolean hasListedAllEnds;
+
   /** Local time from which no run of an earlier owner can be going on there. */
   long earlierRunsOverAtMs = Long.MAX_VALUE;
 
@@ -198,6 +204,7 @@
     sentAcknowledgement = 0;
     unacknowledged.clear();
     isFenced = false;
+    hasListedAllEnds = false;
     process.reset();
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -64,7 +64,7 @@
     for (Worker worker : workers.values()) {
       boolean isIdle =
           !takeoverGuard.isUnreported(worker, nowMs)
-              || (worker.isLeaseExpired(nowMs) && takeoverGuard.isOver(nowMs));
+              || (worker.isLeaseExpired(nowMs) && takeoverGuard.isOver(this, nowMs));
       if (!worker.isListed
           && worker.attempts.isEmpty()
           && !worker.hasUnacknowledgedEnds()
--- a/src/test/java/org/laburnumarch/internal/platform/WorkerMessagesTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/WorkerMessagesTest.java
@@ -5,6 +5,8 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -76,7 +78,22 @@
                   5,
                   9,
                   List.of(new RunningTask("a.0.0.0", 2, "c", 41, 8)),
-                  List.of(new EndedTask(58, "a.0.0.1", 1, EndKind.DONE, ""))));
+                  List.of(new EndedTask(58, "a.0.0.1", 1, EndKind.DONE, "")),
+                  true));
+    }
+
+    /** Guards against runs that are started again because a full list leaves out their ends. */
+    @ParameterizedTest
+    @CsvSource({"499, true", "500, false"})
+    void shouldTellWhetherEndsMayBeLeftOut(int ends, boolean listsAllEnds) throws Exception {
+      String rows =
+          IntStream.rangeClosed(1, ends)
+              .mapToObj(number -> "[" + number + ",\"a.0.0." + number + "\",1,\"done\",\"\"]")
+              .collect(Collectors.joining(","));
+      WorkerReport report =
+          WorkerMessages.decodeReport(
+              bytes("{\"clockMs\":5,\"born\":9,\"running\":[],\"finished\":[" + rows + "]}"));
+      assertThat(report.listsAllEnds()).isEqualTo(listsAllEnds);
     }
 
     /**
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -80,7 +80,7 @@
   class WhenAnEndIsListedAgain {
 
     private WorkerReport withoutIncarnation(WorkerReport report) {
-      return new WorkerReport(report.workerClockMs(), 0, report.running(), report.ended());
+      return new WorkerReport(report.workerClockMs(), 0, report.running(), report.ended(), true);
     }
 
     private long acknowledgedEnd(SimulatedWorker worker) {
--- a/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StragglerTest.java
@@ -127,6 +127,6 @@
                 })
             .toList();
     return new WorkerReport(
-        report.workerClockMs(), report.startedEpochMs(), running, report.ended());
+        report.workerClockMs(), report.startedEpochMs(), running, report.ended(), true);
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.Resources;
@@ -18,7 +19,8 @@
 
 /**
  * Owners that follow one another over the same simulated workers, in virtual time. Fails when two
- * runs of a task go on at the same time.
+ * runs of a task go on at the same time, or when a task starts again after a run has ended as done
+ * and that end is acknowledged before or after the start.
  */
 final class TakeoverSeries {
 
@@ -34,8 +36,8 @@
   private final Map<String, WorkerListing> enrolled = new LinkedHashMap<>();
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final Map<String, JobProgress> progress = new HashMap<>();
-  private final Map<String, Long> runsMs = new HashMap<>();
-  private final Set<String> acknowledgedAsDone = new HashSet<>();
+  private final Map<String, LongUnaryOperator> runEnds = new HashMap<>();
+  private final DoneTasks doneTasks = new DoneTasks();
   private boolean isStoreDown;
 
   TakeoverSeries(int workerCount) {
@@ -46,7 +48,7 @@
   }
 
   void addWorker(String id) {
-    workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs, 1, new DoneTasks()));
+    workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs, 1, doneTasks));
   }
 
   /** Keeps progress from being stored, so that a later owner does not find it. */
@@ -71,8 +73,17 @@
 
   /** Accepts a job of which each run takes some time. */
   void accept(JobSpec job, long runMs) {
+    accept(job, startedAtMs -> startedAtMs + runMs);
+  }
+
+  /** Accepts a job of which all runs end at the same time. */
+  void acceptUntil(JobSpec job, long endsAtMs) {
+    accept(job, startedAtMs -> endsAtMs);
+  }
+
+  private void accept(JobSpec job, LongUnaryOperator runEnd) {
     jobs.put(job.id(), job);
-    runsMs.put(job.id(), runMs);
+    runEnds.put(job.id(), runEnd);
     scheduler.accept(job, nowMs);
   }
 
@@ -106,6 +117,12 @@
     listWorkers();
   }
 
+  /** Lets time pass in which the owner does nothing. */
+  void freeze(long durationMs) {
+    nowMs += durationMs;
+    workers.values().forEach(worker -> worker.advance(nowMs));
+  }
+
   private void listWorkers() {
     scheduler.updateWorkerListings(
         workers.values().stream()
@@ -168,11 +185,11 @@
     SimulatedWorker worker = workers.get(order.workerId());
     boolean isReachable = isReachable(order.workerId());
     if (order instanceof Order.Start start) {
-      long runMs = runsMs.get(start.taskName().substring(0, start.taskName().indexOf('.')));
+      String jobId = start.taskName().substring(0, start.taskName().indexOf('.'));
+      long endsAtMs = runEnds.get(jobId).applyAsLong(nowMs);
       OrderReply reply =
           isReachable
-              ? worker.start(
-                  start, term, new Behaviour(nowMs + runMs, false, Resources.NONE), nowMs)
+              ? worker.start(start, term, new Behaviour(endsAtMs, false, Resources.NONE), nowMs)
               : new OrderReply(OrderReply.Outcome.UNREACHABLE, -1);
       scheduler.onStartReply(start, reply, nowMs);
     } else if (order instanceof Order.Stop stop) {
@@ -209,23 +226,43 @@
         .findFirst();
   }
 
-  /** Fails when a task starts again after its end as done has been acknowledged. */
-  private final class DoneTasks implements SimulatedWorker.Observer {
+  /** Returns the number of runs that have started. */
+  int startCount() {
+    return doneTasks.starts;
+  }
+
+  /** Fails when a task has started again after a run whose end as done counts. */
+  private static final class DoneTasks implements SimulatedWorker.Observer {
+
+    private final Set<String> acknowledged = new HashSet<>();
+    private final Map<String, Set<Long>> doneRuns = new HashMap<>();
+
+    /** Runs that had ended as done when their task started again. */
+    private final Set<String> supersededRuns = new HashSet<>();
+
+    private int starts;
 
     @Override
     public void onStart(SimulatedWorker worker, String task, long run) {
-      assertThat(acknowledgedAsDone).doesNotContain(task);
+      starts++;
+      assertThat(acknowledged).doesNotContain(task);
+      doneRuns
+          .getOrDefault(task, Set.of())
+          .forEach(done -> supersededRuns.add(Worker.attemptKey(task, done)));
     }
 
     @Override
     public void onEnd(SimulatedWorker worker, EndedTask end) {
-      // Only acknowledged ends count for good.
+      if (end.how() == EndKind.DONE) {
+        doneRuns.computeIfAbsent(end.taskName(), task -> new HashSet<>()).add(end.run());
+      }
     }
 
     @Override
     public void onAcknowledged(SimulatedWorker worker, EndedTask end) {
       if (end.how() == EndKind.DONE) {
-        acknowledgedAsDone.add(end.taskName());
+        assertThat(supersededRuns).doesNotContain(Worker.attemptKey(end.taskName(), end.run()));
+        acknowledged.add(end.taskName());
       }
     }
 
