--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -390,18 +390,16 @@
         });
   }
 
-  /** Returns the running tasks and the ends that are not acknowledged. */
+  /** Returns the running tasks and the earliest ends that are not acknowledged. */
   public synchronized WorkerReport report(long nowMs) {
     List<RunningTask> list = new ArrayList<>();
     for (Run run : running.values()) {
       int percent = nowMs - run.runStartMs >= STARTUP_MS ? 100 : 0;
       list.add(new RunningTask(run.task, run.run, run.checkpoint(nowMs, false), percent, 0));
     }
+    List<EndedTask> listedEnds = ended.subList(0, Math.min(ended.size(), MAX_LISTED_ENDS));
     return new WorkerReport(
-        clockMs(nowMs),
-        startedAtMs,
-        list,
-        ended.subList(0, Math.min(MAX_LISTED_ENDS, ended.size())));
+        clockMs(nowMs), startedAtMs, list, listedEnds, listedEnds.size() < MAX_LISTED_ENDS);
   }
 
   private void extendLease(long deadlineClockMs, long nowMs) {
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -14,8 +14,8 @@
  * Tracks each run from its start order to its end, from the replies and reports of workers.
  *
  * <p>A task gets a new run only when no earlier one can still be running: its end was reported, the
- * worker refused the start, a report taken after the start's deadline does not list it, the worker
- * began a new incarnation, or the worker's lease has expired.
+ * worker refused the start, a report of all ends taken after the start's deadline does not list it,
+ * the worker began a new incarnation, or the worker's lease has expired.
  */
 final class RunTracker {
 
@@ -206,6 +206,7 @@
     updateIncarnation(worker, report.startedEpochMs(), nowMs);
     worker.recordClock(report.workerClockMs(), nowMs);
     worker.isFenced = true;
+    worker.hasListedAllEnds |= report.listsAllEnds();
     worker.missedReports = 0;
     worker.process.reset();
     worker.lastReportAttemptMs = nowMs;
@@ -221,7 +222,7 @@
       seen.add(Worker.attemptKey(running.taskName(), running.run()));
       onRunningReported(worker, running, nowMs).ifPresent(unknownRuns::add);
     }
-    unregisterAbsent(worker, requestedAtMs, seen, nowMs);
+    unregisterAbsent(worker, report, requestedAtMs, seen, nowMs);
     return unknownRuns;
   }
 
@@ -269,14 +270,19 @@
    * Removes runs that a report would list if they were going on. The worker may have taken the
    * report's lists at any time between the request and the answer, and read its clock at another.
    */
-  private void unregisterAbsent(Worker worker, long requestedAtMs, Set<String> seen, long nowMs) {
+  private void unregisterAbsent(
+      Worker worker, WorkerReport report, long requestedAtMs, Set<String> seen, long nowMs) {
     for (Map.Entry<String, Attempt> entry : List.copyOf(worker.attempts.entrySet())) {
       Attempt attempt = entry.getValue();
       boolean mustBeListed =
           attempt.confirmedAtMs >= 0
               ? requestedAtMs > attempt.confirmedAtMs
               : worker.earliestClockMs(requestedAtMs) > attempt.startDeadlineClockMs;
-      if (!seen.contains(entry.getKey()) && mustBeListed) {
+      boolean isOver = !seen.contains(entry.getKey()) && mustBeListed;
+      if (isOver && !report.listsAllEnds()) {
+        attempt.onEndUnlisted();
+      }
+      if (isOver && report.listsAllEnds()) {
         if (attempt.isOfUnknownIncarnation) {
           crashTracker.onCrash(worker, List.of(attempt), nowMs);
         }
@@ -302,6 +308,7 @@
       }
     }
     attempt.isListed = true;
+    attempt.isEndUnlisted = false;
     attempt.isOfUnknownIncarnation = false;
     if (!attempt.hasSurvivedStart && nowMs - attempt.orderedAtMs >= START_SURVIVAL_MS) {
       attempt.hasSurvivedStart = true;
@@ -443,7 +450,8 @@
       return 0;
     }
     if (attempt != null && attempt.checkpoint.isEmpty()) {
-      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, nowMs));
+      long overAtMs = attempt.isEndUnlisted ? attempt.reportedAtMs : nowMs;
+      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, overAtMs));
       runTimeLearner.onDone(attempt, requestedAtMs, nowMs);
     }
     if (step.spec.isGang()) {
--- a/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
@@ -46,7 +46,7 @@
     List<Order> deliver() {
       WorkerReport report =
           new WorkerReport(
-              worker.clockMs(nowMs), lists.startedEpochMs(), lists.running(), lists.ended());
+              worker.clockMs(nowMs), lists.startedEpochMs(), lists.running(), lists.ended(), true);
       nowMs++;
       return scheduler.onReport(worker.id(), report, requestedAtMs, nowMs);
     }
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -318,7 +318,8 @@
               worker(start).clockMs(nowMs),
               worker(start).startedAtMs(),
               List.of(new RunningTask(start.taskName(), start.run(), "", 50, 0)),
-              List.of());
+              List.of(),
+              true);
       scheduler.onReport(start.workerId(), late, nowMs, nowMs);
       assertThat(scheduler.decide(nowMs, nowMs).runEvents())
           .containsExactly(event(RunEvent.Kind.FOUND_RUNNING_TWICE, start));
