Take a run as over only if two successive reports lack it

A report has two lists. A worker that does not take them at one instant can leave out a run that ends in between: the run is not in the list of ended runs yet and not in that of running ones any more. The long poll makes this likely, because reports are written just when runs end.

Change: a run that has begun is over without an end only if a second report lacks it, too, that was requested after the first had arrived. That report is requested at once.

Evidence: OverlappingReportsTest.shouldNotRestartATaskThatNeitherListOfOneReportHolds failed before ("Expecting empty but was: [Start[workerId=w1, taskName=a.0.0.0, run=2, ..."). The test that a task restarts whose run is gone now requires that one report is not enough and that two are.

Cost: none while a worker lists the ends of its runs. Runs of an earlier incarnation and starts that were stopped unanswered still need one report.

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -54,6 +54,12 @@
    */
   boolean isOfUnknownIncarnation;
 
+  /**
+   * Local time of the first of the last reports that should have listed the run and did not; -1 if
+   * the last report listed it.
+   */
+  long absentSinceMs = -1;
+
   /**
    * Whether it is not known when the run began: an earlier owner started it, or the start order got
    * no reply.
@@ -128,6 +134,23 @@
       stopAsUnanswered();
     }
     isOfNextIncarnation = false;
+    absentSinceMs = -1;
+  }
+
+  /**
+   * Records that a report which should list the run or its end does not; returns whether that shows
+   * that the run is over. A run that ends while the lists of a report are taken may be in neither,
+   * so that a run which has begun must be absent from a second report, requested after the first.
+   */
+  boolean isOverAfterAbsence(long requestedAtMs, long nowMs) {
+    if (phase != Phase.RUNNING || isOfUnknownIncarnation) {
+      return true;
+    }
+    if (absentSinceMs < 0) {
+      absentSinceMs = nowMs;
+      return false;
+    }
+    return requestedAtMs > absentSinceMs;
   }
 
   /** Makes the run end, whatever becomes known of its start. */
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -257,14 +257,17 @@
           attempt.confirmedAtMs >= 0
               ? requestedAtMs > attempt.confirmedAtMs
               : worker.earliestClockMs(requestedAtMs) > attempt.startDeadlineClockMs;
-      if (!seen.contains(entry.getKey()) && mustBeListed) {
+      if (seen.contains(entry.getKey())) {
+        attempt.absentSinceMs = -1;
+      } else if (mustBeListed) {
+        if (!attempt.isOverAfterAbsence(requestedAtMs, nowMs)) {
+          continue;
+        }
         if (attempt.isOfUnknownIncarnation) {
           crashTracker.onCrash(worker, List.of(attempt), nowMs);
         }
         unregister(attempt);
-      } else if (!seen.contains(entry.getKey())
-          && attempt.isLookedUp()
-          && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
+      } else if (attempt.isLookedUp() && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
         // The worker may still execute the start until its deadline.
         attempt.stopAsUnanswered();
       }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -553,7 +553,8 @@
    * Returns a request for an immediate report, in addition to the one that the worker may be
    * delaying; empty if none is needed. It is needed to look up an unanswered start, and after one
    * has been stopped, because the task can only start again once a report shows that it does not
-   * run there. It also ends the isolation of a run as soon as that has survived its start.
+   * run there. It also shows whether a run is over that the last report lacked, and ends the
+   * isolation of a run as soon as that has survived its start.
    */
   public Optional<Renewal> immediateReportRequest(String workerId, long nowMs) {
     Worker worker = workers.find(workerId);
@@ -564,7 +565,9 @@
                     attempt ->
                         (attempt.phase == Attempt.Phase.UNANSWERED && attempt.isStopConfirmed)
                             || (worker.missedReports == 0
-                                && (attempt.isLookedUp() || attempt.isSurvivalUnknown(nowMs))));
+                                && (attempt.isLookedUp()
+                                    || attempt.absentSinceMs >= 0
+                                    || attempt.isSurvivalUnknown(nowMs))));
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
--- a/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
@@ -139,12 +140,15 @@
 
     /** Guards against a task whose run has gone with its worker and that never runs again. */
     @Test
-    void shouldRestartATaskOnceAReportRequestedAfterItsStartLacksIt() {
+    void shouldRestartATaskOnceTwoReportsRequestedAfterItsStartLackIt() {
       Order.Start start = startTask(TestJobs.step(1, 1_000));
       scheduler.onStartReply(
           start, new OrderReply(Outcome.OBEYED, worker(start).clockMs(nowMs)), nowMs);
       nowMs++;
       new PendingReport(worker(start), nowMs).deliver();
+      assertThat(starts()).isEmpty();
+      nowMs++;
+      new PendingReport(worker(start), nowMs).deliver();
       assertThat(starts()).hasSize(1);
     }
   }
@@ -251,4 +255,34 @@
       assertThat(starts()).hasSize(1);
     }
   }
+
+  @Nested
+  class WhenARunEndsWhileAReportIsWritten {
+
+    /** Takes the list of ended runs before a run ends, and that of running ones after it. */
+    private void reportWithoutTheRun(SimulatedWorker worker) {
+      WorkerReport report =
+          new WorkerReport(worker.clockMs(nowMs), worker.startedAtMs(), List.of(), List.of());
+      long requestedAtMs = nowMs;
+      nowMs++;
+      scheduler.onReport(worker.id(), report, requestedAtMs, nowMs);
+    }
+
+    @Test
+    void shouldNotRestartATaskThatNeitherListOfOneReportHolds() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      Behaviour shortRun = new Behaviour(nowMs + 100, false, Resources.NONE);
+      scheduler.onStartReply(start, worker(start).start(start, TERM, shortRun, nowMs), nowMs);
+      nowMs += 100;
+      reportWithoutTheRun(worker(start));
+      assertThat(starts()).isEmpty();
+      assertThat(scheduler.immediateReportRequest(start.workerId(), nowMs)).isPresent();
+      nowMs++;
+      new PendingReport(worker(start), nowMs).deliver();
+      assertThat(starts()).isEmpty();
+      JobChanges changes = scheduler.takeChanges().orElseThrow();
+      scheduler.confirmStored(changes, nowMs);
+      assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
+    }
+  }
 }
