--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -278,18 +278,19 @@
           attempt.confirmedAtMs >= 0
               ? requestedAtMs > attempt.confirmedAtMs
               : worker.earliestClockMs(requestedAtMs) > attempt.startDeadlineClockMs;
-      boolean isOver = !seen.contains(entry.getKey()) && mustBeListed;
-      if (isOver && !report.listsAllEnds()) {
+      if (seen.contains(entry.getKey())) {
+        attempt.absentSinceMs = -1;
+      } else if (mustBeListed && !report.listsAllEnds()) {
         attempt.onEndUnlisted();
-      }
-      if (isOver && report.listsAllEnds()) {
+      } else if (mustBeListed) {
+        if (!attempt.isOverAfterAbsence(requestedAtMs, nowMs)) {
+          continue;
+        }
         if (attempt.isOfUnknownIncarnation) {
           crashTracker.onCrash(worker, List.of(attempt), nowMs);
         }
         close(attempt, RunEvent.Kind.CLOSED_AS_NOT_LISTED);
-      } else if (!seen.contains(entry.getKey())
-          && attempt.isLookedUp()
-          && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
+      } else if (attempt.isLookedUp() && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
         // The worker may still execute the start until its deadline.
         attempt.stopAsUnanswered();
       }
