Count the longest lease for orders that reach a restarted worker

Callers could see two runs of a task at once, or a start after a run had ended as done whose end is acknowledged later. Not seen in a deployment; found by going through the orders of events in which an owner takes a lease as expired.

Cause: an order names the end of its lease on the worker's clock. A worker that restarts under its id counts from 0, so that an order meant for its earlier incarnation names a time far ahead, and the worker grants its longest lease (6 s). The owner forgets what it had requested when it learns of the new incarnation, and counts the 4 s that it requests from then on. If the worker goes silent within about two seconds, the owner starts the task elsewhere while the lease is still valid. The same holds for a new owner, which does not know what an earlier one requested.

Change: after a restart, a worker that this owner has given leases keeps them for the time that is already used for an incarnation that has not reported (18 s, orders may arrive seconds late). An owner that had a predecessor counts the longest lease from a worker's first report.

Cost: tasks of a worker that goes silent within 18 s after a restart wait until these have passed, instead of 4 s; those of a worker that goes silent within 2 s after its first report to a new owner wait up to 2 s longer. Other workers are not affected.

Evidence: the three tests of RestartedWorkerTest.WhenTheNewIncarnationGoesSilent failed before (3 of 3: the task still runs on the silent worker when it is started elsewhere) and pass now.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.QueueConfig;
@@ -45,6 +46,7 @@
   private final PendingChanges changes;
   private final RunTimeLearner runTimeLearner;
   private final QueueLookup queues;
+  private final OptionalLong earlierLeaseMs;
   private final CrashTracker crashTracker;
 
   /** Finds the configuration of a queue. */
@@ -52,17 +54,25 @@
     Optional<QueueConfig> find(String queue);
   }
 
+  /**
+   * Creates a tracker without runs.
+   *
+   * @param earlierLeaseMs longest lease that an earlier owner may have requested; empty if there
+   *     was none
+   */
   RunTracker(
       Map<String, Job> jobs,
       TeamUsage teamUsage,
       PendingChanges changes,
       RunTimeLearner runTimeLearner,
-      QueueLookup queues) {
+      QueueLookup queues,
+      OptionalLong earlierLeaseMs) {
     this.jobs = jobs;
     this.teamUsage = teamUsage;
     this.changes = changes;
     this.runTimeLearner = runTimeLearner;
     this.queues = queues;
+    this.earlierLeaseMs = earlierLeaseMs;
     this.crashTracker = new CrashTracker(this, changes);
   }
 
@@ -189,6 +199,11 @@
     }
     updateIncarnation(worker, report.startedEpochMs(), nowMs);
     worker.recordClock(report.workerClockMs(), nowMs);
+    if (!worker.isFenced && earlierLeaseMs.isPresent()) {
+      // What earlier owners have requested is not known, and no worker grants more than this.
+      worker.leaseEndClockMs =
+          Math.max(worker.leaseEndClockMs, report.workerClockMs() + earlierLeaseMs.getAsLong());
+    }
     worker.isFenced = true;
     worker.hasListedAllEnds |= report.listsAllEnds();
     worker.missedReports = 0;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
@@ -81,7 +82,13 @@
     RunTimeLearner learner = new RunTimeLearner(runTimes, settings.remoteSlowdownFactor());
     this.stragglerDetector = new StragglerDetector(runTimes, learner);
     this.runTracker =
-        new RunTracker(jobs, teamUsage, changes, learner, queue -> this.config.queue(queue));
+        new RunTracker(
+            jobs,
+            teamUsage,
+            changes,
+            learner,
+            queue -> this.config.queue(queue),
+            hadEarlierOwner ? OptionalLong.of(settings.maxLeaseMs()) : OptionalLong.empty());
   }
 
   /** Returns what has been learnt about run times; it may be restored before the first job. */
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -74,9 +74,15 @@
    */
   private long unknownIncarnationOverAtMs;
 
-  /** Latest end of a lease that any order or renewal has requested, on the worker's clock. */
+  /** Latest end of a lease that the worker may have granted, on its clock. */
   long leaseEndClockMs = -1;
 
+  /**
+   * Local time until which the worker may have a lease that was requested of an earlier incarnation
+   * and reached this one late. The time that it names lies far ahead on the new clock.
+   */
+  private long earlierLeasesOverAtMs = Long.MIN_VALUE;
+
   long lastEndNumber;
   long acknowledgedEnd;
 
@@ -197,6 +203,9 @@
     startedEpochMs = newStartedEpochMs;
     isTerminated = false;
     unknownIncarnationOverAtMs = nowMs + UNKNOWN_INCARNATION_MS;
+    if (leaseEndClockMs >= 0) {
+      earlierLeasesOverAtMs = unknownIncarnationOverAtMs;
+    }
     clockReadingMs = -1;
     leaseEndClockMs = -1;
     lastEndNumber = 0;
@@ -240,9 +249,9 @@
     if (!hasClock()) {
       return attempts.isEmpty() ? Long.MIN_VALUE : unknownIncarnationOverAtMs + 1;
     }
-    return clockReadAtMs
-        + (long) Math.floor((leaseEndClockMs - clockReadingMs) / SLOWEST_CLOCK)
-        + 1;
+    long expireAtMs =
+        clockReadAtMs + (long) Math.floor((leaseEndClockMs - clockReadingMs) / SLOWEST_CLOCK) + 1;
+    return Math.max(expireAtMs, earlierLeasesOverAtMs);
   }
 
   /**
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -21,17 +21,17 @@
 class RestartedWorkerTest {
 
   private static final long START_MS = 1_000_000;
-  private static final long TERM = 1;
 
   private final SimulatedWorker one = new SimulatedWorker("w1", TestJobs.SERVICE, "r1", START_MS);
   private final SimulatedWorker two = new SimulatedWorker("w2", TestJobs.SERVICE, "r2", START_MS);
   private final Map<String, SimulatedWorker> workers = Map.of(one.id(), one, two.id(), two);
   private long nowMs = START_MS;
+  private long term = 1;
   private Scheduler scheduler;
 
   @BeforeEach
   void createSchedulerWithTwoWorkers() {
-    scheduler = new Scheduler(TestJobs.SETTINGS, TERM, nowMs, false);
+    scheduler = new Scheduler(TestJobs.SETTINGS, term, nowMs, false);
     scheduler.configure(TestJobs.config(100_000, 2));
     readRegistry();
     scheduler.confirmEnrolment(scheduler.workersToEnrol());
@@ -50,7 +50,7 @@
   private void report(SimulatedWorker worker) {
     scheduler
         .renewal(worker.id(), nowMs)
-        .map(renewal -> worker.renew(renewal, TERM, nowMs))
+        .map(renewal -> worker.renew(renewal, term, nowMs))
         .ifPresent(report -> scheduler.onReport(worker.id(), report, nowMs, nowMs));
   }
 
@@ -73,7 +73,7 @@
   private OrderReply execute(Order.Start start, long runMs) {
     return workers
         .get(start.workerId())
-        .start(start, TERM, new Behaviour(nowMs + runMs, false, Resources.NONE), nowMs);
+        .start(start, term, new Behaviour(nowMs + runMs, false, Resources.NONE), nowMs);
   }
 
   @Nested
@@ -97,7 +97,7 @@
     void shouldNotAcknowledgeItBeforeTheFirstListingIsStored() {
       SimulatedWorker late = new SimulatedWorker("w3", TestJobs.SERVICE, "r1", START_MS);
       WorkerListing listing = late.listing();
-      scheduler = new Scheduler(TestJobs.SETTINGS, TERM, nowMs, false);
+      scheduler = new Scheduler(TestJobs.SETTINGS, term, nowMs, false);
       scheduler.configure(TestJobs.config(100_000, 2));
       scheduler.updateWorkerListings(
           List.of(
@@ -115,20 +115,20 @@
       scheduler.confirmEnrolment(scheduler.workersToEnrol());
       Renewal report = new Renewal(late.id(), -1, 0, 0);
       scheduler.onReport(
-          late.id(), withoutIncarnation(late.renew(report, TERM, nowMs)), nowMs, nowMs);
+          late.id(), withoutIncarnation(late.renew(report, term, nowMs)), nowMs, nowMs);
       acceptJobWithOneTask();
       Order.Start start = starts().get(0);
       scheduler.onStartReply(
           start,
-          late.start(start, TERM, new Behaviour(nowMs + 50, false, Resources.NONE), nowMs),
+          late.start(start, term, new Behaviour(nowMs + 50, false, Resources.NONE), nowMs),
           nowMs);
       nowMs += 100;
       scheduler.onReport(
-          late.id(), withoutIncarnation(late.renew(report, TERM, nowMs)), nowMs, nowMs);
+          late.id(), withoutIncarnation(late.renew(report, term, nowMs)), nowMs, nowMs);
       JobChanges notYetStored = scheduler.takeChanges().orElseThrow();
 
       scheduler.updateWorkerListings(List.of(listing), nowMs);
-      scheduler.onReport(late.id(), late.renew(report, TERM, nowMs), nowMs, nowMs);
+      scheduler.onReport(late.id(), late.renew(report, term, nowMs), nowMs, nowMs);
       nowMs += 50;
       assertThat(acknowledgedEnd(late)).isZero();
 
@@ -244,7 +244,7 @@
       while (again.isEmpty() && nowMs < restartedAtMs + 1_000) {
         for (Order order : decide()) {
           if (order instanceof Order.Stop stop) {
-            OrderReply reply = workers.get(stop.workerId()).stop(stop, TERM, nowMs);
+            OrderReply reply = workers.get(stop.workerId()).stop(stop, term, nowMs);
             scheduler.onStopReply(stop, reply, nowMs);
           } else if (order instanceof Order.Start next) {
             again = Optional.of(next);
@@ -266,13 +266,86 @@
       SimulatedWorker worker = workers.get(start.workerId());
       scheduler.onStartReply(start, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
       Order.Stop stop = (Order.Stop) decide().get(0);
-      scheduler.onStopReply(stop, worker.stop(stop, TERM, nowMs), nowMs);
+      scheduler.onStopReply(stop, worker.stop(stop, term, nowMs), nowMs);
       nowMs += 10;
       worker.crash(nowMs);
       readRegistry();
       assertThat(decide()).containsExactly(stop);
-      scheduler.onStopReply(stop, worker.stop(stop, TERM, nowMs), nowMs);
+      scheduler.onStopReply(stop, worker.stop(stop, term, nowMs), nowMs);
       assertThat(execute(start, 5_000).outcome()).isEqualTo(Outcome.OUTDATED);
     }
   }
+
+  /**
+   * Guards against a second run beside one whose lease is longer than its owner asked for. The time
+   * that an order names lies far ahead on the clock of a worker that has restarted since, which
+   * then grants its longest lease.
+   */
+  @Nested
+  class WhenTheNewIncarnationGoesSilent {
+
+    private static final long LONG_RUN_MS = 60_000;
+
+    private Order.Start orderToARestartedWorker() {
+      passTime(100_000);
+      acceptJobWithOneTask();
+      Order.Start start = starts().get(0);
+      workers.get(start.workerId()).crash(nowMs);
+      nowMs += 10;
+      return start;
+    }
+
+    private void goSilentAndAssertThatTheTaskStartsAfterItsRun(SimulatedWorker silent) {
+      long silentSinceMs = nowMs;
+      List<Order.Start> again = List.of();
+      while (again.isEmpty()) {
+        assertThat(nowMs).isLessThan(silentSinceMs + 25_000);
+        nowMs += 50;
+        silent.advance(nowMs);
+        if (scheduler.renewal(silent.id(), nowMs).isPresent()) {
+          scheduler.onReportMissed(silent.id(), ReportFailure.NO_ANSWER, nowMs, nowMs);
+        }
+        report(silent == one ? two : one);
+        again = starts();
+      }
+      assertThat(silent.runningTasks()).isEmpty();
+    }
+
+    @Test
+    void shouldWaitForTheLeaseOfAnOrderThatItExecutedBeforeItsFirstReport() {
+      Order.Start start = orderToARestartedWorker();
+      scheduler.onStartReply(start, execute(start, LONG_RUN_MS), nowMs);
+      readRegistry();
+      passTime(20);
+      passTime(50);
+      goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
+    }
+
+    @Test
+    void shouldWaitForTheLeaseOfAnOrderThatItExecutesLate() {
+      Order.Start start = orderToARestartedWorker();
+      scheduler.onStartReply(start, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      readRegistry();
+      passTime(20);
+      nowMs += 1_000;
+      execute(start, LONG_RUN_MS);
+      goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
+    }
+
+    @Test
+    void shouldWaitForTheLeaseOfAnOrderOfAnEarlierOwner() {
+      Order.Start start = orderToARestartedWorker();
+      execute(start, LONG_RUN_MS);
+      term++;
+      scheduler = new Scheduler(TestJobs.SETTINGS, term, nowMs, true);
+      scheduler.configure(TestJobs.config(100_000, 2));
+      readRegistry();
+      scheduler.confirmEnrolment(scheduler.workersToEnrol());
+      scheduler.restore(
+          TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
+      passTime(20);
+      passTime(50);
+      goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
+    }
+  }
 }
