--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -14,8 +14,8 @@
  * Tracks each run from its start order to its end, from the replies and reports of workers.
  *
  * <p>A task gets a new run only when no earlier one can still be running: its end was reported, the
- * worker refused the start, a report taken after the start's deadline does not list it, the worker
- * began a new incarnation, or the worker's lease has expired.
+ * worker refused the start, reports that were requested after the start's confirmation or deadline
+ * do not list it, the worker began a new incarnation, or the worker's lease has expired.
  */
 final class RunTracker {
 
