--- a/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
@@ -15,6 +15,7 @@
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.soak.LoopbackProxy.Mode;
+import org.tinylog.Logger;
 
 /** Faults of deployments, for series of a few events with calm spans between them. */
 enum IsolatedFault implements SoakEvent {
@@ -23,7 +24,7 @@
     @Override
     public Runnable inject(SoakFleet fleet, Random random) {
       Mode mode = randomCut(random);
-      return cut(fleet, random, proxy -> proxy.setMode(mode));
+      return cut(fleet, random, mode, proxy -> proxy.setMode(mode));
     }
   },
   /** Cuts the paths of the owner alone to some workers; other daemons reach them. */
@@ -37,7 +38,7 @@
           caller ->
               ports.contains(caller.getPort())
                   || (ports.addAll(owner.localPorts()) && ports.contains(caller.getPort()));
-      return cut(fleet, random, proxy -> proxy.setMode(mode, isOwner));
+      return cut(fleet, random, mode, proxy -> proxy.setMode(mode, isOwner));
     }
   },
   /** Sends SIGTERM to one owner after the other while workers leave as announced. */
@@ -91,7 +92,9 @@
     @Override
     public Runnable inject(SoakFleet fleet, Random random) {
       LoopbackProxy proxy = fleet.storeProxy(fleet.ownerOrRandom(random));
-      proxy.setMode(randomCut(random));
+      Mode mode = randomCut(random);
+      Logger.info("soak: {} of the path to the store: {}", mode, proxy);
+      proxy.setMode(mode);
       return () -> proxy.setMode(Mode.FORWARD);
     }
   },
@@ -185,12 +188,14 @@
     return instances.subList(0, Math.min(count, instances.size()));
   }
 
-  private static Runnable cut(SoakFleet fleet, Random random, Consumer<LoopbackProxy> cutter) {
+  private static Runnable cut(
+      SoakFleet fleet, Random random, Mode mode, Consumer<LoopbackProxy> cutter) {
     List<LoopbackProxy> proxies = someWorkers(fleet, random);
+    Logger.info("soak: {} of {} workers: {}", mode, proxies.size(), proxies);
     proxies.forEach(cutter);
-    int strike = random.nextInt(4);
+    String signal = List.of("TERM", "KILL", "STOP", "").get(random.nextInt(4));
     long pauseMs = between(2_000, 6_500, random);
-    fleet.after(random.nextInt(1_500), () -> strikeOwner(fleet, strike, pauseMs));
+    fleet.after(random.nextInt(1_500), () -> signalOwner(fleet, signal, pauseMs));
     return () -> forward(proxies);
   }
 
@@ -198,23 +203,24 @@
     proxies.forEach(proxy -> proxy.setMode(Mode.FORWARD));
   }
 
-  private static void strikeOwner(SoakFleet fleet, int strike, long pauseMs) {
+  private static void signalOwner(SoakFleet fleet, String signal, long pauseMs) {
     Optional<DaemonProcess> owner = fleet.owner();
-    if (owner.isEmpty()) {
+    if (owner.isEmpty() || signal.isEmpty()) {
       return;
     }
     DaemonProcess daemon = owner.get();
-    switch (strike) {
-      case 0 -> fleet.restarts().restart(daemon);
-      case 1 -> {
+    Logger.info("soak: SIG{} for the owner {}", signal, daemon.name());
+    switch (signal) {
+      case "TERM" -> fleet.restarts().restart(daemon);
+      case "KILL" -> {
         daemon.kill();
         fleet.after(RESTART_MS, () -> fleet.start(daemon));
       }
-      case 2 -> {
+      case "STOP" -> {
         daemon.pause();
         fleet.after(pauseMs, daemon::resume);
       }
-      default -> {}
+      default -> throw new IllegalArgumentException(signal);
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
+++ b/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
@@ -63,8 +63,8 @@
   private final EventLoopGroup group;
   private final ServerBootstrap bootstrap;
   private final InetSocketAddress address;
-  private Channel listener;
   private final Set<ProxiedConnection> connections = new HashSet<>();
+  private Channel listener;
   private Mode mode = Mode.FORWARD;
   private Predicate<InetSocketAddress> affectedCallers = caller -> true;
   private long answerDelayMs;
@@ -199,6 +199,11 @@
     ignoreResult(channel.close());
   }
 
+  @Override
+  public String toString() {
+    return String.valueOf(address.getPort());
+  }
+
   /** Stops listening and closes all connections. */
   @Override
   public void close() {
@@ -291,8 +296,8 @@
   private static final class ForwardingHandler extends ChannelInboundHandlerAdapter {
     private final ProxiedConnection connection;
     private final boolean isFromCaller;
-    private long lastDueNanos = System.nanoTime();
     private final Deque<ByteBuf> delayedMessages = new ArrayDeque<>();
+    private long lastDueNanos = System.nanoTime();
 
     ForwardingHandler(ProxiedConnection connection, boolean isFromCaller) {
       this.connection = connection;
