Hold inherited tasks until a second report of their worker lacks them

Cause: a new owner took the first report of a worker as complete. A worker answers in parallel: a run that ends while the lists are taken is in neither, and an order of the earlier owner may be registered after them. The task then started again at once. A report that lists all ends may also never have been requested, if nothing else made one due.

Change: a worker has shown all its runs once a report that was requested after its first one had arrived lists all ends. That second report is requested at once and does not wait at the worker. RunTracker.unregisterAbsent is split.

Cost: one report more for each worker and takeover.

--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -115,7 +115,14 @@
       boolean isProbeDue = worker.missedReports > 0 && sinceReportMs > retryAfterMissMs(worker);
       boolean isClockReadingDue =
           worker.acceptsTasks() && worker.clockAgeMs(nowMs) > MAX_IDLE_CLOCK_AGE_MS;
-      return isAckDue || isProbeDue || isClockReadingDue
+      boolean isListingDue =
+          !worker.hasListedAllRuns
+              && worker.missedReports == 0
+              && sinceReportMs
+                  >= (worker.hasUnacknowledgedEnds()
+                      ? UNSTORED_ENDS_INTERVAL_MS
+                      : MIN_REPORT_INTERVAL_MS);
+      return isAckDue || isProbeDue || isClockReadingDue || isListingDue
           ? Optional.of(new Renewal(worker.id, -1, acknowledgement, 0))
           : Optional.empty();
     }
@@ -133,7 +140,8 @@
       return Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
     long leaseEndClockMs = worker.requestLease(settings.leaseMs(), nowMs);
-    long waitMs = worker.hasUnacknowledgedEnds() ? 0 : MAX_REPORT_WAIT_MS;
+    boolean isAwaited = worker.hasUnacknowledgedEnds() || !worker.hasListedAllRuns;
+    long waitMs = isAwaited ? 0 : MAX_REPORT_WAIT_MS;
     return Optional.of(new Renewal(worker.id, leaseEndClockMs, acknowledgement, waitMs));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -220,8 +220,7 @@
       worker.leaseEndClockMs =
           Math.max(worker.leaseEndClockMs, report.workerClockMs() + earlierLeaseMs.getAsLong());
     }
-    worker.isFenced = true;
-    worker.hasListedAllEnds |= report.listsAllEnds();
+    worker.recordReport(report.listsAllEnds(), requestedAtMs, nowMs);
     worker.missedReports = 0;
     worker.process.reset();
     worker.lastReportAttemptMs = nowMs;
@@ -289,22 +288,10 @@
       Worker worker, WorkerReport report, long requestedAtMs, Set<String> seen, long nowMs) {
     for (Map.Entry<String, Attempt> entry : List.copyOf(worker.attempts.entrySet())) {
       Attempt attempt = entry.getValue();
-      boolean mustBeListed =
-          attempt.confirmedAtMs >= 0
-              ? requestedAtMs > attempt.confirmedAtMs
-              : worker.earliestClockMs(requestedAtMs) > attempt.startDeadlineClockMs;
       if (seen.contains(entry.getKey())) {
         attempt.absentSinceMs = -1;
-      } else if (mustBeListed && !report.listsAllEnds()) {
-        attempt.onEndUnlisted();
-      } else if (mustBeListed) {
-        if (!attempt.isOverAfterAbsence(requestedAtMs, nowMs)) {
-          continue;
-        }
-        if (attempt.isOfUnknownIncarnation) {
-          crashTracker.onCrash(worker, List.of(attempt), nowMs);
-        }
-        close(attempt, RunEvent.Kind.CLOSED_AS_NOT_LISTED);
+      } else if (mustBeListed(attempt, requestedAtMs)) {
+        onAbsent(attempt, report, requestedAtMs, nowMs);
       } else if (attempt.isLookedUp() && requestedAtMs >= attempt.lookUpDeadlineAtMs - LOOK_UP_MS) {
         // The worker may still execute the start until its deadline.
         attempt.stopAsUnanswered();
@@ -312,6 +299,24 @@
     }
   }
 
+  /** Returns whether a report requested at a local time lists a run if the run has not ended. */
+  private static boolean mustBeListed(Attempt attempt, long requestedAtMs) {
+    return attempt.confirmedAtMs >= 0
+        ? requestedAtMs > attempt.confirmedAtMs
+        : attempt.worker.earliestClockMs(requestedAtMs) > attempt.startDeadlineClockMs;
+  }
+
+  private void onAbsent(Attempt attempt, WorkerReport report, long requestedAtMs, long nowMs) {
+    if (!report.listsAllEnds()) {
+      attempt.onEndUnlisted();
+    } else if (attempt.isOverAfterAbsence(requestedAtMs, nowMs)) {
+      if (attempt.isOfUnknownIncarnation) {
+        crashTracker.onCrash(attempt.worker, List.of(attempt), nowMs);
+      }
+      close(attempt, RunEvent.Kind.CLOSED_AS_NOT_LISTED);
+    }
+  }
+
   private Optional<Order> onRunningReported(Worker worker, RunningTask running, long nowMs) {
     Attempt attempt = worker.attempts.get(Worker.attemptKey(running.taskName(), running.run()));
     if (attempt == null) {
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -83,7 +83,7 @@
     // A process that has ended has no runs, unless a later one gets orders of an earlier owner.
     boolean hasEnded =
         worker.process.hasEndedAsShownSince(ordersOverAtMs) && nowMs >= ordersOverAtMs;
-    if (worker.hasListedAllEnds || worker.isTerminated || hasEnded) {
+    if (worker.hasListedAllRuns || worker.isTerminated || hasEnded) {
       return false;
     }
     return worker.isFenced
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -46,10 +46,16 @@
   boolean isFenced;
 
   /**
-   * Whether it has reported all ends at once under this owner's term, so that it has no earlier
-   * owner's runs that this owner does not know of.
+   * Local time at which the first report of its known incarnation arrived under this owner's term;
+   * -1 if none has.
    */
-  boolean hasListedAllEnds;
+  private long firstReportAtMs = -1;
+
+  /**
+   * Whether it has shown all its runs under this owner's term, so that it has none of an earlier
+   * owner that this owner does not know of.
+   */
+  boolean hasListedAllRuns;
 
   /** Local time from which no run of an earlier owner can be going on there. */
   long earlierRunsOverAtMs = Long.MAX_VALUE;
@@ -213,10 +219,24 @@
     sentAcknowledgement = 0;
     unacknowledged.clear();
     isFenced = false;
-    hasListedAllEnds = false;
+    firstReportAtMs = -1;
+    hasListedAllRuns = false;
     process.reset();
   }
 
+  /**
+   * Records that a report has arrived. One report does not show all runs: one that ends, or that an
+   * order of an earlier owner starts, while its lists are taken may be in neither list.
+   */
+  void recordReport(boolean listsAllEnds, long requestedAtMs, long nowMs) {
+    isFenced = true;
+    boolean isAfterFirst = firstReportAtMs >= 0 && requestedAtMs > firstReportAtMs;
+    hasListedAllRuns |= listsAllEnds && isAfterFirst;
+    if (firstReportAtMs < 0) {
+      firstReportAtMs = nowMs;
+    }
+  }
+
   boolean hasClock() {
     return clockReadingMs >= 0;
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/FirstReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/FirstReportsTest.java
@@ -145,7 +145,10 @@
     @Test
     void shouldForgetAnIdleOneAtOnce() {
       listAll();
-      requests().forEach(FirstReportsTest.this::answer);
+      for (List<Renewal> due = requests(); !due.isEmpty(); due = requests()) {
+        due.forEach(FirstReportsTest.this::answer);
+        nowMs += 50;
+      }
       List<String> reported =
           scheduler.workerLoads(nowMs).stream()
               .filter(WorkerLoad::isUsable)
--- a/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -22,7 +23,7 @@
 class OverlappingReportsTest {
 
   private static final long START_MS = 1_000_000;
-  private static final long TERM = 1;
+  private long term = 1;
   private static final long LONG_RUN_MS = 60_000;
 
   private final SimulatedWorker one = new SimulatedWorker("w1", TestJobs.SERVICE, "r1", START_MS);
@@ -39,7 +40,7 @@
 
     PendingReport(SimulatedWorker worker, long requestedAtMs) {
       this.worker = worker;
-      this.lists = worker.renew(new Renewal(worker.id(), -1, 0, 0), TERM, nowMs);
+      this.lists = worker.renew(new Renewal(worker.id(), -1, 0, 0), term, nowMs);
       this.requestedAtMs = requestedAtMs;
     }
 
@@ -55,7 +56,7 @@
 
   @BeforeEach
   void createSchedulerWithTwoWorkers() {
-    scheduler = new Scheduler(TestJobs.SETTINGS, TERM, nowMs, false);
+    scheduler = new Scheduler(TestJobs.SETTINGS, term, nowMs, false);
     scheduler.configure(TestJobs.config(100_000, 2));
     scheduler.updateWorkerListings(List.of(one.listing(), two.listing()), nowMs);
     scheduler.confirmEnrolment(scheduler.workersToEnrol());
@@ -90,11 +91,11 @@
 
   private OrderReply execute(Order.Start start) {
     return worker(start)
-        .start(start, TERM, new Behaviour(nowMs + LONG_RUN_MS, false, Resources.NONE), nowMs);
+        .start(start, term, new Behaviour(nowMs + LONG_RUN_MS, false, Resources.NONE), nowMs);
   }
 
   private OrderReply execute(Order.Stop stop) {
-    return worker(stop).stop(stop, TERM, nowMs);
+    return worker(stop).stop(stop, term, nowMs);
   }
 
   private void loseReply(Order.Start start) {
@@ -203,7 +204,7 @@
       PendingReport report = reportTakenBeforeTheDeadline(start);
       execute(start);
       worker(start)
-          .renew(new Renewal(start.workerId(), start.leaseEndClockMs() + 4_000, 0, 0), TERM, nowMs);
+          .renew(new Renewal(start.workerId(), start.leaseEndClockMs() + 4_000, 0, 0), term, nowMs);
       nowMs += 10;
       report.deliver();
       assertThat(worker(start).runningTasks()).containsExactly("a.0.0.0");
@@ -272,7 +273,7 @@
     void shouldNotRestartATaskThatNeitherListOfOneReportHolds() {
       Order.Start start = startTask(TestJobs.step(1, 1_000));
       Behaviour shortRun = new Behaviour(nowMs + 100, false, Resources.NONE);
-      scheduler.onStartReply(start, worker(start).start(start, TERM, shortRun, nowMs), nowMs);
+      scheduler.onStartReply(start, worker(start).start(start, term, shortRun, nowMs), nowMs);
       nowMs += 100;
       reportWithoutTheRun(worker(start));
       assertThat(starts()).isEmpty();
@@ -284,5 +285,68 @@
       scheduler.confirmStored(changes, nowMs);
       assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
     }
+
+    @Test
+    void shouldNotRestartAStoppedTaskThatNeitherListOfOneReportHolds() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      worker(start).start(start, term, new Behaviour(nowMs + 405, false, Resources.NONE), nowMs);
+      nowMs += 400;
+      loseReply(start);
+      Order.Stop stop = onlyStop();
+      scheduler.onStopReply(stop, execute(stop), nowMs);
+      nowMs += 5;
+      reportWithoutTheRun(worker(start));
+      nowMs += 100;
+      assertThat(starts()).isEmpty();
+    }
+
+    private Order.Start runThatEndsDuringATakeover() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      Behaviour shortRun = new Behaviour(nowMs + 100, false, Resources.NONE);
+      scheduler.onStartReply(start, worker(start).start(start, term, shortRun, nowMs), nowMs);
+      nowMs += 100;
+      return start;
+    }
+
+    private void takeOver() {
+      term++;
+      scheduler = new Scheduler(TestJobs.SETTINGS, term, nowMs, true);
+      scheduler.configure(TestJobs.config(100_000, 2));
+      scheduler.updateWorkerListings(List.of(one.listing(), two.listing()), nowMs);
+      scheduler.confirmEnrolment(scheduler.workersToEnrol());
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
+    }
+
+    private void assertThatTheTaskWaitsForASecondReport(Order.Start start) {
+      SimulatedWorker other = worker(start) == one ? two : one;
+      nowMs += 5;
+      reportWithoutTheRun(worker(start));
+      reportWithoutTheRun(other);
+      nowMs += 20;
+      reportWithoutTheRun(other);
+      assertThat(starts()).isEmpty();
+      assertThat(scheduler.renewal(start.workerId(), nowMs)).isPresent();
+      new PendingReport(worker(start), nowMs).deliver();
+      assertThat(starts()).isEmpty();
+      scheduler.confirmStored(scheduler.takeChanges().orElseThrow(), nowMs);
+      assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
+    }
+
+    @Test
+    void shouldNotRestartATaskAfterATakeoverThatNeitherListOfTheFirstReportHolds() {
+      Order.Start start = runThatEndsDuringATakeover();
+      takeOver();
+      assertThatTheTaskWaitsForASecondReport(start);
+    }
+
+    @Test
+    void shouldNotRestartATaskAfterAHandoverThatNeitherListOfTheFirstReportHolds() {
+      Order.Start start = runThatEndsDuringATakeover();
+      RunLocations locations = scheduler.runLocations();
+      takeOver();
+      scheduler.restoreRunLocations(locations, nowMs);
+      assertThatTheTaskWaitsForASecondReport(start);
+    }
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -500,6 +500,10 @@
           TestJobs.job("a", START_MS, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
       report(one, 2);
       report(two, 2);
+      assertThat(starts()).isEmpty();
+      nowMs += 50;
+      report(one, 2);
+      report(two, 2);
       assertThat(starts().get(0).run()).isGreaterThan(earlierRun + 1_000);
     }
   }
