Pause between the clock readings of an idle worker

The reading of an idle worker's clock counts as old until a higher one arrives. A worker whose readings do not advance was asked again with each event.

OverlappingReportsTest.shouldNotRequestReportsWithoutPauseIfItsClockReadingsDoNotAdvance guards it.

--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -114,7 +114,9 @@
                   || (acknowledgement > 0 && sinceReportMs >= MIN_REPORT_INTERVAL_MS));
       boolean isProbeDue = worker.missedReports > 0 && sinceReportMs > retryAfterMissMs(worker);
       boolean isClockReadingDue =
-          worker.acceptsTasks() && worker.clockAgeMs(nowMs) > MAX_IDLE_CLOCK_AGE_MS;
+          worker.acceptsTasks()
+              && worker.clockAgeMs(nowMs) > MAX_IDLE_CLOCK_AGE_MS
+              && sinceReportMs > IDLE_ACK_INTERVAL_MS;
       boolean isListingDue =
           !worker.hasListedAllRuns
               && worker.missedReports == 0
--- a/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
@@ -349,4 +349,25 @@
       assertThatTheTaskWaitsForASecondReport(start);
     }
   }
+
+  @Nested
+  class WhenAWorkerIsIdle {
+
+    @Test
+    void shouldNotRequestReportsWithoutPauseIfItsClockReadingsDoNotAdvance() {
+      nowMs += 40_000;
+      int requests = 0;
+      for (long untilMs = nowMs + 1_000; nowMs < untilMs; nowMs++) {
+        if (scheduler.renewal(one.id(), nowMs).isPresent()) {
+          requests++;
+          scheduler.onReport(
+              one.id(),
+              new WorkerReport(0, one.startedAtMs(), List.of(), List.of(), true),
+              nowMs,
+              nowMs);
+        }
+      }
+      assertThat(requests).isBetween(1, 4);
+    }
+  }
 }
