--- a/src/main/java/org/laburnumarch/internal/schedule/Decisions.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Decisions.java
@@ -7,7 +7,7 @@
  *
  * @param orders orders to workers
  * @param queries requests to the advisory service
- * @param runEvents what has become of runs since the last round
+ * @param runEvents the unexpected outcomes of runs since the last round
  */
 public record Decisions(List<Order> orders, List<AdviceQuery> queries, List<RunEvent> runEvents) {
 
--- a/src/main/java/org/laburnumarch/internal/schedule/RunEvent.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunEvent.java
@@ -1,7 +1,7 @@
 package org.laburnumarch.internal.schedule;
 
 /**
- * Something unusual that became of a run, for the log and the metrics.
+ * An unexpected outcome of a run, for the log and the metrics.
  *
  * @param kind what happened
  * @param taskName the task's wire name
@@ -23,7 +23,7 @@
     /** A report lists it as done although the task has another run. */
     FOUND_DONE_TWICE;
 
-    /** Returns whether the task had two runs, of which at least one should not have started. */
+    /** Returns whether the task had two runs, at once or one after a lease that expired. */
     public boolean isDuplicate() {
       return this == FOUND_RUNNING_TWICE || this == FOUND_DONE_TWICE;
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -102,7 +102,7 @@
     teamUsage.add(attempt.task.step.job.spec.team(), attempt.task.step.spec.need());
   }
 
-  /** Returns what has become of runs since the last call. */
+  /** Returns the unexpected outcomes of runs since the last call. */
   List<RunEvent> takeEvents() {
     List<RunEvent> taken = List.copyOf(events);
     events.clear();
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -55,7 +55,7 @@
     this.ordersOverAtMs = hadEarlierOwner ? nowMs + authorityWaitMs : nowMs;
   }
 
-  /** Returns whether no task can be held any more; once it can not, that stays so. */
+  /** Returns whether no task can be held any more. Never becomes false again. */
   boolean isOver(WorkerTable workers, long nowMs) {
     isOver |=
         nowMs > overAtMs
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -312,7 +312,7 @@
     }
 
     @Test
-    void shouldWaitForTheLeaseOfAnOrderThatItExecutedBeforeItsFirstReport() {
+    void shouldNotRunATaskTwiceThatItStartedBeforeItsFirstReport() {
       Order.Start start = orderToARestartedWorker();
       scheduler.onStartReply(start, execute(start, LONG_RUN_MS), nowMs);
       readRegistry();
@@ -322,7 +322,7 @@
     }
 
     @Test
-    void shouldWaitForTheLeaseOfAnOrderThatItExecutesLate() {
+    void shouldNotRunATaskTwiceThatItStartsLate() {
       Order.Start start = orderToARestartedWorker();
       scheduler.onStartReply(start, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
       readRegistry();
@@ -333,7 +333,7 @@
     }
 
     @Test
-    void shouldWaitForTheLeaseOfAnOrderOfAnEarlierOwner() {
+    void shouldNotRunATaskTwiceThatAnEarlierOwnerStarted() {
       Order.Start start = orderToARestartedWorker();
       execute(start, LONG_RUN_MS);
       term++;
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -165,7 +165,7 @@
      * the owner expects its clock to be ahead of its actual reading and requests too long a lease.
      */
     @Test
-    void shouldWaitForTheLeaseOfAWorkerThatHasBeenIdle() {
+    void shouldNotRunATaskTwiceWhoseWorkerHasBeenIdle() {
       TakeoverSeries slow = new TakeoverSeries(0);
       slow.addWorker("w0", 0.98);
       slow.addWorker("w1", 0.98);
--- a/src/test/java/org/laburnumarch/internal/schedule/UnlistedEndsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/UnlistedEndsTest.java
@@ -97,7 +97,7 @@
     }
 
     @Test
-    void shouldPassOnToTheNextOwnerWhichEndsAreLeftOut() {
+    void shouldNotStartTasksAgainAfterTwoHandoversWhoseEndsAreLeftOut() {
       endAllTasksUnseen();
       series.takeOver();
       series.advance(1_000);
@@ -198,7 +198,7 @@
 
     /** Guards against requests for reports without a pause that tell nothing new. */
     @Test
-    void shouldWaitForTheEndOfAnUnansweredStart() {
+    void shouldNotRequestReportsWithoutPauseForAStoppedRunWhoseEndIsLeftOut() {
       Order.Start start = (Order.Start) decide().get(0);
       scheduler.onStartReply(start, new OrderReply(OrderReply.Outcome.UNKNOWN, -1), nowMs);
       Order.Stop stop = (Order.Stop) decide().get(0);
--- a/src/test/java/org/laburnumarch/internal/soak/OverlappingTasksTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/OverlappingTasksTest.java
@@ -13,7 +13,7 @@
 
   @TempDir private Path directory;
 
-  private void shouldKeepAllInvariants(SoakKind kind, long seed, int seconds) throws Exception {
+  private void assertThatAllInvariantsHold(SoakKind kind, long seed, int seconds) throws Exception {
     try (PortBlock ports = PortBlock.reserve(PORT_COUNT);
         SoakRun run =
             new SoakRun(
@@ -33,11 +33,11 @@
 
   @Test
   void shouldNotStartATaskTwiceBecauseOfAReportWhoseListsAreOlderThanItsClock() throws Exception {
-    shouldKeepAllInvariants(SoakKind.FAULTS_OF_LOAD, 1, 10);
+    assertThatAllInvariantsHold(SoakKind.FAULTS_OF_LOAD, 1, 10);
   }
 
   @Test
   void shouldNotStartATaskTwiceWhileWorkersAreCutOffOrAnswerLate() throws Exception {
-    shouldKeepAllInvariants(SoakKind.ISOLATED_FAULTS, 2, 15);
+    assertThatAllInvariantsHold(SoakKind.ISOLATED_FAULTS, 2, 15);
   }
 }
