Ask for a second first report only where an earlier owner may have left runs

The second report that shows all runs was requested of each idle worker, also by the first owner of a fleet, where nothing can be left. A request in flight then met workers whose instances were being moved.

--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -65,9 +65,18 @@
 
   private RenewalPolicy() {}
 
+  /**
+   * Decides whether a worker is asked now.
+   *
+   * @param mayHaveEarlierRuns whether its next reports may show runs of an earlier owner
+   */
   static Optional<Renewal> decide(
-      Worker worker, SchedulerSettings settings, StartLimits limits, long nowMs) {
-    Optional<Renewal> renewal = choose(worker, settings, limits, nowMs);
+      Worker worker,
+      SchedulerSettings settings,
+      StartLimits limits,
+      boolean mayHaveEarlierRuns,
+      long nowMs) {
+    Optional<Renewal> renewal = choose(worker, settings, limits, mayHaveEarlierRuns, nowMs);
     renewal.ifPresent(
         chosen ->
             worker.sentAcknowledgement =
@@ -98,7 +107,11 @@
   }
 
   private static Optional<Renewal> choose(
-      Worker worker, SchedulerSettings settings, StartLimits limits, long nowMs) {
+      Worker worker,
+      SchedulerSettings settings,
+      StartLimits limits,
+      boolean mayHaveEarlierRuns,
+      long nowMs) {
     long sinceReportMs = nowMs - worker.lastReportAttemptMs;
     if (!worker.isFenced) {
       return worker.missedReports > 0 && sinceReportMs < retryAfterMissMs(worker)
@@ -118,7 +131,7 @@
               && worker.clockAgeMs(nowMs) > MAX_IDLE_CLOCK_AGE_MS
               && sinceReportMs > IDLE_ACK_INTERVAL_MS;
       boolean isListingDue =
-          !worker.hasListedAllRuns
+          mayHaveEarlierRuns
               && worker.missedReports == 0
               && sinceReportMs
                   >= (worker.hasUnacknowledgedEnds()
@@ -142,7 +155,7 @@
       return Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
     long leaseEndClockMs = worker.requestLease(settings.leaseMs(), nowMs);
-    boolean isAwaited = worker.hasUnacknowledgedEnds() || !worker.hasListedAllRuns;
+    boolean isAwaited = worker.hasUnacknowledgedEnds() || mayHaveEarlierRuns;
     long waitMs = isAwaited ? 0 : MAX_REPORT_WAIT_MS;
     return Optional.of(new Renewal(worker.id, leaseEndClockMs, acknowledgement, waitMs));
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -549,7 +549,10 @@
     if (worker == null || worker.isTerminated || (!worker.isFenced && !firstReports.hasRoom())) {
       return Optional.empty();
     }
-    Optional<Renewal> renewal = RenewalPolicy.decide(worker, settings, startLimits, nowMs);
+    boolean mayHaveEarlierRuns =
+        !worker.hasListedAllRuns && !takeoverGuard.isOver(workers, ownershipProvenAtMs);
+    Optional<Renewal> renewal =
+        RenewalPolicy.decide(worker, settings, startLimits, mayHaveEarlierRuns, nowMs);
     if (renewal.isPresent() && !worker.isFenced) {
       firstReports.onRequested(worker);
     }
