Hold a stopped start and a run of an unknown incarnation until two reports lack it

Callers would see a task run twice (TWICE): a start without an answer had begun, was stopped, and ended as done while the lists of the next report were taken. One report without it was enough, and the task started again, although the end was listed and acknowledged later. A run that only a reply had confirmed, on a worker that had started again since, was given up in the same way.

Cause: Attempt.isOverAfterAbsence asked for a second report only for runs in phase RUNNING of a known incarnation. A run that ends while a report is written may be in neither list, whatever the owner knows of its start.

Change: each run must be absent from two reports, the second requested after the first. The second one is requested at once and may not be delayed by the worker. A run of an earlier incarnation is still given up after one report if the worker's clock shows that the incarnation which confirmed it has ended: its clock would have advanced by the time since the confirmation, 2 in 100 less at most.

Four tests stated that one report is enough for an unanswered start (two of OverlappingReportsTest, one each of SchedulerTest and UnlistedEndsTest). They now state that the task does not start after the first report and does after the second, and that the second is requested.

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -34,6 +34,9 @@
   /** Local time at which the worker last confirmed an order for this run; -1 if it has not. */
   long confirmedAtMs = -1;
 
+  /** Reading of the worker's clock in the reply that confirmed the start; -1 if there is none. */
+  long confirmedClockMs = -1;
+
   /** Whether a report of the worker's known incarnation has listed the run as going on. */
   boolean isListed;
 
@@ -146,10 +149,16 @@
   /**
    * Records that a report which should list the run or its end does not; returns whether that shows
    * that the run is over. A run that ends while the lists of a report are taken may be in neither,
-   * so that a run which has begun must be absent from a second report, requested after the first.
+   * so it must be absent from a second report, requested after the first. This holds for a start
+   * without an answer too, because it may have begun.
+   *
+   * @param workerClockMs the worker's clock in that report
+   * @param requestedAtMs local time at which it was requested
    */
-  boolean isOverAfterAbsence(long requestedAtMs, long nowMs) {
-    if (phase != Phase.RUNNING || isOfUnknownIncarnation) {
+  boolean isOverAfterAbsence(long workerClockMs, long requestedAtMs, long nowMs) {
+    if (isOfUnknownIncarnation
+        && workerClockMs < confirmedClockMs + clockAdvanceMs(requestedAtMs)) {
+      // The incarnation that confirmed the run would have a higher clock by now.
       return true;
     }
     if (absentSinceMs < 0) {
@@ -159,6 +168,16 @@
     return requestedAtMs > absentSinceMs;
   }
 
+  /** Returns the least time by which the worker's clock has advanced since the confirmation. */
+  private long clockAdvanceMs(long atMs) {
+    return (long) Math.floor((atMs - confirmedAtMs) * Worker.SLOWEST_CLOCK);
+  }
+
+  /** Returns whether another complete report must show whether the run is over. */
+  boolean isAbsenceUnproved() {
+    return absentSinceMs >= 0 && !isEndUnlisted;
+  }
+
   /** Makes the run end, whatever becomes known of its start. */
   void stop() {
     isUnwanted = true;
--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -155,7 +155,8 @@
       return Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
     long leaseEndClockMs = worker.requestLease(settings.leaseMs(), nowMs);
-    boolean isAwaited = worker.hasUnacknowledgedEnds() || mayHaveEarlierRuns;
+    boolean isAwaited =
+        worker.hasUnacknowledgedEnds() || mayHaveEarlierRuns || worker.needsSecondReport();
     long waitMs = isAwaited ? 0 : MAX_REPORT_WAIT_MS;
     return Optional.of(new Renewal(worker.id, leaseEndClockMs, acknowledgement, waitMs));
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -147,6 +147,7 @@
         attempt.phase = Attempt.Phase.RUNNING;
         attempt.isOfNextIncarnation = isClockSetBack;
         attempt.confirmedAtMs = nowMs;
+        attempt.confirmedClockMs = reply.workerClockMs();
       }
       case UNKNOWN -> {
         attempt.phase = Attempt.Phase.UNANSWERED;
@@ -309,7 +310,7 @@
   private void onAbsent(Attempt attempt, WorkerReport report, long requestedAtMs, long nowMs) {
     if (!report.listsAllEnds()) {
       attempt.onEndUnlisted();
-    } else if (attempt.isOverAfterAbsence(requestedAtMs, nowMs)) {
+    } else if (attempt.isOverAfterAbsence(report.workerClockMs(), requestedAtMs, nowMs)) {
       if (attempt.isOfUnknownIncarnation) {
         crashTracker.onCrash(attempt.worker, List.of(attempt), nowMs);
       }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -578,7 +578,7 @@
                                 && !attempt.isEndUnlisted)
                             || (worker.missedReports == 0
                                 && (attempt.isLookedUp()
-                                    || attempt.absentSinceMs >= 0
+                                    || attempt.isAbsenceUnproved()
                                     || attempt.isSurvivalUnknown(nowMs))));
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -22,7 +22,7 @@
   private static final long UNKNOWN_INCARNATION_MS = 18_000;
 
   /** Lowest speed of a steady clock relative to real time. */
-  private static final double SLOWEST_CLOCK = 0.98;
+  static final double SLOWEST_CLOCK = 0.98;
 
   /** Number of runs by which a worker's speed is judged; one long task in five is outvoted. */
   private static final int DEVIATIONS = 5;
@@ -197,6 +197,11 @@
         .anyMatch(attempt -> attempt.task.isSuspect && !attempt.hasSurvivedStart);
   }
 
+  /** Returns whether another report must show whether a run is over that the last one lacked. */
+  boolean needsSecondReport() {
+    return attempts.values().stream().anyMatch(Attempt::isAbsenceUnproved);
+  }
+
   Resources freeCapacity() {
     return listing.capacity().minus(reserved);
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
@@ -175,7 +175,7 @@
     }
 
     @Test
-    void shouldRestartATaskOnceAReportRequestedAfterItsStopLacksIt() {
+    void shouldRestartATaskOnceTwoReportsRequestedAfterItsStopLackIt() {
       Order.Start start = startTask(TestJobs.step(1, 1_000));
       nowMs += 400;
       loseReply(start);
@@ -184,7 +184,10 @@
       assertThat(scheduler.immediateReportRequest(stop.workerId(), nowMs)).isPresent();
       nowMs++;
       new PendingReport(worker(start), nowMs).deliver();
+      assertThat(scheduler.immediateReportRequest(stop.workerId(), nowMs)).isPresent();
       nowMs += 100;
+      assertThat(starts()).isEmpty();
+      new PendingReport(worker(start), nowMs).deliver();
       assertThat(starts()).hasSize(1);
     }
 
@@ -213,12 +216,14 @@
 
     /** Guards against a task that waits for ever for a confirmed stop. */
     @Test
-    void shouldRestartATaskOnceAReportRequestedAfterTheDeadlineOfItsStartLacksIt() {
+    void shouldRestartATaskOnceTwoReportsRequestedAfterTheDeadlineOfItsStartLackIt() {
       Order.Start start = startTask(TestJobs.step(1, 1_000));
       reportTakenBeforeTheDeadline(start);
       nowMs += 200;
       new PendingReport(worker(start), nowMs).deliver();
       nowMs += 100;
+      assertThat(starts()).isEmpty();
+      new PendingReport(worker(start), nowMs).deliver();
       assertThat(starts()).hasSize(1);
     }
   }
@@ -300,6 +305,24 @@
       assertThat(starts()).isEmpty();
     }
 
+    /** Guards against a run of a restarted worker that only the reply to its start has shown. */
+    @Test
+    void shouldNotRestartATaskOfARestartedWorkerThatNeitherListOfOneReportHolds() {
+      Order.Start start = startTask(TestJobs.step(1, 1_000));
+      worker(start).crash(nowMs);
+      Behaviour shortRun = new Behaviour(nowMs + 100, false, Resources.NONE);
+      scheduler.onStartReply(start, worker(start).start(start, term, shortRun, nowMs), nowMs);
+      nowMs += 100;
+      worker(start).advance(nowMs);
+      reportWithoutTheRun(worker(start));
+      assertThat(starts()).isEmpty();
+      nowMs++;
+      new PendingReport(worker(start), nowMs).deliver();
+      assertThat(starts()).isEmpty();
+      scheduler.confirmStored(scheduler.takeChanges().orElseThrow(), nowMs);
+      assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
+    }
+
     private Order.Start runThatEndsDuringATakeover() {
       Order.Start start = startTask(TestJobs.step(1, 1_000));
       Behaviour shortRun = new Behaviour(nowMs + 100, false, Resources.NONE);
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -211,7 +211,7 @@
   class WhenAStartGetsNoReply {
 
     @Test
-    void shouldNotStartTheTaskAgainBeforeAReportWithoutIt() {
+    void shouldNotStartTheTaskAgainBeforeTwoReportsWithoutIt() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
       Order.Start lost = starts().get(0);
       scheduler.onStartReply(lost, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
@@ -227,6 +227,9 @@
       report(one, 1);
       report(two, 1);
       nowMs += 50;
+      assertThat(starts()).isEmpty();
+      report(one, 1);
+      report(two, 1);
       assertThat(starts()).hasSize(1);
       // The lost order arrives late; it must not start a second run beside the new one.
       OrderReply late =
--- a/src/test/java/org/laburnumarch/internal/schedule/UnlistedEndsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/UnlistedEndsTest.java
@@ -208,6 +208,8 @@
       assertThat(scheduler.immediateReportRequest(worker.id(), nowMs)).isEmpty();
       nowMs += 1_000;
       report(true);
+      assertThat(decide()).isEmpty();
+      report(true);
       assertThat(decide()).hasSize(1).allMatch(Order.Start.class::isInstance);
     }
 
