Wait for silent workers if the earlier owner may have started a task again after its listed run

Callers would see a task run twice (TWICE): a new owner learns from a report that a task has a run, the run ends, the earlier owner, which may still send orders for some seconds, learns of that end first and starts the task again on a worker that then falls silent. The new owner started it a third time as soon as the earlier owner could send no orders, while the lease of the second run went on.

Cause: TakeoverGuard.mayHaveEarlierRun took the run that any report had listed for the last one of the earlier owner, although the earlier owner could start others after that report. Class: one report taken as proof that nothing else goes on.

Change: a task keeps the latest time at which a worker was known to have a run. Only a run that is known from after the last possible order of the earlier owner shows that there is no later one. Otherwise the task waits for the workers of its pool, or for their leases.

Evidence: found by reading. RunningEarlierOwnerTest.shouldNotRunATaskTwiceThatTheEarlierOwnerStartsAgainAfterTheTakeover failed before (a start while the run on the silent worker went on) and passes; its second test, that the wait is no longer than needed, passed before and after. All tests of the schedule package pass. After a handover the earlier owner sends no more orders, so nothing waits longer there.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -90,7 +90,7 @@
             startDeadlineClockMs);
     attempt.isIsolated = task.needsIsolation(nowMs);
     task.attempt = attempt;
-    task.hasKnownRun = true;
+    task.knownRunAtMs = Long.MAX_VALUE;
     task.lastRun = run;
     task.step.job.hasStarted = true;
     register(attempt);
@@ -235,7 +235,7 @@
     List<Order> unknownRuns = new ArrayList<>();
     for (RunningTask running : report.running()) {
       seen.add(Worker.attemptKey(running.taskName(), running.run()));
-      onRunningReported(worker, running, nowMs).ifPresent(unknownRuns::add);
+      onRunningReported(worker, running, requestedAtMs, nowMs).ifPresent(unknownRuns::add);
     }
     unregisterAbsent(worker, report, requestedAtMs, seen, nowMs);
     return unknownRuns;
@@ -318,7 +318,8 @@
     }
   }
 
-  private Optional<Order> onRunningReported(Worker worker, RunningTask running, long nowMs) {
+  private Optional<Order> onRunningReported(
+      Worker worker, RunningTask running, long requestedAtMs, long nowMs) {
     Attempt attempt = worker.attempts.get(Worker.attemptKey(running.taskName(), running.run()));
     if (attempt == null) {
       if (hasEnded(worker, running)) {
@@ -329,6 +330,7 @@
         return Optional.of(new Order.Stop(worker.id, running.taskName(), running.run()));
       }
     }
+    attempt.task.knownRunAtMs = Math.max(attempt.task.knownRunAtMs, requestedAtMs);
     attempt.isListed = true;
     attempt.isEndUnlisted = false;
     attempt.isOfUnknownIncarnation = false;
@@ -381,7 +383,6 @@
             nowMs,
             worker.clockMs(nowMs));
     task.lastRun = Math.max(task.lastRun, running.run());
-    task.hasKnownRun = true;
     boolean isWanted = task.attempt == null && !task.isDone && !task.step.job.status.isFinal();
     if (task.attempt != null) {
       record(RunEvent.Kind.FOUND_RUNNING_TWICE, attempt);
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -130,8 +130,8 @@
 
   private boolean mayHaveEarlierRun(
       Task task, boolean isPoolBlocked, WorkerTable workers, long nowMs) {
-    // An owner that can send no orders has started no run after the one that is known here.
-    if (task.hasKnownRun && nowMs >= ordersOverAtMs) {
+    // An earlier owner may learn of the end of a known run and start another while it sends orders.
+    if (task.knownRunAtMs >= ordersOverAtMs && nowMs >= ordersOverAtMs) {
       return false;
     }
     return task.earlierRun.isAnywhere()
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -18,8 +18,11 @@
   /** Where a run of an earlier owner may be going on unreported. */
   EarlierRun earlierRun;
 
-  /** Whether this owner has started a run, or a worker has reported one as going on. */
-  boolean hasKnownRun;
+  /**
+   * Latest local time at which a worker is known to have had a run. No earlier owner had started a
+   * later run by then. {@link Long#MAX_VALUE} once this owner has started one; -1 if none is known.
+   */
+  long knownRunAtMs = -1;
 
   /** Whether such a run keeps the task from being started now. */
   boolean isHeld;
