Do not acknowledge an end over one with a lower number that a report leaves out

Callers would see a task run twice (TWICE): a worker lists an end only after one with a higher number, as it can when it writes a report in parallel with ends. The end with the lower number was never applied, and the acknowledgement of the higher one made the worker forget it. Its task started again once two reports lacked the run, although the end as done had been acknowledged.

Cause: the owner applied only ends above the highest number seen, and acknowledged that number. Class: one list taken as proof that an earlier end does not exist.

Change: ReportedEnds applies each end that it has not seen, and acknowledges a number only if every lower one has been applied or two reports, the second requested after the first, lack it. After a takeover the acknowledgement of the first ends takes one report more, because numbers acknowledged earlier look like left-out ones.

Evidence: OverlappingReportsTest.shouldNotAcknowledgeAnEndThatHasNotBeenApplied failed before (end 2 acknowledged without end 1); shouldAcknowledgeEndsAfterANumberThatTwoReportsLack guards against ends that are never acknowledged.

--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -89,7 +89,7 @@
     boolean isIncarnationCertain =
         worker.missedReports == 0
             && nowMs - worker.lastReportAttemptMs <= MAX_REPORT_AGE_FOR_ACK_MS;
-    return isIncarnationCertain ? worker.acknowledgedEnd : 0;
+    return isIncarnationCertain ? worker.ends.acknowledged() : 0;
   }
 
   /** Returns the interval between two requests to a worker whose last report was missed. */
@@ -120,7 +120,7 @@
     }
     long acknowledgement = acknowledgement(worker, nowMs);
     if (worker.attempts.isEmpty()) {
-      boolean hasUnsentAck = worker.acknowledgedEnd > worker.sentAcknowledgement;
+      boolean hasUnsentAck = worker.ends.acknowledged() > worker.sentAcknowledgement;
       boolean isAckDue =
           hasUnsentAck
               && (sinceReportMs > IDLE_ACK_INTERVAL_MS
@@ -134,17 +134,21 @@
           mayHaveEarlierRuns
               && worker.missedReports == 0
               && sinceReportMs
-                  >= (worker.hasUnacknowledgedEnds()
+                  >= (worker.ends.hasUnacknowledged()
                       ? UNSTORED_ENDS_INTERVAL_MS
                       : MIN_REPORT_INTERVAL_MS);
-      return isAckDue || isProbeDue || isClockReadingDue || isListingDue
+      boolean isGapDue =
+          worker.ends.hasGap()
+              && worker.missedReports == 0
+              && sinceReportMs >= MIN_REPORT_INTERVAL_MS;
+      return isAckDue || isProbeDue || isClockReadingDue || isListingDue || isGapDue
           ? Optional.of(new Renewal(worker.id, -1, acknowledgement, 0))
           : Optional.empty();
     }
     long pauseMs =
         worker.missedReports > 0
             ? retryAfterMissMs(worker)
-            : worker.hasUnacknowledgedEnds()
+            : worker.ends.hasUnacknowledged()
                 ? UNSTORED_ENDS_INTERVAL_MS
                 : minReportIntervalMs(settings, limits, nowMs);
     if (sinceReportMs < pauseMs) {
@@ -156,7 +160,7 @@
     }
     long leaseEndClockMs = worker.requestLease(settings.leaseMs(), nowMs);
     boolean isAwaited =
-        worker.hasUnacknowledgedEnds() || mayHaveEarlierRuns || worker.needsSecondReport();
+        worker.ends.hasUnacknowledged() || mayHaveEarlierRuns || worker.needsSecondReport();
     long waitMs = isAwaited ? 0 : MAX_REPORT_WAIT_MS;
     return Optional.of(new Renewal(worker.id, leaseEndClockMs, acknowledgement, waitMs));
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -228,10 +228,11 @@
     Set<String> seen = new HashSet<>();
     for (EndedTask ended : report.ended()) {
       seen.add(Worker.attemptKey(ended.taskName(), ended.run()));
-      if (ended.number() > worker.lastEndNumber) {
-        worker.recordEnd(ended, onEnd(worker, ended, requestedAtMs, nowMs));
+      if (worker.ends.isNew(ended)) {
+        worker.ends.onApplied(ended, onEnd(worker, ended, requestedAtMs, nowMs));
       }
     }
+    worker.ends.onReport(requestedAtMs, nowMs);
     List<Order> unknownRuns = new ArrayList<>();
     for (RunningTask running : report.running()) {
       seen.add(Worker.attemptKey(running.taskName(), running.run()));
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -212,7 +212,7 @@
       worker.attempts.values().stream()
           .map(attempt -> attempt.task.key)
           .forEach(key -> addLocation(workersByTask, key, worker));
-      worker.unacknowledgedTasks().stream()
+      worker.ends.unacknowledgedTasks().stream()
           .flatMap(name -> TaskKey.parse(name).stream())
           .forEach(key -> addLocation(workersByTask, key, worker));
     }
@@ -411,7 +411,7 @@
         }
       }
     }
-    workers.all().forEach(worker -> worker.acknowledge(storedBatchNumber));
+    workers.all().forEach(worker -> worker.ends.acknowledge(storedBatchNumber));
   }
 
   /** Removes jobs whose final status has been kept long enough, and returns their ids. */
@@ -478,7 +478,7 @@
     }
     firstReports.onSettled(worker);
     List<Order> unknownRuns = runTracker.onReport(worker, report, requestedAtMs, nowMs);
-    worker.acknowledge(storedBatchNumber);
+    worker.ends.acknowledge(storedBatchNumber);
     return unknownRuns;
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -1,9 +1,6 @@
 package org.laburnumarch.internal.schedule;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.pacing.StartLimits;
@@ -11,9 +8,6 @@
 /** A worker, its current incarnation as far as known, and the runs that it may have. */
 final class Worker {
 
-  /** The end of a run that may be acknowledged once the batch with its effects is stored. */
-  private record UnacknowledgedEnd(long number, long batchNumber, String taskName) {}
-
   /**
    * Time after which any run that a new incarnation may have started has lost its lease, if that
    * incarnation has not reported. Workers grant leases of at most 6 s, and orders may arrive
@@ -89,13 +83,11 @@
    */
   private long earlierLeasesOverAtMs = Long.MIN_VALUE;
 
-  long lastEndNumber;
-  long acknowledgedEnd;
-
   /** Highest acknowledgement that was sent in a renewal. */
   long sentAcknowledgement;
 
-  private final Deque<UnacknowledgedEnd> unacknowledged = new ArrayDeque<>();
+  /** The ends that its current incarnation has reported. */
+  ReportedEnds ends = new ReportedEnds();
 
   /** All runs that may be going on there, by task name and run number. */
   final Map<String, Attempt> attempts = new LinkedHashMap<>();
@@ -219,10 +211,8 @@
     }
     clockReadingMs = -1;
     leaseEndClockMs = -1;
-    lastEndNumber = 0;
-    acknowledgedEnd = 0;
+    ends = new ReportedEnds();
     sentAcknowledgement = 0;
-    unacknowledged.clear();
     isFenced = false;
     firstReportAtMs = -1;
     hasListedAllRuns = false;
@@ -306,30 +296,4 @@
         clockReadAtMs + (long) Math.floor((leaseEndClockMs - clockReadingMs) / SLOWEST_CLOCK) + 1;
     return Math.max(expireAtMs, earlierLeasesOverAtMs);
   }
-
-  /**
-   * Records that the end of a run has been applied; it may be acknowledged after the batch with the
-   * given number is stored.
-   */
-  void recordEnd(EndedTask ended, long batchNumber) {
-    lastEndNumber = ended.number();
-    unacknowledged.addLast(new UnacknowledgedEnd(ended.number(), batchNumber, ended.taskName()));
-  }
-
-  /** Returns the names of the tasks whose ends may not be stored yet. */
-  List<String> unacknowledgedTasks() {
-    return unacknowledged.stream().map(UnacknowledgedEnd::taskName).toList();
-  }
-
-  /** Acknowledges the ends whose effects have been stored. */
-  void acknowledge(long storedBatchNumber) {
-    while (!unacknowledged.isEmpty()
-        && unacknowledged.peekFirst().batchNumber() <= storedBatchNumber) {
-      acknowledgedEnd = unacknowledged.removeFirst().number();
-    }
-  }
-
-  boolean hasUnacknowledgedEnds() {
-    return !unacknowledged.isEmpty();
-  }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -67,7 +67,7 @@
               || (worker.isLeaseExpired(nowMs) && takeoverGuard.isOver(this, nowMs));
       if (!worker.isListed
           && worker.attempts.isEmpty()
-          && !worker.hasUnacknowledgedEnds()
+          && !worker.ends.hasUnacknowledged()
           && isIdle) {
         removed.add(worker);
       }
--- a/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/OverlappingReportsTest.java
@@ -373,6 +373,59 @@
     }
   }
 
+  @Nested
+  class WhenAReportLeavesOutAnEarlierEnd {
+
+    /** Two tasks that have ended on one worker, the first one with the lower number. */
+    private List<EndedTask> endTwoTasks() {
+      scheduler.updateWorkerListings(List.of(one.listing()), nowMs);
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(2, 1_000)), nowMs);
+      for (Order.Start start : starts()) {
+        Behaviour shortRun = new Behaviour(nowMs + 100, false, Resources.NONE);
+        scheduler.onStartReply(start, one.start(start, term, shortRun, nowMs), nowMs);
+      }
+      nowMs += 100;
+      one.advance(nowMs);
+      List<EndedTask> ends = one.report(nowMs).ended();
+      assertThat(ends).hasSize(2);
+      return ends;
+    }
+
+    private void report(List<EndedTask> ends) {
+      nowMs += 20;
+      WorkerReport report =
+          new WorkerReport(one.clockMs(nowMs), one.startedAtMs(), List.of(), ends, true);
+      scheduler.onReport(one.id(), report, nowMs, nowMs);
+      scheduler.takeChanges().ifPresent(changes -> scheduler.confirmStored(changes, nowMs));
+    }
+
+    private long acknowledgedEnd() {
+      nowMs += 50;
+      return scheduler.renewal(one.id(), nowMs).map(Renewal::acknowledgedEnd).orElse(0L);
+    }
+
+    /** Guards against an end that is forgotten by the worker and was never applied. */
+    @Test
+    void shouldNotAcknowledgeAnEndThatHasNotBeenApplied() {
+      List<EndedTask> ends = endTwoTasks();
+      report(ends.subList(1, 2));
+      assertThat(acknowledgedEnd()).isZero();
+      report(ends);
+      assertThat(acknowledgedEnd()).isEqualTo(2);
+      assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
+    }
+
+    /** Guards against ends that are never acknowledged because a number before them is unused. */
+    @Test
+    void shouldAcknowledgeEndsAfterANumberThatTwoReportsLack() {
+      List<EndedTask> ends = endTwoTasks();
+      report(ends.subList(1, 2));
+      assertThat(acknowledgedEnd()).isZero();
+      report(ends.subList(1, 2));
+      assertThat(acknowledgedEnd()).isEqualTo(2);
+    }
+  }
+
   @Nested
   class WhenAWorkerIsIdle {
 
