Check the owner's authority with the clock reading that each lease counts from

A task could run twice (TWICE): the owner checked its authority at the beginning of a round, and read the clock again for each lease. A pause of the process in between, such as SIGSTOP, let it request leases from a later time than a successor counts with, so that a task started elsewhere while the lease went on.

One reading of the clock decided on the authority, another one the lease.

Change: WorkerDriver.renewLeases checks the authority with the reading from which it computes the lease. No test: it would have to pause the process between two statements.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -311,11 +311,16 @@
       pacer.retainWorkers(knownWorkerIds);
     }
     for (String workerId : workerIds) {
+      long nowMs = clock.nowMs();
+      if (!tenure.hasAuthority(nowMs)) {
+        // This process was paused since its last check; a later owner counts no lease from now.
+        return;
+      }
       if (!renewing.contains(workerId)) {
-        scheduler.renewal(workerId, clock.nowMs()).ifPresent(renewal -> renew(renewal, renewing));
+        scheduler.renewal(workerId, nowMs).ifPresent(renewal -> renew(renewal, renewing));
       } else if (!requestingReport.contains(workerId)) {
         scheduler
-            .immediateReportRequest(workerId, clock.nowMs())
+            .immediateReportRequest(workerId, nowMs)
             .ifPresent(renewal -> renew(renewal, requestingReport));
       }
     }
