Accept reports of a restarted worker whose wall clock was set back

Callers would see accepted tasks that never run again (LOST): a worker starts again under its id after its wall clock was set back, so that its incarnation seems older than the known one. Its reports were ignored and not counted as missed, its lost runs stayed registered, and the owner asked for its reports without a pause.

Cause: RunTracker.onReport took the order of two incarnations from the workers' wall clocks. Class: reading an order of events from the clock of another process, where only the order of request and answer proves one.

Change: a report with an earlier beginning is ignored only if it was requested before the known incarnation was last shown. An answer to a later request is of that process or of one after it, so it begins a new incarnation. The registry may go on listing the entry of the earlier one, which is ignored.

Evidence: RestartedWorkerTest.WhenItsWallClockWasSetBack. Two of its three tests failed before (no start; the task was not started again); the third, about a report of an ended process, passed before and after. All tests of the schedule package and ArchitectureTest pass.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -203,18 +203,22 @@
   }
 
   /**
-   * Updates a worker's runs by its report. Reports of an incarnation earlier than the one known
-   * from the registry are ignored, because their ends must not be acknowledged to the new
-   * incarnation.
+   * Updates a worker's runs by its report. Reports of an incarnation earlier than the known one are
+   * ignored, because their ends must not be acknowledged to the new incarnation.
    *
    * @param requestedAtMs local time at which the report was requested
    * @return orders to stop runs whose task is unknown here
    */
   List<Order> onReport(Worker worker, WorkerReport report, long requestedAtMs, long nowMs) {
     if (report.startedEpochMs() != 0 && report.startedEpochMs() < worker.startedEpochMs) {
-      return List.of();
+      if (requestedAtMs <= worker.incarnationShownAtMs) {
+        return List.of();
+      }
+      // Its process has answered before; the wall clock was set back before the next one began.
+      beginIncarnation(worker, report.startedEpochMs(), nowMs);
     }
     updateIncarnation(worker, report.startedEpochMs(), nowMs);
+    worker.incarnationShownAtMs = nowMs;
     worker.recordClock(report.workerClockMs(), nowMs);
     if (!worker.isFenced && earlierLeaseMs.isPresent()) {
       // What earlier owners have requested is not known, and no worker grants more than this.
@@ -249,9 +253,12 @@
    */
   void updateIncarnation(Worker worker, long startedEpochMs, long nowMs) {
     // The registry's entry may be older than the worker's last report.
-    if (startedEpochMs <= worker.startedEpochMs) {
-      return;
+    if (startedEpochMs > worker.startedEpochMs && startedEpochMs != worker.replacedStartedEpochMs) {
+      beginIncarnation(worker, startedEpochMs, nowMs);
     }
+  }
+
+  private void beginIncarnation(Worker worker, long startedEpochMs, long nowMs) {
     if (worker.startedEpochMs != 0 || worker.hasClock()) {
       List<Attempt> ended =
           worker.attempts.values().stream()
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -66,6 +66,18 @@
   /** When its incarnation began, by its own clock, in Unix milliseconds; 0 while unknown. */
   long startedEpochMs;
 
+  /**
+   * The beginning of the incarnation before the known one, if it is the later of the two because
+   * the wall clock was set back in between; 0 otherwise.
+   */
+  long replacedStartedEpochMs;
+
+  /**
+   * Local time at which the known incarnation was last shown. It, or a later one, answers what is
+   * sent after that.
+   */
+  long incarnationShownAtMs = Long.MIN_VALUE;
+
   private long clockReadingMs = -1;
   private long clockReadAtMs;
 
@@ -203,7 +215,9 @@
    * going on in the new one.
    */
   void resetIncarnation(long newStartedEpochMs, long nowMs) {
+    replacedStartedEpochMs = newStartedEpochMs < startedEpochMs ? startedEpochMs : 0;
     startedEpochMs = newStartedEpochMs;
+    incarnationShownAtMs = nowMs;
     isTerminated = false;
     unknownIncarnationOverAtMs = nowMs + UNKNOWN_INCARNATION_MS;
     if (leaseEndClockMs >= 0) {
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -207,6 +207,83 @@
     }
   }
 
+  @Nested
+  class WhenItsWallClockWasSetBack {
+
+    private static final long SET_BACK_MS = 100_000;
+
+    private void reportAfterSettingBack(SimulatedWorker worker) {
+      nowMs += 20;
+      scheduler
+          .renewal(worker.id(), nowMs)
+          .map(renewal -> worker.renew(renewal, term, nowMs))
+          .ifPresent(
+              report ->
+                  scheduler.onReport(
+                      worker.id(),
+                      new WorkerReport(
+                          report.workerClockMs(),
+                          report.startedEpochMs() - SET_BACK_MS,
+                          report.running(),
+                          report.ended(),
+                          true),
+                      nowMs,
+                      nowMs));
+    }
+
+    private Order.Start startThatARestartLoses() {
+      acceptJobWithOneTask();
+      Order.Start start = starts().get(0);
+      scheduler.onStartReply(start, execute(start, 5_000), nowMs);
+      passTime(20);
+      workers.get(start.workerId()).crash(nowMs);
+      return start;
+    }
+
+    /** Guards against a worker whose reports are ignored for ever, and its lost tasks with them. */
+    @Test
+    void shouldRestartTheTasksOfTheEarlierIncarnation() {
+      Order.Start start = startThatARestartLoses();
+      reportAfterSettingBack(workers.get(start.workerId()));
+      reportAfterSettingBack(workers.get(start.workerId()));
+      assertThat(starts()).hasSize(1);
+    }
+
+    /** Guards against an entry of the earlier incarnation that ends the runs of the current one. */
+    @Test
+    void shouldIgnoreTheOldRegistryEntry() {
+      Order.Start start = startThatARestartLoses();
+      WorkerListing old = scheduler.listing(start.workerId()).orElseThrow();
+      SimulatedWorker worker = workers.get(start.workerId());
+      reportAfterSettingBack(worker);
+      scheduler.updateWorkerListings(List.of(old), nowMs);
+      Order.Start again = starts().get(0);
+      assertThat(again.workerId()).isEqualTo(worker.id());
+      scheduler.onStartReply(again, execute(again, 5_000), nowMs);
+      for (int i = 0; i < 5; i++) {
+        scheduler.updateWorkerListings(List.of(old), nowMs);
+        reportAfterSettingBack(worker);
+        assertThat(starts()).isEmpty();
+      }
+    }
+
+    /** Guards against a report of an ended process that seems to be one of the next process. */
+    @Test
+    void shouldIgnoreAReportThatWasRequestedBeforeTheKnownIncarnationWasShown() {
+      Order.Start start = startThatARestartLoses();
+      SimulatedWorker worker = workers.get(start.workerId());
+      long requestedAtMs = nowMs;
+      WorkerReport early = new WorkerReport(1, START_MS - SET_BACK_MS, List.of(), List.of(), true);
+      nowMs += 20;
+      readRegistry();
+      passTime(20);
+      Order.Start again = starts().get(0);
+      scheduler.onStartReply(again, execute(again, 5_000), nowMs);
+      scheduler.onReport(worker.id(), early, requestedAtMs, nowMs);
+      assertThat(starts()).isEmpty();
+    }
+  }
+
   @Nested
   class WhenAnOrderMeetsTheNewIncarnation {
 
