Let the isolated faults of the soak strike workers of every load

Cuts of workers and late and lost answers struck no worker with OVERLAPPING_TASKS: IsolatedFault.someWorkers named the two pools of the small platform.

Cause: the names of pools were constants in a fault, although the load decides on them.

Change: SoakFleet.servingPools returns the pools of the layout but the spare one. No behaviour of the daemons changes.

--- a/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
@@ -172,7 +172,7 @@
 
   /** Returns the proxies of a share of the workers, or of all workers in one pool. */
   private static List<LoopbackProxy> someWorkers(SoakFleet fleet, Random random) {
-    List<String> pools = List.of(PlatformStandIn.BATCH_POOL, PlatformStandIn.LONG_RUNNING_POOL);
+    List<String> pools = fleet.servingPools();
     if (random.nextBoolean()) {
       return fleet.workerProxies(pools.get(random.nextInt(pools.size())));
     }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -205,6 +205,14 @@
     return FIRST_WORKER_PROXY_PORT_OFFSET - FIRST_WORKER_PORT_OFFSET - layout.instances() - 1;
   }
 
+  /** Returns the pools whose instances run workers. */
+  List<String> servingPools() {
+    return layout.poolSizes().keySet().stream()
+        .filter(pool -> !pool.equals(layout.sparePool()))
+        .sorted()
+        .toList();
+  }
+
   /** Returns the proxies of the workers in a pool. */
   List<LoopbackProxy> workerProxies(String pool) {
     return platform.workerAddresses(pool).stream().map(workerProxies::get).toList();
