Play outages of single logs beside many short tasks in the soak, and reports that are read in two steps

Change: the load MANY_ENDS (jobs of 80 small tasks, four workers, cancels, a long-running job) with outages of the logs of jobs, ownership, handovers and registry, most with another event during the outage; the fault SPLIT_REPORTS, also for OVERLAPPING_TASKS; the kind ISOLATED_FAULTS_OF_LOAD. The store stand-in counts the faults that refuse a log, since two may overlap. A report that is completed late by a process which has ended meanwhile is not sent any more.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -376,6 +376,11 @@
     instancesByName.values().forEach(instance -> instance.workerStandIn.setReportsSlow(areSlow));
   }
 
+  /** Makes the reports of all workers list running tasks of a later time than ended runs. */
+  public void setReportsSplit(boolean areSplit) {
+    instancesByName.values().forEach(instance -> instance.workerStandIn.setReportsSplit(areSplit));
+  }
+
   /** Writes a new version of the configuration that adds or removes an unused queue. */
   public void changeConfig() {
     hasExtraRoute = !hasExtraRoute;
--- a/src/main/java/org/laburnumarch/internal/platform/standin/StoreStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/StoreStandIn.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -66,7 +67,9 @@
   private final List<PendingRead> pendingReads = new ArrayList<>();
   private final HttpServerContext server;
   private Fault fault = Fault.NONE;
-  private Optional<String> refusedLog = Optional.empty();
+
+  /** Logs whose calls are rejected, with the number of faults that reject them. */
+  private final Map<String, Integer> refusedLogs = new HashMap<>();
 
   /**
    * Starts the stand-in. Must not be called on the event loop's thread, unlike all other methods.
@@ -89,9 +92,14 @@
     this.fault = newFault;
   }
 
-  /** Rejects the calls of daemons that concern one log and serves all others; empty to end that. */
-  public void setRefusedLog(Optional<String> log) {
-    this.refusedLog = log;
+  /** Rejects the calls of daemons that concern a log and serves all others. */
+  public void refuseLog(String log) {
+    refusedLogs.merge(log, 1, Integer::sum);
+  }
+
+  /** Ends what {@link #refuseLog} began, unless that was called more often. */
+  public void serveLog(String log) {
+    refusedLogs.computeIfPresent(log, (key, faults) -> faults > 1 ? faults - 1 : null);
   }
 
   /**
@@ -116,8 +124,7 @@
   }
 
   private boolean isRefused(HttpRequest request) {
-    return refusedLog.isPresent()
-        && refusedLog.equals(Optional.ofNullable(request.queryParameter("topic")));
+    return refusedLogs.containsKey(String.valueOf(request.queryParameter("topic")));
   }
 
   private Single<HttpResponse> handle(
--- a/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/WorkerStandIn.java
@@ -92,6 +92,7 @@
   private Optional<SimulatedWorker> currentWorker = Optional.empty();
   private double lateOrderFraction;
   private boolean areReportsSlow;
+  private boolean areReportsSplit;
   private boolean isClosed;
 
   /** Binds the address. Must not be called on the event loop's thread, unlike all other methods. */
@@ -176,6 +177,11 @@
     this.areReportsSlow = areSlow;
   }
 
+  /** Makes reports list the tasks that run some time after their ended runs were listed. */
+  synchronized void setReportsSplit(boolean areSplit) {
+    this.areReportsSplit = areSplit;
+  }
+
   /**
    * Advances the worker's time; completes waiting renewals once a run has ended or the worker was
    * terminated.
@@ -329,20 +335,34 @@
 
   private synchronized Single<HttpResponse> respond(
       SimulatedWorker worker, WorkerReport report, HttpResponseFactory responses) {
-    if (!areReportsSlow) {
-      return respond(
-          HttpBodies.withJson(responses.ok(), reportBody(report, report.workerClockMs())));
+    if (!areReportsSlow && !areReportsSplit) {
+      return respond(HttpBodies.withJson(responses.ok(), reportBody(report)));
     }
-    CompletableFuture<Long> clockReading = new CompletableFuture<>();
+    boolean isSplit = areReportsSplit;
+    CompletableFuture<WorkerReport> completed = new CompletableFuture<>();
     loop.schedule(
         1 + random.nextInt(MAX_CLOCK_DELAY_MS),
-        () -> clockReading.complete(worker.clockMs(clock.nowMs())));
-    return Single.fromStage(clockReading)
-        .flatMap(
-            clockMs -> respond(HttpBodies.withJson(responses.ok(), reportBody(report, clockMs))));
+        () -> complete(worker, report, isSplit).ifPresent(completed::complete));
+    return Single.fromStage(completed)
+        .flatMap(late -> respond(HttpBodies.withJson(responses.ok(), reportBody(late))));
+  }
+
+  /** Adds to a report what the worker reads later; empty if its process has ended meanwhile. */
+  private Optional<WorkerReport> complete(
+      SimulatedWorker worker, WorkerReport lists, boolean isSplit) {
+    WorkerReport later = worker.report(clock.nowMs());
+    return later.startedEpochMs() == lists.startedEpochMs()
+        ? Optional.of(
+            new WorkerReport(
+                later.workerClockMs(),
+                lists.startedEpochMs(),
+                isSplit ? later.running() : lists.running(),
+                lists.ended(),
+                lists.listsAllEnds()))
+        : Optional.empty();
   }
 
-  private static Map<String, Object> reportBody(WorkerReport report, long clockMs) {
+  private static Map<String, Object> reportBody(WorkerReport report) {
     List<List<Object>> running = new ArrayList<>();
     for (RunningTask task : report.running()) {
       running.add(
@@ -359,7 +379,14 @@
               endedTask.checkpoint()));
     }
     return Map.of(
-        "clockMs", clockMs, "born", report.startedEpochMs(), "running", running, "finished", ended);
+        "clockMs",
+        report.workerClockMs(),
+        "born",
+        report.startedEpochMs(),
+        "running",
+        running,
+        "finished",
+        ended);
   }
 
   /** Returns the worker's entry in the registry. */
--- a/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
@@ -83,8 +83,8 @@
   JOB_LOG_DOWN(2_000, 8_000) {
     @Override
     public Runnable inject(SoakFleet fleet, Random random) {
-      fleet.platform().store().setRefusedLog(Optional.of(StoreClient.JOB_LOG));
-      return () -> fleet.platform().store().setRefusedLog(Optional.empty());
+      fleet.platform().store().refuseLog(StoreClient.JOB_LOG);
+      return () -> fleet.platform().store().serveLog(StoreClient.JOB_LOG);
     }
   },
   /** Cuts the owner from the store, so that another daemon takes over and it comes back later. */
--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -27,6 +27,28 @@
       return List.of();
     }
   },
+  /** The same, in series of one or two with calm spans between them. */
+  ISOLATED_FAULTS_OF_LOAD(3_000) {
+    @Override
+    List<SoakEvent> events() {
+      return List.of();
+    }
+
+    @Override
+    int seriesLength(Random random) {
+      return 1 + random.nextInt(2);
+    }
+
+    @Override
+    Random eventRandom(Random random) {
+      return new Random(random.nextLong());
+    }
+
+    @Override
+    long calmMs(Random random) {
+      return isolatedCalmMs(random);
+    }
+  },
   /** Nothing but the load. */
   QUIET(1_000) {
     @Override
@@ -56,10 +78,14 @@
 
     @Override
     long calmMs(Random random) {
-      return 3_000L + random.nextInt(3_000);
+      return isolatedCalmMs(random);
     }
   };
 
+  private static long isolatedCalmMs(Random random) {
+    return 3_000L + random.nextInt(3_000);
+  }
+
   private final int maxIntervalMs;
 
   SoakKind(int maxIntervalMs) {
--- a/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
@@ -67,6 +67,45 @@
     List<SoakEvent> faults() {
       return List.of(WorkerFault.values());
     }
+  },
+  /**
+   * Few workers with many small tasks, so that a worker has more ends than it lists at a time when
+   * they cannot be stored for some seconds.
+   */
+  MANY_ENDS(90_000) {
+    @Override
+    PlatformLayout layout() {
+      return new PlatformLayout(
+          Map.of(
+              PlatformStandIn.BATCH_POOL,
+              2,
+              PlatformStandIn.LONG_RUNNING_POOL,
+              2,
+              PlatformStandIn.SPARE_POOL,
+              2),
+          PlatformLayout.small(Map.of()).routes(),
+          PlatformStandIn.SPARE_POOL,
+          List.of("north"),
+          4,
+          new Resources(8_000, 32_000, 0),
+          20,
+          400,
+          500,
+          0.98,
+          true,
+          400_000,
+          40);
+    }
+
+    @Override
+    JobSource jobs(Random random, SuspendAwareClock clock) {
+      return new BulkJobs(random, clock);
+    }
+
+    @Override
+    List<SoakEvent> faults() {
+      return LogFault.all();
+    }
   };
 
   private static final int WORKERS_PER_POOL = 10;
--- a/src/main/java/org/laburnumarch/internal/soak/WorkerFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/WorkerFault.java
@@ -13,5 +13,16 @@
       fleet.platform().setReportsSlow(true);
       return () -> fleet.platform().setReportsSlow(false);
     }
+  },
+  /**
+   * Makes workers read their running tasks some time after their ended runs, so that a run that
+   * ends in between is in neither list of a report.
+   */
+  SPLIT_REPORTS {
+    @Override
+    public Runnable inject(SoakFleet fleet, Random random) {
+      fleet.platform().setReportsSplit(true);
+      return () -> fleet.platform().setReportsSplit(false);
+    }
   }
 }
