Acknowledge all ends that two reports show in one step if many numbers are unused

The check of left-out numbers took one pair of reports for each gap. A worker that numbers its ends with many gaps, which the protocol allows, would have been acknowledged more slowly than its runs end, so that its list stays full. A full second list also proved more than it shows: an end beyond its last entry may exist.

Change: ReportedEnds keeps the highest number that had been applied when a report arrived. A report requested after that proves all numbers up to it, or up to its own last entry if its list is full.

--- a/src/main/java/org/laburnumarch/internal/schedule/ReportedEnds.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/ReportedEnds.java
@@ -8,8 +8,9 @@
  * The ends that an incarnation of a worker has reported, until they are acknowledged.
  *
  * <p>An acknowledgement makes the worker forget all ends up to a number, so each of them must have
- * been applied and stored. A worker may list an end after one with a higher number. A number that
- * is left out counts as unused only if a second report, requested after the first, lacks it too.
+ * been applied and stored. A worker may list an end after one with a higher number. A number that a
+ * report leaves out counts as unused only if a second report, requested after the first, lacks it
+ * too.
  */
 final class ReportedEnds {
 
@@ -23,11 +24,10 @@
 
   private long acknowledged;
 
-  /**
-   * Local time of the first report that left out the number after {@link #completeUpTo} and listed
-   * a higher one; -1 if there is none.
-   */
-  private long gapSinceMs = -1;
+  /** Highest number that had been applied when a report arrived, and when that was. */
+  private long watermark;
+
+  private long watermarkAtMs;
 
   /** Returns whether an end that a report lists has not been applied yet. */
   boolean isNew(EndedTask ended) {
@@ -48,29 +48,21 @@
    *
    * @param requestedAtMs local time at which the report was requested
    */
-  void onReport(long requestedAtMs, long nowMs) {
-    if (completeApplied()) {
-      gapSinceMs = -1;
-    }
-    Long afterGap = applied.higherKey(completeUpTo);
-    if (afterGap == null) {
-      gapSinceMs = -1;
-    } else if (gapSinceMs < 0) {
-      gapSinceMs = nowMs;
-    } else if (requestedAtMs > gapSinceMs) {
-      completeUpTo = afterGap;
-      completeApplied();
-      gapSinceMs = applied.higherKey(completeUpTo) == null ? -1 : nowMs;
+  void onReport(WorkerReport report, long requestedAtMs, long nowMs) {
+    if (hasGap() && requestedAtMs > watermarkAtMs) {
+      long listedUpTo =
+          report.listsAllEnds()
+              ? watermark
+              : report.ended().stream().mapToLong(EndedTask::number).max().orElse(0);
+      completeUpTo = Math.max(completeUpTo, Math.min(listedUpTo, watermark));
     }
-  }
-
-  /** Extends the range without gaps by the applied ends; returns whether that changed it. */
-  private boolean completeApplied() {
-    long before = completeUpTo;
     while (applied.containsKey(completeUpTo + 1)) {
       completeUpTo++;
     }
-    return completeUpTo > before;
+    if (!hasGap() && !applied.isEmpty()) {
+      watermark = applied.lastKey();
+      watermarkAtMs = nowMs;
+    }
   }
 
   /** Acknowledges the ends whose effects have been stored. */
@@ -94,9 +86,9 @@
     return !applied.isEmpty();
   }
 
-  /** Returns whether another report must show whether a number is unused. */
+  /** Returns whether another report must show whether numbers are unused. */
   boolean hasGap() {
-    return gapSinceMs >= 0;
+    return watermark > completeUpTo;
   }
 
   /** Returns the names of the tasks whose ends may not be stored yet. */
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -236,7 +236,7 @@
         worker.ends.onApplied(ended, onEnd(worker, ended, requestedAtMs, nowMs));
       }
     }
-    worker.ends.onReport(requestedAtMs, nowMs);
+    worker.ends.onReport(report, requestedAtMs, nowMs);
     List<Order> unknownRuns = new ArrayList<>();
     for (RunningTask running : report.running()) {
       seen.add(Worker.attemptKey(running.taskName(), running.run()));
