State the lengths of series once in SoakKind

The two kinds with calm spans repeated three methods. Whether a kind has calm spans now follows from the length of its series.

--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -28,26 +28,11 @@
     }
   },
   /** The same, in series of one or two with calm spans between them. */
-  ISOLATED_FAULTS_OF_LOAD(3_000) {
+  ISOLATED_FAULTS_OF_LOAD(3_000, 2) {
     @Override
     List<SoakEvent> events() {
       return List.of();
     }
-
-    @Override
-    int seriesLength(Random random) {
-      return 1 + random.nextInt(2);
-    }
-
-    @Override
-    Random eventRandom(Random random) {
-      return new Random(random.nextLong());
-    }
-
-    @Override
-    long calmMs(Random random) {
-      return isolatedCalmMs(random);
-    }
   },
   /** Nothing but the load. */
   QUIET(1_000) {
@@ -57,7 +42,7 @@
     }
   },
   /** Series of a few faults, each followed by a calm span, so that the effect of a fault shows. */
-  ISOLATED_FAULTS(1_500) {
+  ISOLATED_FAULTS(1_500, 3) {
     @Override
     List<SoakEvent> events() {
       List<SoakEvent> events = new ArrayList<>(List.of(IsolatedFault.values()));
@@ -65,38 +50,31 @@
       events.add(SoakFault.DARK_WORKERS);
       return events;
     }
-
-    @Override
-    int seriesLength(Random random) {
-      return 1 + random.nextInt(3);
-    }
-
-    @Override
-    Random eventRandom(Random random) {
-      return new Random(random.nextLong());
-    }
-
-    @Override
-    long calmMs(Random random) {
-      return isolatedCalmMs(random);
-    }
   };
 
-  private static long isolatedCalmMs(Random random) {
-    return 3_000L + random.nextInt(3_000);
-  }
+  private static final int ENDLESS = Integer.MAX_VALUE;
 
   private final int maxIntervalMs;
+  private final int maxSeriesLength;
 
   SoakKind(int maxIntervalMs) {
+    this(maxIntervalMs, ENDLESS);
+  }
+
+  SoakKind(int maxIntervalMs, int maxSeriesLength) {
     this.maxIntervalMs = maxIntervalMs;
+    this.maxSeriesLength = maxSeriesLength;
   }
 
   abstract List<SoakEvent> events();
 
+  private boolean isIsolated() {
+    return maxSeriesLength != ENDLESS;
+  }
+
   /** Chooses the number of events until the next calm span. */
-  int seriesLength(Random unused) {
-    return Integer.MAX_VALUE;
+  int seriesLength(Random random) {
+    return isIsolated() ? 1 + random.nextInt(maxSeriesLength) : ENDLESS;
   }
 
   /**
@@ -104,12 +82,12 @@
    * the state of the fleet from changing later events.
    */
   Random eventRandom(Random random) {
-    return random;
+    return isIsolated() ? new Random(random.nextLong()) : random;
   }
 
   /** Chooses the length of the calm span that follows the end of all events of a series. */
-  long calmMs(Random unused) {
-    return 0;
+  long calmMs(Random random) {
+    return isIsolated() ? 3_000L + random.nextInt(3_000) : 0;
   }
 
   /** Returns the longest pause between two events; most events take longer. */
