Show tasks that wait through a series of handovers because no owner gets two reports of their worker

An owner that is replaced sooner passes the task on, and the next one begins to count anew.

Not fixed: an owner would have to leave to the next one which workers have lacked the task once, in a new form of the stored locations.

--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -113,6 +113,25 @@
     }
   }
 
+  @Nested
+  class WhenOwnersAreSlow {
+
+    /**
+     * Guards against tasks whose leases have expired and that wait through a whole series of
+     * handovers, because each owner is replaced before its workers have reported twice.
+     */
+    @Test
+    void shouldStartATaskAlthoughNoOwnerGetsTwoReportsOfAWorker() {
+      series.freeze(7_000);
+      for (int i = 0; i < 2 * HANDOVERS; i++) {
+        series.handOver();
+        series.advance(50);
+        series.freeze(450);
+      }
+      assertThat(series.runningTasks()).contains("a.0.0.0");
+    }
+  }
+
   @Nested
   class WhenAnOwnerIsLost {
 
