Ignore a late report of a process that a worker with a clock set back has replaced

Change: a report with the beginning of the replaced incarnation is ignored, as its registry entry is.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -210,6 +210,9 @@
    * @return orders to stop runs whose task is unknown here
    */
   List<Order> onReport(Worker worker, WorkerReport report, long requestedAtMs, long nowMs) {
+    if (worker.hasReplaced(report.startedEpochMs())) {
+      return List.of();
+    }
     if (report.startedEpochMs() != 0 && report.startedEpochMs() < worker.startedEpochMs) {
       if (requestedAtMs <= worker.incarnationShownAtMs) {
         return List.of();
@@ -253,7 +256,7 @@
    */
   void updateIncarnation(Worker worker, long startedEpochMs, long nowMs) {
     // The registry's entry may be older than the worker's last report.
-    if (startedEpochMs > worker.startedEpochMs && startedEpochMs != worker.replacedStartedEpochMs) {
+    if (startedEpochMs > worker.startedEpochMs && !worker.hasReplaced(startedEpochMs)) {
       beginIncarnation(worker, startedEpochMs, nowMs);
     }
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -70,7 +70,7 @@
    * The beginning of the incarnation before the known one, if it is the later of the two because
    * the wall clock was set back in between; 0 otherwise.
    */
-  long replacedStartedEpochMs;
+  private long replacedStartedEpochMs;
 
   /**
    * Local time at which the known incarnation was last shown. It, or a later one, answers what is
@@ -246,6 +246,11 @@
     }
   }
 
+  /** Returns whether an incarnation has ended although it seems later than the known one. */
+  boolean hasReplaced(long otherStartedEpochMs) {
+    return otherStartedEpochMs != 0 && otherStartedEpochMs == replacedStartedEpochMs;
+  }
+
   boolean hasClock() {
     return clockReadingMs >= 0;
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -267,6 +267,23 @@
       }
     }
 
+    /** Guards against lists of the earlier process that arrive after a report of the next one. */
+    @Test
+    void shouldIgnoreALateReportOfTheEarlierIncarnation() {
+      acceptJobWithOneTask();
+      Order.Start start = starts().get(0);
+      SimulatedWorker worker = workers.get(start.workerId());
+      scheduler.onStartReply(start, execute(start, 5_000), nowMs);
+      long requestedAtMs = nowMs;
+      WorkerReport late = worker.report(nowMs);
+      passTime(20);
+      worker.crash(nowMs);
+      reportAfterSettingBack(worker);
+      scheduler.onReport(worker.id(), late, requestedAtMs, nowMs);
+      reportAfterSettingBack(worker);
+      assertThat(starts()).hasSize(1);
+    }
+
     /** Guards against a report of an ended process that seems to be one of the next process. */
     @Test
     void shouldIgnoreAReportThatWasRequestedBeforeTheKnownIncarnationWasShown() {
