Use workers that have failed several jobs again while most of their pool is idle

Cause: a worker that fails runs of two jobs without a success in between is blocked for 1.5 s, doubling to 12 s with each further failure. Jobs that fail on every worker, and long-running tasks, which fail at any time and are never counted as a success, block sound workers the same way, so all workers of a small pool may be blocked, and work that could run waits for up to 12 s beside free capacity.

Evidence: SchedulerTest.shouldNotLeaveAnIdlePoolUnusedWhoseWorkersHaveFailedSeveralJobs, two workers and two jobs that always fail: on nothing starts for 3,000 ms and longer ("Expecting actual: 3000L to be less than: 3000L").

Result: the test passes, with SchedulerTest, CrashingTaskTest, OverloadScenarioTest and TakeoverSeriesTest.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -503,8 +503,7 @@
 
   private long onFailed(Worker worker, Task task, long run, long nowMs) {
     Job job = task.step.job;
-    worker.blockedUntilMs =
-        Math.max(worker.blockedUntilMs, nowMs + worker.health.recordFailure(job.spec.id()));
+    worker.health.recordFailure(job.spec.id(), nowMs);
     task.avoidedWorker = worker.id;
     if (task.step.spec.isLongRunning()) {
       return 0;
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -178,6 +178,22 @@
       assertThat(scheduler.status("a")).contains(JobStatus.FAILED);
     }
 
+    @Test
+    void shouldNotLeaveAnIdlePoolUnusedWhoseWorkersHaveFailedSeveralJobs() {
+      scheduler.configure(TestJobs.config(100_000, 1_000));
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(4, 1_000)), nowMs);
+      scheduler.accept(TestJobs.job("b", nowMs, TestJobs.step(4, 1_000)), nowMs);
+      for (long lastStartMs = nowMs, endMs = nowMs + 20_000; nowMs < endMs; nowMs += 50) {
+        List<Order.Start> starts = starts();
+        starts.forEach(start -> deliver(start, 10, true));
+        lastStartMs = starts.isEmpty() ? lastStartMs : nowMs;
+        assertThat(nowMs - lastStartMs).isLessThan(3_000);
+        report(one, 1);
+        report(two, 1);
+        store();
+      }
+    }
+
     @Test
     void shouldKeepATeamWithinItsLimit() {
       scheduler.configure(TestJobs.config(3_000, 2));
