Log why work stands, by pool and reason

What callers saw: accepted jobs that had nothing running for 3 s while their pool had room (LOST). No daemon wrote a line that names such a job, nor one that says why a task waits; takeover-wait counts the unreported workers of a pool, and may say 0 while tasks wait for a worker of another pool.

Cause: a round of the scheduler gives up a step without keeping the reason, and nothing looked at work that no round starts: held tasks, tasks with a run of which nothing is known, jobs whose queue is not configured.

Change: each exit of a round stores its reason in the step. Once a second, right after a round, WaitSurvey visits the unfinished jobs, finds those that have stood for 1 s, makes the reason of the round more exact by the workers' state, and counts them by pool and reason. WaitReporter logs one line (jobs: event=waiting) for each, with the oldest job, the workers that it waits for and the state of the pool, and keeps a gauge, standing_jobs. takeover-wait names the workers that its tasks wait for, in any pool. No decision depends on the new fields. The time at which a run was last known to go on is kept for each task and job, since the standing time counts from there.

No test covers it yet.

--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -31,7 +31,6 @@
 import org.laburnumarch.internal.schedule.RunLocations;
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.SchedulerSettings;
-import org.laburnumarch.internal.schedule.TakeoverWait;
 import org.laburnumarch.internal.schedule.WorkerListing;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 import org.tinylog.Logger;
@@ -86,6 +85,7 @@
   private final WorkerDriver driver;
   private final AdmissionControl admission;
   private final ShareKeeper shareKeeper;
+  private final WaitReporter waitReporter;
   private final Optional<MachineController> machineController;
   private final Runnable onOperatorChange = this::applyOperatorRecords;
   private final List<PendingCancellation> pendingCancellations = new ArrayList<>();
@@ -93,7 +93,6 @@
   private boolean isEnrolling;
   private boolean isRoundScheduled;
   private boolean isClosed;
-  private int takeoverHeldTasks;
   private long finishedRemovedAtMs;
   private long nextTickAtMs;
 
@@ -142,6 +141,7 @@
             new StoreCallbacks());
     this.admission = new AdmissionControl(scheduler, this::projectedSize, meters);
     this.shareKeeper = new ShareKeeper(scheduler.shares(), admission, jobs, meters);
+    this.waitReporter = new WaitReporter(scheduler, clock.nowMs());
     this.load = new OwnerLoad(clock.nowMs());
     this.driver =
         new WorkerDriver(
@@ -202,7 +202,7 @@
   void start() {
     operators.onChange(onOperatorChange);
     meters.registerGauge("live_jobs", scheduler::liveJobCount);
-    meters.registerGauge("takeover_held_tasks", () -> takeoverHeldTasks);
+    waitReporter.registerGauges(meters);
     meters.registerGauge("known_workers", () -> scheduler.workerIds().size());
     applyOperatorRecords();
     jobs.open()
@@ -276,11 +276,7 @@
       long nowMs = clock.nowMs();
       load.onTimer(nowMs - nextTickAtMs);
       load.report(nowMs, scheduler.liveJobCount())
-          .ifPresent(
-              line -> {
-                Logger.info("owner: event=load {} {}", line, driver.pacingSummary());
-                reportTakeoverWaits(nowMs);
-              });
+          .ifPresent(line -> Logger.info("owner: event=load {} {}", line, driver.pacingSummary()));
       runRound();
     } finally {
       nextTickAtMs = clock.nowMs() + TICK_MS;
@@ -288,20 +284,6 @@
     }
   }
 
-  private void reportTakeoverWaits(long nowMs) {
-    List<TakeoverWait> waits = scheduler.takeoverWaits();
-    takeoverHeldTasks = waits.stream().mapToInt(TakeoverWait::tasks).sum();
-    for (TakeoverWait wait : waits) {
-      Logger.info(
-          "owner: event=takeover-wait pool={} tasks={} unreported={} ended={} remaining_ms={}",
-          wait.service(),
-          wait.tasks(),
-          wait.unreportedWorkers(),
-          wait.endedWorkers(),
-          Math.max(0, wait.overAtMs() - nowMs));
-    }
-  }
-
   /** Schedules a round shortly, unless one is scheduled already. */
   private void scheduleRound() {
     if (isLoaded && !isRoundScheduled && !isClosed) {
@@ -331,6 +313,7 @@
       driver.carryOut(decisions);
       meters.recordDuration("decision_seconds", clock.nowMs() - nowMs);
     }
+    waitReporter.runRound(nowMs, clock.epochMs());
     driver.renewLeases();
     shareKeeper.runRound(nowMs, clock.epochMs());
     if (nowMs - finishedRemovedAtMs > REMOVE_FINISHED_EVERY_MS) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -222,6 +222,28 @@
     return phase == Phase.UNANSWERED && !isStopWanted();
   }
 
+  /** Returns whether nothing speaks against the run's going on. */
+  boolean isKnownToRun() {
+    return phase == Phase.RUNNING && !isDoubtful();
+  }
+
+  /**
+   * Returns whether the run occupies capacity although it may be over, or may never have begun: its
+   * start got no reply, it is being stopped, reports leave it out, or its worker does not report.
+   */
+  boolean isDoubtful() {
+    return phase == Phase.UNANSWERED
+        || isStopWanted()
+        || isEndUnlisted
+        || absentSinceMs >= 0
+        || worker.missedReports > 0;
+  }
+
+  /** Returns the latest local time at which the run was known to go on; 0 if it never was. */
+  long lastSeenRunningAtMs() {
+    return phase == Phase.RUNNING ? Math.max(reportedAtMs, confirmedAtMs) : reportedAtMs;
+  }
+
   /**
    * Returns whether the task counts as available. A long-running task does once it reports 100%, as
    * long as its worker goes on reporting: of a silent worker's task nobody knows.
--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -40,6 +40,9 @@
 
   boolean hasStarted;
 
+  /** Latest local time at which a run of any of its tasks was known to go on; 0 if none was. */
+  long lastSeenRunningAtMs;
+
   /** The current status; a final one is reported to callers only after it has been stored. */
   JobStatus status = JobStatus.QUEUED;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -141,7 +141,8 @@
     return worker.hasIsolatedRun() || heldForSuspects.contains(worker);
   }
 
-  private boolean isEligible(Worker worker, Step step) {
+  /** Returns whether a worker accepts tasks of a step, regardless of its load. */
+  boolean isEligible(Worker worker, Step step) {
     StepSpec spec = step.spec;
     return worker.acceptsTasks()
         && worker.blockedUntilMs <= nowMs
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -125,6 +125,7 @@
       teamUsage.remove(attempt.task.step.job.spec.team(), attempt.task.step.spec.need());
     }
     Task task = attempt.task;
+    task.onSeenRunning(attempt.lastSeenRunningAtMs());
     if (task.attempt == attempt) {
       task.attempt = null;
     }
@@ -449,6 +450,7 @@
       // A done occurrence has no tasks any more.
       return lastBatchNumber(ended.taskName());
     }
+    task.onSeenRunning(nowMs);
     task.lastRun = Math.max(task.lastRun, ended.run());
     task.lastEndedRun = ended.run();
     task.lastEndedWorkerId = worker.id;
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -64,6 +65,10 @@
   private StartLimits startLimits = StartLimits.FIXED;
   private Set<String> outOfServiceDataCentres = Set.of();
   private long storedBatchNumber;
+  private final long ownedSinceMs;
+
+  /** The most that each team may have running on workers that have not reported yet. */
+  private Map<String, Resources> unreportedByTeam = Map.of();
 
   /** Latest local time at which this process is known to have been the owner. */
   private long ownershipProvenAtMs;
@@ -79,6 +84,7 @@
   public Scheduler(SchedulerSettings settings, long term, long nowMs, boolean hadEarlierOwner) {
     this.settings = settings;
     this.term = term;
+    this.ownedSinceMs = nowMs;
     this.ownershipProvenAtMs = nowMs;
     this.takeoverGuard = new TakeoverGuard(settings, nowMs, hadEarlierOwner);
     RunTimeLearner learner = new RunTimeLearner(runTimes, settings.remoteSlowdownFactor());
@@ -164,31 +170,74 @@
 
   /** Returns the work that waits because of the takeover, for each pool that has any. */
   public List<TakeoverWait> takeoverWaits() {
-    Map<String, Integer> tasks = new TreeMap<>();
+    Map<String, List<Task>> heldByService = new TreeMap<>();
     if (!takeoverGuard.isOver(workers, ownershipProvenAtMs)) {
-      liveJobs
-          .values()
-          .forEach(
-              job ->
-                  config
-                      .queue(job.spec.queue())
-                      .ifPresent(
-                          queue ->
-                              tasks.merge(
-                                  queue.service(), (int) heldTasks(job).count(), Integer::sum)));
-      tasks.values().removeIf(count -> count == 0);
+      for (Job job : liveJobs.values()) {
+        config
+            .queue(job.spec.queue())
+            .ifPresent(
+                queue ->
+                    heldTasks(job)
+                        .forEach(
+                            task ->
+                                heldByService
+                                    .computeIfAbsent(queue.service(), name -> new ArrayList<>())
+                                    .add(task)));
+      }
     }
     List<TakeoverWait> waits = new ArrayList<>();
-    tasks.forEach(
-        (service, count) -> {
+    heldByService.forEach(
+        (service, held) -> {
           List<Worker> unreported = takeoverGuard.unreported(workers, service, ownershipProvenAtMs);
           int ended = (int) unreported.stream().filter(worker -> worker.process.hasEnded()).count();
           waits.add(
-              new TakeoverWait(service, count, unreported.size(), ended, takeoverGuard.overAtMs()));
+              new TakeoverWait(
+                  service,
+                  held.size(),
+                  unreported.size(),
+                  awaitedWorkers(held, unreported),
+                  ended,
+                  takeoverGuard.overAtMs()));
         });
     return waits;
   }
 
+  /**
+   * Returns the ids of the workers that may have an unreported run of any of some tasks.
+   *
+   * @param unreported the workers of the tasks' pool that have not reported
+   */
+  private List<String> awaitedWorkers(List<Task> held, List<Worker> unreported) {
+    Set<String> awaited = new TreeSet<>();
+    if (held.stream().anyMatch(task -> task.earlierRun.isAnywhere())) {
+      unreported.forEach(worker -> awaited.add(worker.id));
+    }
+    held.stream()
+        .filter(task -> !task.earlierRun.isAnywhere())
+        .flatMap(task -> takeoverGuard.unresolvedWorkers(task, "", workers, ownershipProvenAtMs))
+        .forEach(worker -> awaited.add(worker.id));
+    return List.copyOf(awaited);
+  }
+
+  /** Returns the work that stands and why. Must be called right after a round of decisions. */
+  public List<StandingWork> standingWork(long nowMs, long epochMs) {
+    return new WaitSurvey(
+            new WaitSurvey.State(
+                liveJobs.values(),
+                config,
+                settings,
+                workers,
+                takeoverGuard,
+                teamUsage,
+                unreportedByTeam,
+                outOfServiceDataCentres,
+                ownedSinceMs,
+                ownershipProvenAtMs,
+                nowMs,
+                epochMs))
+        .take();
+  }
+
   /**
    * Returns the tasks of a job that an earlier owner may have left running. It may have known of
    * ends that are not stored, so a task that it named counts also if it seems not to be due yet.
@@ -762,10 +811,10 @@
   private void startWaiting(
       List<Order> orders, List<AdviceQuery> queries, long nowMs, long epochMs) {
     Map<String, List<Candidate>> byService = new HashMap<>();
-    Map<String, Resources> unreportedByTeam = new HashMap<>();
+    unreportedByTeam = new HashMap<>();
     for (Job job : liveJobs.values()) {
       if (!job.status.isFinal()) {
-        collectCandidates(job, byService, unreportedByTeam, nowMs, epochMs);
+        collectCandidates(job, byService, nowMs, epochMs);
       }
     }
     StartBudget budget = new StartBudget(startLimits, nowMs);
@@ -798,11 +847,7 @@
   }
 
   private void collectCandidates(
-      Job job,
-      Map<String, List<Candidate>> byService,
-      Map<String, Resources> unreportedByTeam,
-      long nowMs,
-      long epochMs) {
+      Job job, Map<String, List<Candidate>> byService, long nowMs, long epochMs) {
     Optional<QueueConfig> queue = config.queue(job.spec.queue());
     if (queue.isEmpty()) {
       return;
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -85,10 +85,12 @@
 
   void startCandidate(Candidate candidate, List<Worker> pool) {
     Step step = candidate.step();
+    step.lastRefusal = WaitReason.NO_CAPACITY;
     Optional<Shape> shape = Shape.of(candidate);
     int together = step.spec.isGang() ? step.tasks.size() : 1;
     boolean isMissed = misses >= MAX_MISSES || shape.filter(missed::contains).isPresent();
     if (isMissed && !mayEndIsolation(step)) {
+      step.lastRefusal = misses >= MAX_MISSES ? WaitReason.POOL_FULL : WaitReason.NO_CAPACITY;
       step.tasks.forEach(task -> task.limitIsolationWait(nowMs));
       return;
     }
@@ -98,6 +100,7 @@
     boolean needsTicket = candidate.queue().advice().isPresent();
     Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
     if (needsTicket && stepTickets.isEmpty()) {
+      step.lastRefusal = WaitReason.NO_TICKET;
       requestTickets(candidate, pool);
       return;
     }
@@ -158,6 +161,7 @@
         continue;
       }
       if (!context.budget().tryTake(1)) {
+        candidate.step().lastRefusal = WaitReason.START_BUDGET;
         return false;
       }
       start(task, worker.get(), nextRun(task), stepTickets);
@@ -168,6 +172,7 @@
   private boolean startGang(Step step, Map<String, String> stepTickets, boolean needsTicket) {
     for (Task task : step.tasks) {
       if (!task.isStartable(nowMs)) {
+        step.lastRefusal = WaitReason.GANG_INCOMPLETE;
         return false;
       }
     }
@@ -176,7 +181,12 @@
     }
     Optional<Map<Task, Worker>> chosen =
         placement.chooseForGang(step.tasks, stepTickets, needsTicket);
-    if (chosen.isEmpty() || !context.budget().tryTake(step.tasks.size())) {
+    if (chosen.isEmpty()) {
+      step.lastRefusal = WaitReason.GANG_DOES_NOT_FIT;
+      return false;
+    }
+    if (!context.budget().tryTake(step.tasks.size())) {
+      step.lastRefusal = WaitReason.START_BUDGET;
       return false;
     }
     long run = step.tasks.stream().mapToLong(this::nextRun).max().orElse(1);
@@ -196,13 +206,18 @@
   private boolean isWithinTeamLimit(Step step, int tasks) {
     Resources all = step.spec.need().times(tasks);
     String team = step.job.spec.team();
-    return context
-        .teamUsage()
-        .allows(
-            context.config(),
-            team,
-            all,
-            context.unreportedByTeam().getOrDefault(team, Resources.NONE));
+    boolean isAllowed =
+        context
+            .teamUsage()
+            .allows(
+                context.config(),
+                team,
+                all,
+                context.unreportedByTeam().getOrDefault(team, Resources.NONE));
+    if (!isAllowed) {
+      step.lastRefusal = WaitReason.TEAM_LIMIT;
+    }
+    return isAllowed;
   }
 
   private long nextRun(Task task) {
--- a/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
@@ -26,14 +26,21 @@
     pools.add(new PoolCandidates(round, pool, new ArrayDeque<>(candidates)));
   }
 
+  private static void refuse(PoolCandidates candidates, WaitReason reason) {
+    candidates.waiting().forEach(candidate -> candidate.step().lastRefusal = reason);
+  }
+
   /** Starts candidates until none is left, all pools are full or the budget is used up. */
   void run(StartBudget budget) {
     while (!pools.isEmpty() && !budget.isHeld()) {
       PoolCandidates next = pools.remove();
       next.round().startCandidate(next.waiting().removeFirst(), next.pool());
-      if (!next.waiting().isEmpty() && !next.round().isPoolFull()) {
+      if (next.round().isPoolFull()) {
+        refuse(next, WaitReason.POOL_FULL);
+      } else if (!next.waiting().isEmpty()) {
         pools.add(next);
       }
     }
+    pools.forEach(left -> refuse(left, WaitReason.START_BUDGET));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Step.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Step.java
@@ -16,6 +16,10 @@
   final StepSpec spec;
   final List<Task> tasks;
   int doneCount;
+
+  /** Why the last round that considered the step left tasks of it waiting. */
+  WaitReason lastRefusal = WaitReason.NOT_CONSIDERED;
+
   private RunTimePrediction prediction;
   private long predictedInGeneration = -1;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -140,8 +140,7 @@
   }
 
   /** Returns the workers that may have an unreported run of a task. */
-  private Stream<Worker> unresolvedWorkers(
-      Task task, String service, WorkerTable workers, long nowMs) {
+  Stream<Worker> unresolvedWorkers(Task task, String service, WorkerTable workers, long nowMs) {
     return task.earlierRun
         .possibleWorkers(workers, service)
         .filter(worker -> isUnreported(worker, nowMs) && !task.earlierRun.isAbsentAt(worker));
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -59,6 +59,9 @@
   /** Worker on which the last run failed or was refused; avoided while others have capacity. */
   String avoidedWorker = "";
 
+  /** Latest local time at which a run that is over was known to go on; 0 if none was. */
+  long lastSeenRunningAtMs;
+
   /** Local time before which no new run is started, after a refusal. */
   long notBeforeMs;
 
@@ -103,6 +106,12 @@
     return isKeptApart() && !needsSeparation(nowMs);
   }
 
+  /** Records when a run that is over was last known to go on. */
+  void onSeenRunning(long atMs) {
+    lastSeenRunningAtMs = Math.max(lastSeenRunningAtMs, atMs);
+    step.job.lastSeenRunningAtMs = Math.max(step.job.lastSeenRunningAtMs, atMs);
+  }
+
   /** Returns whether the task's own state allows a new run, regardless of workers and limits. */
   boolean isStartable(long nowMs) {
     return !isDone && !isHeld && attempt == null && notBeforeMs <= nowMs;
