Show in explain why a job stood, and test the reasons

What callers saw: explain showed an accepted job, and then nothing until its first start.

Change: explain adds a conclusion for each reason, with the longest time for which the job stood under one owner and the workers that it waited for. A line without a team has a dash in its place.

--- a/src/main/java/org/laburnumarch/internal/explain/Explanation.java
+++ b/src/main/java/org/laburnumarch/internal/explain/Explanation.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BinaryOperator;
 import java.util.function.Predicate;
 
 /** The timeline of one job from the logs of all daemons, and the conclusions drawn from it. */
@@ -76,6 +77,7 @@
     List<String> conclusions = new ArrayList<>();
     addResponses(conclusions);
     addProgress(conclusions);
+    addWaits(conclusions);
     addConditions(conclusions);
     return conclusions;
   }
@@ -140,6 +142,33 @@
     }
   }
 
+  private void addWaits(List<String> conclusions) {
+    TreeMap<String, LogLine> longestByReason = new TreeMap<>();
+    jobLines.stream()
+        .filter(line -> line.event().equals("waiting"))
+        .forEach(
+            line ->
+                longestByReason.merge(
+                    line.field("reason"),
+                    line,
+                    BinaryOperator.maxBy(Comparator.comparingLong(Explanation::standingMs))));
+    longestByReason.forEach(
+        (reason, line) ->
+            conclusions.add(
+                "The job stood for up to "
+                    + standingMs(line)
+                    + " ms under one owner, reason "
+                    + reason
+                    + ", waiting for workers: "
+                    + line.field("waits_for")
+                    + '.'));
+  }
+
+  private static long standingMs(LogLine line) {
+    String text = line.field("standing_ms");
+    return text.matches("\\d{1,18}") ? Long.parseLong(text) : 0;
+  }
+
   private void addConditions(List<String> conclusions) {
     long takeovers = conditions.stream().filter(line -> line.event().equals("gained")).count();
     if (takeovers > 0) {
--- a/src/main/java/org/laburnumarch/internal/schedule/StandingWork.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StandingWork.java
@@ -61,7 +61,7 @@
         + " queue="
         + queue
         + " team="
-        + team
+        + orDash(team)
         + " standing_ms="
         + standingMs
         + " age_ms="
--- a/src/test/java/org/laburnumarch/internal/explain/ExplainCommandTest.java
+++ b/src/test/java/org/laburnumarch/internal/explain/ExplainCommandTest.java
@@ -55,6 +55,25 @@
       assertThat(explain("be01", REFUSED)).contains("refused a request: no valid key.");
     }
 
+    /** Guards against an accepted job of which nothing says why it stands. */
+    @Test
+    void shouldShowWhyTheJobStood() {
+      String line = "INFO jobs: event=waiting pool=p reason=takeover jobs=3 tasks=8 job=af57";
+      assertThat(
+              explain(
+                  "af57",
+                  LATE
+                      + "2026-12-04T07:00:06.300Z "
+                      + line
+                      + " task=af57.0.0.0 queue=q team=t standing_ms=1000 waits_for=w1\n"
+                      + "2026-12-04T07:00:07.300Z "
+                      + line
+                      + " task=af57.0.0.0 queue=q team=t standing_ms=2000 waits_for=w2,w3\n"))
+          .contains("jobs waiting {pool=p, reason=takeover")
+          .contains("stood for up to 2000 ms under one owner, reason takeover")
+          .contains("workers: w2,w3.");
+    }
+
     @Test
     void shouldReportAnUnknownJob() {
       assertThat(explain("0000", LATE)).contains("No daemon has logged 0000");
