Leave cancelled and failed jobs out of takeover-wait

What operators saw: takeover-wait counted tasks for seconds that waited for nobody (unreported=0), until the wait for the takeover was over.

StandingWorkTest.shouldOmitCancelledJobs failed before the change.

Change: only unfinished jobs count.

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -173,6 +173,9 @@
     Map<String, List<Task>> heldByService = new TreeMap<>();
     if (!takeoverGuard.isOver(workers, ownershipProvenAtMs)) {
       for (Job job : liveJobs.values()) {
+        if (job.status.isFinal()) {
+          continue;
+        }
         config
             .queue(job.spec.queue())
             .ifPresent(
--- a/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
@@ -209,6 +209,16 @@
           .returns(0, TakeoverWait::unreportedWorkers)
           .returns(List.of("r1"), TakeoverWait::awaitedWorkers);
     }
+
+    /** Guards against waits that are shown for tasks of jobs that have been cancelled. */
+    @Test
+    void shouldOmitCancelledJobs() {
+      takeOverWithARunInAnotherPool();
+      decide();
+      scheduler.cancel("a");
+      assertThat(scheduler.takeoverWaits()).isEmpty();
+      assertThat(standing()).isEmpty();
+    }
   }
 
   @Nested
