--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -17,12 +17,6 @@
 
   private static final double AVOIDED_WORKER_COST = 2;
 
-  /** Cost of a worker that is blocked after failures; above all other costs. */
-  private static final double BLOCKED_WORKER_COST = 1_000;
-
-  /** Part of a pool's capacity below whose use most of the pool counts as idle. */
-  private static final double IDLE_FRACTION = 0.5;
-
   /** Cost of each run that a task which may crash its worker would end with it. */
   private static final double ENDANGERED_RUN_COST = 0.5;
 
@@ -46,7 +40,6 @@
   private final double remoteSlowdownFactor;
   private final long nowMs;
   private final boolean hasIsolatedWorker;
-  private final boolean isMostlyIdle;
 
   /** Workers that get no further tasks in this round, so that a large task will fit there. */
   private final Set<Worker> heldWorkers = new HashSet<>();
@@ -63,22 +56,9 @@
     this.outOfServiceDataCentres = outOfServiceDataCentres;
     this.remoteSlowdownFactor = remoteSlowdownFactor;
     this.nowMs = nowMs;
-    this.isMostlyIdle = isMostlyIdle(pool);
     this.hasIsolatedWorker = pool.stream().anyMatch(Worker::hasIsolatedRun);
   }
 
-  private static boolean isMostlyIdle(Collection<Worker> pool) {
-    Resources capacity = Resources.NONE;
-    Resources reserved = Resources.NONE;
-    for (Worker worker : pool) {
-      if (worker.acceptsTasks()) {
-        capacity = capacity.plus(worker.listing.capacity());
-        reserved = reserved.plus(worker.reserved);
-      }
-    }
-    return DemandEstimator.fractionOfWorker(reserved, capacity) < IDLE_FRACTION;
-  }
-
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
   Optional<Worker> choose(Task task, Map<String, String> tickets, boolean needsTicket) {
     if (task.needsIsolation(nowMs) && !mayIsolateAnother()) {
@@ -103,7 +83,7 @@
           || (needsSeparation && worker.hasNewSuspect())
           || (isIsolated(worker) && !mayEndIsolation)
           || !worker.freeCapacity().holds(task.step.spec.reserved())
-          || !(isEligible(worker, task.step) || mayRetry(worker, task.step))
+          || !isEligible(worker, task.step)
           || (needsTicket && !tickets.containsKey(worker.id))) {
         continue;
       }
@@ -140,7 +120,7 @@
   /** Returns whether any worker could start a task now. */
   boolean hasCapacityFor(Task task) {
     for (Worker worker : pool) {
-      if (worker.freeCapacity().holds(task.step.spec.reserved()) && isSoundFor(worker, task.step)) {
+      if (worker.freeCapacity().holds(task.step.spec.reserved()) && mayRun(worker, task.step)) {
         return true;
       }
     }
@@ -149,11 +129,6 @@
 
   /** Returns whether a worker may run tasks of a step, regardless of its free capacity. */
   boolean mayRun(Worker worker, Step step) {
-    return !worker.hasIsolatedRun() && (isEligible(worker, step) || mayRetry(worker, step));
-  }
-
-  /** Returns the same, but not for workers that have failed several jobs. */
-  private boolean isSoundFor(Worker worker, Step step) {
     return !worker.hasIsolatedRun() && isEligible(worker, step);
   }
 
@@ -168,17 +143,6 @@
 
   /** Returns whether a worker accepts tasks of a step, regardless of its load. */
   boolean isEligible(Worker worker, Step step) {
-    return !worker.health.isBlocked(nowMs) && isUsable(worker, step);
-  }
-
-  /**
-   * Returns whether a worker that is blocked after failures may run tasks of a step all the same.
-   */
-  private boolean mayRetry(Worker worker, Step step) {
-    return isMostlyIdle && worker.health.mayRetry(nowMs) && isUsable(worker, step);
-  }
-
-  private boolean isUsable(Worker worker, Step step) {
     StepSpec spec = step.spec;
     return worker.acceptsTasks()
         && worker.blockedUntilMs <= nowMs
@@ -211,9 +175,6 @@
     if (task.isSuspect) {
       cost += ENDANGERED_RUN_COST * worker.attempts.size();
     }
-    if (worker.health.isBlocked(nowMs)) {
-      cost += BLOCKED_WORKER_COST;
-    }
     if (worker.id.equals(task.avoidedWorker)) {
       cost += AVOIDED_WORKER_COST;
     }
@@ -254,7 +215,7 @@
       if (isLarger
           && !heldWorkers.contains(worker)
           && !heldForSuspects.contains(worker)
-          && isSoundFor(worker, task.step)) {
+          && mayRun(worker, task.step)) {
         largest = worker;
       }
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -505,7 +505,8 @@
 
   private long onFailed(Worker worker, Task task, long run, long nowMs) {
     Job job = task.step.job;
-    worker.health.recordFailure(job.spec.id(), nowMs);
+    worker.blockedUntilMs =
+        Math.max(worker.blockedUntilMs, nowMs + worker.health.recordFailure(job.spec.id()));
     task.avoidedWorker = worker.id;
     if (task.step.spec.isLongRunning()) {
       return 0;
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
@@ -5,8 +5,7 @@
 
 /**
  * Rates a worker by how its runs end. A worker that fails runs of several jobs in a row is blocked
- * for a time that doubles with each further failure. Jobs that fail everywhere block sound workers
- * too, so a pool that is mostly idle uses a blocked worker again after the shortest block.
+ * for a time that doubles with each further failure.
  */
 final class WorkerHealth {
 
@@ -27,28 +26,22 @@
 
   private final Set<String> failedJobs = new HashSet<>();
   private long blockMs = FIRST_BLOCK_MS;
-  private long blockedUntilMs = Long.MIN_VALUE;
-  private long retryAtMs = Long.MIN_VALUE;
   private double slowness = 1;
 
-  /** Records a failed run of a job. */
-  void recordFailure(String job, long nowMs) {
+  /**
+   * Records a failed run.
+   *
+   * @return how long nothing should start on the worker from now on, in milliseconds; 0 if it is
+   *     not blocked
+   */
+  long recordFailure(String job) {
     failedJobs.add(job);
-    if (failedJobs.size() >= FAILURES_BEFORE_BLOCK) {
-      blockedUntilMs = Math.max(blockedUntilMs, nowMs + blockMs);
-      retryAtMs = nowMs + FIRST_BLOCK_MS;
-      blockMs = Math.min(MAX_BLOCK_MS, 2 * blockMs);
+    if (failedJobs.size() < FAILURES_BEFORE_BLOCK) {
+      return 0;
     }
-  }
-
-  /** Returns whether nothing should start on the worker because it has failed several jobs. */
-  boolean isBlocked(long nowMs) {
-    return nowMs < blockedUntilMs;
-  }
-
-  /** Returns whether a blocked worker may be used again if most of its pool is idle. */
-  boolean mayRetry(long nowMs) {
-    return nowMs >= retryAtMs;
+    long block = blockMs;
+    blockMs = Math.min(MAX_BLOCK_MS, 2 * blockMs);
+    return block;
   }
 
   /** Records a successful run that took {@code ratio} times its expected run time. */
