Let jobs wait behind others in the soak while half of their pool is in use

The load offers about 340 tasks/s to two workers that carry some 310, so that jobs queue, and between the end of one task and the next start a full pool has room for two tasks of a hundredth of a worker at nearly all times.

Cause: RULES, LOST, counts the wait of a job only while under half of the service's capacity is in use. The check did not ask for that. For long-running tasks the rule holds however full the service is.

Change: a job's wait counts only while less than half of each resource of its pool is in use. Long-running tasks are judged as before. The rule judges jobs only finish_s after the end of the traffic; the check goes on judging them all the time, also after the last submission, and a job that a caller does not find is reported at any time, so neither needs a second check then.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/StartDelayChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/StartDelayChecker.java
@@ -11,7 +11,8 @@
 
 /**
  * Checks, while nothing unplanned happens, that no work waits for a start although its pool has
- * room. Work is a job none of whose tasks runs, or a long-running task.
+ * room. Work is a job none of whose tasks runs, or a long-running task. A job may wait behind
+ * others in a pool of which half or more is in use; a long-running task may not.
  */
 public final class StartDelayChecker {
 
@@ -24,6 +25,9 @@
   /** How many times the pool must have room for the work. */
   private static final int ROOM_FACTOR = 2;
 
+  /** Part of a pool's capacity, as a divisor, that has to be in use for a job to wait. */
+  private static final int BUSY_DIVISOR = 2;
+
   /**
    * Work that may run and does not.
    *
@@ -31,7 +35,8 @@
    * @param need what its next task needs
    * @param lastEndAtMs when a long-running task's last run ended; negative if there is none
    */
-  record WaitingWork(String name, String service, Resources need, long lastEndAtMs) {}
+  record WaitingWork(
+      String name, String service, Resources need, boolean isLongRunning, long lastEndAtMs) {}
 
   private final InvariantChecker checker;
   private final Map<String, Long> waitsSinceMs = new HashMap<>();
@@ -63,6 +68,7 @@
         checker.waitingWork().stream()
             .filter(work -> work.lastEndAtMs() < 0 || nowMs - work.lastEndAtMs() > RERUN_GRACE_MS)
             .filter(work -> hasRoom(workers, work))
+            .filter(work -> work.isLongRunning() || !isBusy(workers, work.service()))
             .toList();
     Set<String> names = waiting.stream().map(WaitingWork::name).collect(Collectors.toSet());
     waitsSinceMs.keySet().retainAll(names);
@@ -90,4 +96,24 @@
     }
     return rooms == ROOM_FACTOR;
   }
+
+  /** Returns whether half or more of any resource of a pool is in use. */
+  private static boolean isBusy(Collection<SimulatedWorker> workers, String service) {
+    Resources capacity = Resources.NONE;
+    Resources free = Resources.NONE;
+    for (SimulatedWorker worker : workers) {
+      if (worker.service().equals(service)) {
+        capacity = capacity.plus(worker.capacity());
+        free = free.plus(worker.freeCapacity());
+      }
+    }
+    Resources used = capacity.minus(free).times(BUSY_DIVISOR);
+    return isReached(used.cpuMillis(), capacity.cpuMillis())
+        || isReached(used.memoryMb(), capacity.memoryMb())
+        || isReached(used.gpus(), capacity.gpus());
+  }
+
+  private static boolean isReached(long used, long capacity) {
+    return capacity > 0 && used >= capacity;
+  }
 }
--- a/src/test/java/org/laburnumarch/internal/platform/standin/StartDelayCheckerTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/standin/StartDelayCheckerTest.java
@@ -11,6 +11,7 @@
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.schedule.EndKind;
 import org.laburnumarch.internal.schedule.EndedTask;
+import org.laburnumarch.internal.schedule.Order;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
 /** Tests which waits for a start are reported as lost work. */
@@ -27,6 +28,12 @@
   private final SimulatedWorker worker = new SimulatedWorker("w1", SERVICE, "r1", 0);
   private final List<SimulatedWorker> roomForTwo =
       List.of(worker, new SimulatedWorker("w2", SERVICE, "r2", 0));
+  private final List<SimulatedWorker> fourWorkers =
+      List.of(
+          worker,
+          roomForTwo.get(1),
+          new SimulatedWorker("w3", SERVICE, "r3", 0),
+          new SimulatedWorker("w4", SERVICE, "r4", 0));
   private long nowMs;
 
   @BeforeEach
@@ -40,6 +47,15 @@
     invariants.onAccepted(JOB);
   }
 
+  private void fill(SimulatedWorker filled, long cpuMillis) {
+    filled.start(
+        new Order.Start(filled.id(), "00000000000000b2.0.0.0", 1, "program", 9_000, "", ""),
+        1,
+        new SimulatedWorker.Behaviour(
+            Long.MAX_VALUE / 2, false, new Resources(cpuMillis, 1_000, 0)),
+        0);
+  }
+
   private void waitFor(long durationMs, List<SimulatedWorker> workers) {
     long endMs = nowMs + durationMs;
     for (; nowMs <= endMs; nowMs += 100) {
@@ -72,6 +88,33 @@
       assertThat(invariants.breaches()).isEmpty();
     }
 
+    /** Guards against reports of jobs that queue behind others in a pool that is half full. */
+    @Test
+    void shouldNotBeReportedWhileHalfOfThePoolIsInUse() {
+      fill(worker, 8_000);
+      fill(roomForTwo.get(1), 8_000);
+      waitFor(9_000, fourWorkers);
+      assertThat(invariants.breaches()).isEmpty();
+    }
+
+    /** Guards against a check that takes a pool for full because of a few tasks. */
+    @Test
+    void shouldBeReportedWhileLessThanHalfOfThePoolIsInUse() {
+      fill(worker, 8_000);
+      fill(roomForTwo.get(1), 7_900);
+      waitFor(3_500, fourWorkers);
+      assertThat(invariants.breaches()).singleElement().asString().contains("LOST", JOB);
+    }
+
+    /** Guards against a check that counts the use of other pools. */
+    @Test
+    void shouldBeReportedWhileOtherPoolsAreFull() {
+      SimulatedWorker ofAnotherPool = new SimulatedWorker("w5", "yard", "r1", 0);
+      fill(ofAnotherPool, 8_000);
+      waitFor(3_500, List.of(ofAnotherPool, worker, roomForTwo.get(1)));
+      assertThat(invariants.breaches()).singleElement().asString().contains("LOST", JOB);
+    }
+
     /** Guards against reports of waits that began before the machine ran out of processor time. */
     @Test
     void shouldBeReportedThreeSecondsAfterARestartOfTheCheck() {
@@ -87,6 +130,16 @@
   @Nested
   class ALongRunningTask {
 
+    /** Guards against a check that lets a long-running task wait behind others. */
+    @Test
+    void shouldBeReportedAlthoughHalfOfThePoolIsInUse() {
+      accept(StepSpec.ofLongRunningTasks(1, NEED, "", 0, 1));
+      fill(worker, 8_000);
+      fill(roomForTwo.get(1), 8_000);
+      waitFor(3_500, fourWorkers);
+      assertThat(invariants.breaches()).singleElement().asString().contains("LOST", TASK);
+    }
+
     /** Guards against a check that takes a long-running task that ended as done for finished. */
     @Test
     void shouldBeReportedNineSecondsAfterItsLastRun() {
