Count successful runs of an earlier owner for their worker, not only the failed ones

What callers saw: accepted jobs stood still for 3 to 4 s after the ownership had changed, although their pool was less than half full.

Cause: a worker on which runs of two jobs fail without a successful one in between gets no tasks for 1.5 s, and twice as long after each further failure. A new owner does not know the runs that ended while the ownership changed. Their failures were counted, their successes were not, because recordSuccess needs the run for its duration. So two failures among a hundred ends blocked a worker, and each further one doubled the block.

Change: each run that ends as done counts as a success of its worker; only its duration needs the run. That also holds for runs that resumed from a checkpoint. A block protects tasks from a worker that fails them; it guards neither single runs nor capacity.

--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -483,9 +483,10 @@
     if (step.spec.isLongRunning()) {
       return 0;
     }
+    worker.health.recordSuccess();
     if (attempt != null && attempt.checkpoint.isEmpty()) {
       long overAtMs = attempt.isEndUnlisted ? attempt.reportedAtMs : nowMs;
-      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, overAtMs));
+      worker.health.recordRunTime(runTimeLearner.ratioToExpected(attempt, overAtMs));
       runTimeLearner.onDone(attempt, requestedAtMs, nowMs);
     }
     if (step.spec.isGang()) {
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
@@ -44,10 +44,14 @@
     return block;
   }
 
-  /** Records a successful run that took {@code ratio} times its expected run time. */
-  void recordSuccess(double ratio) {
+  /** Records a successful run. */
+  void recordSuccess() {
     failedJobs.clear();
     blockMs = FIRST_BLOCK_MS;
+  }
+
+  /** Records that a successful run took {@code ratio} times its expected run time. */
+  void recordRunTime(double ratio) {
     slowness += SLOWNESS_WEIGHT * (ratio - slowness);
   }
 
