Do not block workers for long-running tasks that fail after they have been at work

What callers see: a long-running task that has failed does not start again for up to 12 s although workers have room.

Cause: runs of two jobs that fail on a worker without a successful one in between block it. Long-running tasks may fail at any time, and none of their runs ever counted as a success. So once tasks of two long-running jobs had failed on a worker, each further failure, however much later, blocked it for longer, up to 12 s. In a pool that runs only such jobs all workers end up blocked nearly all the time.

Change: a long-running task that a report has shown at work says nothing against its worker when it fails, and counts as a success when it gets to work. One that fails before still counts as a failure; one of an earlier owner that this owner has not seen does not count.

Measured: shouldNotKeepThemFromStartingAgainAfterTheyHaveBeenAtWork (three jobs of one task on two workers, each run fails after 5 s) was run before the change and failed with "Expecting actual: 9000L to be less than: 1000L" (longest time in ms with a task missing, in 60 s).

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -5,6 +5,9 @@
 /** One run of a task on one worker, from the start order until its end is known. */
 final class Attempt {
 
+  /** Percentage that a long-running task reports while it is at work. */
+  private static final int PERCENT_AT_WORK = 100;
+
   /** State of a run as the owner knows it. */
   enum Phase {
     /** The start order has been sent and its reply is pending. */
@@ -222,6 +225,11 @@
     return phase == Phase.UNANSWERED && !isStopWanted();
   }
 
+  /** Returns whether the newest report that listed the run showed it at work. */
+  boolean isAtWork() {
+    return percent >= PERCENT_AT_WORK;
+  }
+
   /**
    * Returns whether the task counts as available. A long-running task does once it reports 100%, as
    * long as its worker goes on reporting: of a silent worker's task nobody knows.
@@ -231,6 +239,6 @@
         && !isStopWanted()
         && !isEndUnlisted
         && worker.missedReports == 0
-        && (!task.step.spec.isLongRunning() || percent >= 100);
+        && (!task.step.spec.isLongRunning() || isAtWork());
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -358,6 +358,9 @@
     if (running.percent() != attempt.percent) {
       attempt.percent = running.percent();
       attempt.percentChangedAtMs = nowMs;
+      if (attempt.task.step.spec.isLongRunning() && attempt.isAtWork()) {
+        worker.health.recordSuccess();
+      }
     }
     attempt.reportedAtMs = nowMs;
     attempt.load = running.load();
@@ -465,7 +468,7 @@
     }
     return switch (ended.how()) {
       case DONE -> onDone(worker, task, attempt, requestedAtMs, nowMs);
-      case FAILED -> onFailed(worker, task, ended.run(), nowMs);
+      case FAILED -> onFailed(worker, task, attempt, ended.run(), nowMs);
       case STOPPED, LAPSED, BROKEN, ALONE -> {
         if (attempt != null) {
           runTimeLearner.onInterrupted(attempt);
@@ -502,12 +505,17 @@
     return changes.add(step.job);
   }
 
-  private long onFailed(Worker worker, Task task, long run, long nowMs) {
+  private long onFailed(Worker worker, Task task, Attempt attempt, long run, long nowMs) {
     Job job = task.step.job;
-    worker.blockedUntilMs =
-        Math.max(worker.blockedUntilMs, nowMs + worker.health.recordFailure(job.spec.id()));
+    boolean isLongRunning = task.step.spec.isLongRunning();
+    // Long-running tasks may fail at any time; only one that does not get to work tells of its
+    // worker. Whether one of an earlier owner did is not known.
+    if (!isLongRunning || (attempt != null && !attempt.isAtWork())) {
+      worker.blockedUntilMs =
+          Math.max(worker.blockedUntilMs, nowMs + worker.health.recordFailure(job.spec.id()));
+    }
     task.avoidedWorker = worker.id;
-    if (task.step.spec.isLongRunning()) {
+    if (isLongRunning) {
       return 0;
     }
     task.failedRuns.add(run);
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
@@ -44,7 +44,7 @@
     return block;
   }
 
-  /** Records a successful run. */
+  /** Records a successful run, or a long-running task that has got to work. */
   void recordSuccess() {
     failedJobs.clear();
     blockMs = FIRST_BLOCK_MS;
--- a/src/test/java/org/laburnumarch/internal/schedule/BlockedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/BlockedWorkerTest.java
@@ -21,7 +21,6 @@
 class BlockedWorkerTest {
 
   private static final long STEP_MS = 50;
-  private static final long RUN_MS = 100;
 
   private long nowMs = 1_000_000;
   private Scheduler scheduler = new Scheduler(TestJobs.SETTINGS, 1, nowMs, false);
@@ -30,6 +29,7 @@
   private final List<SimulatedWorker> workers = new ArrayList<>();
   private final Map<String, Long> startedAtMs = new HashMap<>();
   private Predicate<Order.Start> failing = start -> false;
+  private long runMs = 100;
 
   @BeforeEach
   void configure() {
@@ -90,10 +90,14 @@
             .filter(candidate -> candidate.id().equals(start.workerId()))
             .findFirst()
             .orElseThrow();
-    Behaviour behaviour = new Behaviour(nowMs + RUN_MS, failing.test(start), Resources.NONE);
+    Behaviour behaviour = new Behaviour(nowMs + runMs, failing.test(start), Resources.NONE);
     scheduler.onStartReply(start, worker.start(start, term, behaviour, nowMs), nowMs);
   }
 
+  private List<String> runningTasks() {
+    return workers.stream().flatMap(worker -> worker.runningTasks().stream()).toList();
+  }
+
   @Nested
   class AfterATakeover {
 
@@ -113,4 +117,29 @@
       assertThat(startedAtMs.get("next.0.0.0") - acceptedAtMs).isLessThan(500);
     }
   }
+
+  @Nested
+  class WhenLongRunningTasksFail {
+
+    @Test
+    void shouldNotKeepThemFromStartingAgainAfterTheyHaveBeenAtWork() {
+      addWorkers(2);
+      runMs = 5_000;
+      failing = start -> true;
+      for (int i = 0; i < 3; i++) {
+        accept("a" + i, TestJobs.longRunningStep(1, 0, 1));
+        advance(1_000);
+      }
+      long waitingSinceMs = nowMs;
+      long maxWaitMs = 0;
+      for (long endMs = nowMs + 60_000; nowMs < endMs; ) {
+        advance(STEP_MS);
+        if (runningTasks().size() == 3) {
+          waitingSinceMs = nowMs;
+        }
+        maxWaitMs = Math.max(maxWaitMs, nowMs - waitingSinceMs);
+      }
+      assertThat(maxWaitMs).isLessThan(1_000);
+    }
+  }
 }
