Give blocked workers one task at a time when no other worker of the pool has room

What callers see: an accepted job stands still for up to 12 s in a pool that is empty, after jobs that fail wherever they run.

Cause: a worker on which runs of two jobs fail without a successful one in between gets nothing for 1.5 s, doubled with each further failure up to 12 s. Jobs that cannot be done fail on every worker, so that a few of them block a whole pool; a blocked worker runs nothing that could succeed, and the first task after a block may be one of theirs again.

Change: from 1.5 s after its last failure on, a blocked worker may get a task that no other worker has room for, and the next one once a report shows that the one before has survived its start or ended. Gangs are placed in the same way (not tested). Workers that are not blocked go first, so that the long block still keeps tasks from a worker that fails them as long as there is a choice. Runs and capacity are guarded as before.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -40,6 +40,7 @@
   private final double remoteSlowdownFactor;
   private final long nowMs;
   private final boolean hasIsolatedWorker;
+  private final boolean hasBlockedWorker;
 
   /** Workers that get no further tasks in this round, so that a large task will fit there. */
   private final Set<Worker> heldWorkers = new HashSet<>();
@@ -57,6 +58,7 @@
     this.remoteSlowdownFactor = remoteSlowdownFactor;
     this.nowMs = nowMs;
     this.hasIsolatedWorker = pool.stream().anyMatch(Worker::hasIsolatedRun);
+    this.hasBlockedWorker = pool.stream().anyMatch(worker -> worker.health.isBlocked(nowMs));
   }
 
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
@@ -64,14 +66,21 @@
     if (task.needsIsolation(nowMs) && !mayIsolateAnother()) {
       return Optional.empty();
     }
-    Optional<Worker> best = choose(task, tickets, needsTicket, false);
-    return best.isEmpty() && task.hasWaitedForSeparation(nowMs)
-        ? choose(task, tickets, needsTicket, true)
+    Optional<Worker> best = choose(task, tickets, needsTicket, false, false);
+    if (best.isEmpty() && task.hasWaitedForSeparation(nowMs)) {
+      best = choose(task, tickets, needsTicket, true, false);
+    }
+    return best.isEmpty() && hasBlockedWorker
+        ? choose(task, tickets, needsTicket, false, true)
         : best;
   }
 
   private Optional<Worker> choose(
-      Task task, Map<String, String> tickets, boolean needsTicket, boolean mayEndIsolation) {
+      Task task,
+      Map<String, String> tickets,
+      boolean needsTicket,
+      boolean mayEndIsolation,
+      boolean mayProbe) {
     boolean needsIsolation = task.needsIsolation(nowMs);
     boolean needsSeparation = task.needsSeparation(nowMs);
     Worker best = null;
@@ -82,6 +91,7 @@
           || (needsIsolation && worker.newRunCount() > 0)
           || (needsSeparation && worker.hasNewSuspect())
           || (isIsolated(worker) && !mayEndIsolation)
+          || (worker.health.isBlocked(nowMs) && !(mayProbe && isProbeDue(worker)))
           || !worker.freeCapacity().holds(task.step.spec.reserved())
           || !isEligible(worker, task.step)
           || (needsTicket && !tickets.containsKey(worker.id))) {
@@ -96,6 +106,11 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns whether a blocked worker may be given one more task, one at a time. */
+  private boolean isProbeDue(Worker worker) {
+    return worker.health.mayBeProbed(nowMs) && worker.newRunCount() == 0;
+  }
+
   /**
    * Returns whether one more worker of the pool may be given to a single task. Several suspects may
    * wait, and each may crash its worker.
@@ -120,7 +135,9 @@
   /** Returns whether any worker could start a task now. */
   boolean hasCapacityFor(Task task) {
     for (Worker worker : pool) {
-      if (worker.freeCapacity().holds(task.step.spec.reserved()) && mayRun(worker, task.step)) {
+      if (worker.freeCapacity().holds(task.step.spec.reserved())
+          && !worker.health.isBlocked(nowMs)
+          && mayRun(worker, task.step)) {
         return true;
       }
     }
@@ -214,6 +231,7 @@
       if (isLarger
           && !heldWorkers.contains(worker)
           && !heldForSuspects.contains(worker)
+          && !worker.health.isBlocked(nowMs)
           && mayRun(worker, task.step)) {
         largest = worker;
       }
@@ -229,6 +247,14 @@
    */
   Optional<Map<Task, Worker>> chooseForGang(
       Collection<Task> tasks, Map<String, String> tickets, boolean needsTicket) {
+    Optional<Map<Task, Worker>> chosen = chooseForGang(tasks, tickets, needsTicket, false);
+    return chosen.isEmpty() && hasBlockedWorker
+        ? chooseForGang(tasks, tickets, needsTicket, true)
+        : chosen;
+  }
+
+  private Optional<Map<Task, Worker>> chooseForGang(
+      Collection<Task> tasks, Map<String, String> tickets, boolean needsTicket, boolean mayProbe) {
     Map<Worker, Resources> freeByWorker = new HashMap<>();
     Map<Worker, Integer> counts = new HashMap<>();
     Map<Task, Worker> chosen = new HashMap<>();
@@ -241,6 +267,7 @@
         int limit = task.step.spec.maxPerWorker();
         if (heldWorkers.contains(worker)
             || heldForSuspects.contains(worker)
+            || (worker.health.isBlocked(nowMs) && !(mayProbe && worker.health.mayBeProbed(nowMs)))
             || !remaining.holds(task.step.spec.reserved())
             || !mayRun(worker, task.step)
             || (limit > 0 && countTasks(task.step, worker) + count >= limit)
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -511,8 +511,7 @@
     // Long-running tasks may fail at any time; only one that does not get to work tells of its
     // worker. Whether one of an earlier owner did is not known.
     if (!isLongRunning || (attempt != null && !attempt.isAtWork())) {
-      worker.blockedUntilMs =
-          Math.max(worker.blockedUntilMs, nowMs + worker.health.recordFailure(job.spec.id()));
+      worker.health.recordFailure(job.spec.id(), nowMs);
     }
     task.avoidedWorker = worker.id;
     if (isLongRunning) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -125,7 +125,7 @@
   /** Local time at which the last report arrived or was given up as missed. */
   long lastReportAttemptMs;
 
-  /** Local time before which nothing starts there, after refusals or failures. */
+  /** Local time before which nothing starts there, after refusals. */
   long blockedUntilMs;
 
   final WorkerHealth health = new WorkerHealth();
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
@@ -5,7 +5,8 @@
 
 /**
  * Rates a worker by how its runs end. A worker that fails runs of several jobs in a row is blocked
- * for a time that doubles with each further failure.
+ * for a time that doubles with each further failure. It may be probed before that time is over: the
+ * jobs may have failed through their own fault on every worker.
  */
 final class WorkerHealth {
 
@@ -26,22 +27,28 @@
 
   private final Set<String> failedJobs = new HashSet<>();
   private long blockMs = FIRST_BLOCK_MS;
+  private long blockedUntilMs = Long.MIN_VALUE;
+  private long probedFromMs = Long.MIN_VALUE;
   private double slowness = 1;
 
-  /**
-   * Records a failed run.
-   *
-   * @return how long nothing should start on the worker from now on, in milliseconds; 0 if it is
-   *     not blocked
-   */
-  long recordFailure(String job) {
+  /** Records a failed run, which may block the worker. */
+  void recordFailure(String job, long nowMs) {
     failedJobs.add(job);
-    if (failedJobs.size() < FAILURES_BEFORE_BLOCK) {
-      return 0;
+    if (failedJobs.size() >= FAILURES_BEFORE_BLOCK) {
+      blockedUntilMs = Math.max(blockedUntilMs, nowMs + blockMs);
+      probedFromMs = nowMs + FIRST_BLOCK_MS;
+      blockMs = Math.min(MAX_BLOCK_MS, 2 * blockMs);
     }
-    long block = blockMs;
-    blockMs = Math.min(MAX_BLOCK_MS, 2 * blockMs);
-    return block;
+  }
+
+  /** Returns whether tasks should start on other workers. */
+  boolean isBlocked(long nowMs) {
+    return nowMs < blockedUntilMs;
+  }
+
+  /** Returns whether a task may start here although the worker is blocked. */
+  boolean mayBeProbed(long nowMs) {
+    return nowMs >= probedFromMs;
   }
 
   /** Records a successful run, or a long-running task that has got to work. */
--- a/src/test/java/org/laburnumarch/internal/schedule/BlockedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/BlockedWorkerTest.java
@@ -22,12 +22,16 @@
 
   private static final long STEP_MS = 50;
 
+  /** Longest time for which a job may have nothing running while its pool has room. */
+  private static final long MAX_DELAY_MS = 3_000;
+
   private long nowMs = 1_000_000;
   private Scheduler scheduler = new Scheduler(TestJobs.SETTINGS, 1, nowMs, false);
   private long term = 1;
   private final List<JobSpec> jobs = new ArrayList<>();
   private final List<SimulatedWorker> workers = new ArrayList<>();
   private final Map<String, Long> startedAtMs = new HashMap<>();
+  private final Map<String, Integer> startsByWorker = new HashMap<>();
   private Predicate<Order.Start> failing = start -> false;
   private long runMs = 100;
 
@@ -85,6 +89,7 @@
 
   private void deliver(Order.Start start) {
     startedAtMs.putIfAbsent(start.taskName(), nowMs);
+    startsByWorker.merge(start.workerId(), 1, Integer::sum);
     SimulatedWorker worker =
         workers.stream()
             .filter(candidate -> candidate.id().equals(start.workerId()))
@@ -142,4 +147,38 @@
       assertThat(maxWaitMs).isLessThan(1_000);
     }
   }
+
+  @Nested
+  class WhenJobsFailOnEveryWorker {
+
+    @Test
+    void shouldNotDelayOtherJobsInAnEmptyPool() {
+      addWorkers(2);
+      failing = start -> start.taskName().startsWith("bad");
+      for (int i = 0; i < 12; i++) {
+        accept("bad" + i, TestJobs.step(1, 1_000));
+        advance(500);
+      }
+      accept("sound", TestJobs.step(1, 1_000));
+      long acceptedAtMs = nowMs;
+      advance(12_000);
+      assertThat(startedAtMs.get("sound.0.0.0") - acceptedAtMs).isLessThan(MAX_DELAY_MS);
+    }
+  }
+
+  @Nested
+  class WhenAWorkerFailsAllRuns {
+
+    @Test
+    void shouldStartFewTasksThereAlthoughThePoolIsFull() {
+      addWorkers(2);
+      runMs = 200;
+      failing = start -> start.workerId().equals("w0");
+      for (int i = 0; i < 40; i++) {
+        accept("a" + i, TestJobs.step(8, 1_000));
+      }
+      advance(20_000);
+      assertThat(startsByWorker.get("w0")).isLessThanOrEqualTo(8 + 20_000 / 1_500);
+    }
+  }
 }
