End the block of a worker whose other runs succeed

What callers see: a worker with many tasks, some of which fail by chance, gets none for 1.5 s at a time although most of its runs succeed.

Cause: a success after the failures reset the length of the next block and left the current one as it was.

Change: more successful runs in a row than there were jobs with failed ones end the block. A worker that fails half of its runs seldom has three in a row, and is blocked again by its next two failures.

Measured: shouldStartTasksThereAgainOnceOtherRunsHaveSucceeded was run before the change and failed with "Expecting actual: 750L to be less than: 200L".

--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
@@ -6,7 +6,8 @@
 /**
  * Rates a worker by how its runs end. A worker that fails runs of several jobs in a row is blocked
  * for a time that doubles with each further failure. It may be probed before that time is over: the
- * jobs may have failed through their own fault on every worker.
+ * jobs may have failed through their own fault on every worker. More successful runs in a row than
+ * jobs with failed ones end the block.
  */
 final class WorkerHealth {
 
@@ -29,11 +30,16 @@
   private long blockMs = FIRST_BLOCK_MS;
   private long blockedUntilMs = Long.MIN_VALUE;
   private long probedFromMs = Long.MIN_VALUE;
+
+  /** Number of successful runs in a row that end the block. */
+  private int missingSuccesses;
+
   private double slowness = 1;
 
   /** Records a failed run, which may block the worker. */
   void recordFailure(String job, long nowMs) {
     failedJobs.add(job);
+    missingSuccesses = failedJobs.size() + 1;
     if (failedJobs.size() >= FAILURES_BEFORE_BLOCK) {
       blockedUntilMs = Math.max(blockedUntilMs, nowMs + blockMs);
       probedFromMs = nowMs + FIRST_BLOCK_MS;
@@ -55,6 +61,10 @@
   void recordSuccess() {
     failedJobs.clear();
     blockMs = FIRST_BLOCK_MS;
+    missingSuccesses = Math.max(0, missingSuccesses - 1);
+    if (missingSuccesses == 0) {
+      blockedUntilMs = Long.MIN_VALUE;
+    }
   }
 
   /** Records that a successful run took {@code ratio} times its expected run time. */
--- a/src/test/java/org/laburnumarch/internal/schedule/BlockedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/BlockedWorkerTest.java
@@ -181,4 +181,24 @@
       assertThat(startsByWorker.get("w0")).isLessThanOrEqualTo(8 + 20_000 / 1_500);
     }
   }
+
+  @Nested
+  class WhenAFewRunsFailAmongMany {
+
+    @Test
+    void shouldStartTasksThereAgainOnceOtherRunsHaveSucceeded() {
+      addWorkers(1);
+      failing = start -> start.taskName().startsWith("bad");
+      accept("bad1", TestJobs.step(1, 100));
+      accept("bad2", TestJobs.step(1, 100));
+      advance(STEP_MS);
+      runMs = 400;
+      accept("sound", TestJobs.step(8, 100));
+      advance(800);
+      accept("next", TestJobs.step(1, 100));
+      long acceptedAtMs = nowMs;
+      advance(3_000);
+      assertThat(startedAtMs.get("next.0.0.0") - acceptedAtMs).isLessThan(200);
+    }
+  }
 }
