Leave tasks of cancelled jobs out of the report on work that waits after a takeover

What operators saw: `takeover-wait pool=desk tasks=58 unreported=0` (80 tasks in the record of the incident) until the whole wait was over, although all workers of the pool had reported. The line names nobody for whom the tasks wait.

Cause: no task waited. A job that is cancelled after a takeover keeps the tasks that were held then marked as held, because held tasks are determined anew only for jobs that go on, and the report counted them all the same. Nothing else reads the mark of a finished job: the locations for the next owner are determined anew before they are written.

Measured: shouldNotReportItsTasksAsWaitingOnceAllWorkersHaveReported was run before the change and failed with "Expecting empty but was: [TakeoverWait[service=compute, tasks=4, unreportedWorkers=0, ...]]".

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -166,8 +166,8 @@
   public List<TakeoverWait> takeoverWaits() {
     Map<String, Integer> tasks = new TreeMap<>();
     if (!takeoverGuard.isOver(workers, ownershipProvenAtMs)) {
-      liveJobs
-          .values()
+      liveJobs.values().stream()
+          .filter(job -> !job.status.isFinal())
           .forEach(
               job ->
                   config
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -197,6 +197,24 @@
     }
   }
 
+  @Nested
+  class WhenAJobIsCancelledAfterATakeover {
+
+    @Test
+    void shouldNotReportItsTasksAsWaitingOnceAllWorkersHaveReported() {
+      series.accept(TestJobs.job("b", series.nowMs, TestJobs.step(4, 1_000)), LONG_RUN_MS);
+      series.advance(200);
+      String silent = series.workerOf("b.0.0.0").orElseThrow();
+      series.cutOff(silent);
+      series.takeOver();
+      series.advance(50);
+      series.scheduler.cancel("b");
+      series.reconnect(silent);
+      series.advance(1_000);
+      assertThat(series.scheduler.takeoverWaits()).isEmpty();
+    }
+  }
+
   @Nested
   class InRandomOrder {
 
