--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -359,6 +359,9 @@
     if (running.percent() != attempt.percent) {
       attempt.percent = running.percent();
       attempt.percentChangedAtMs = nowMs;
+      if (attempt.task.step.spec.isLongRunning() && attempt.isAtWork()) {
+        worker.health.recordSuccess();
+      }
     }
     attempt.reportedAtMs = nowMs;
     attempt.load = running.load();
@@ -467,7 +470,7 @@
     }
     return switch (ended.how()) {
       case DONE -> onDone(worker, task, attempt, requestedAtMs, nowMs);
-      case FAILED -> onFailed(worker, task, ended.run(), nowMs);
+      case FAILED -> onFailed(worker, task, attempt, ended.run(), nowMs);
       case STOPPED, LAPSED, BROKEN, ALONE -> {
         if (attempt != null) {
           runTimeLearner.onInterrupted(attempt);
@@ -485,9 +488,10 @@
     if (step.spec.isLongRunning()) {
       return 0;
     }
+    worker.health.recordSuccess();
     if (attempt != null && attempt.checkpoint.isEmpty()) {
       long overAtMs = attempt.isEndUnlisted ? attempt.reportedAtMs : nowMs;
-      worker.health.recordSuccess(runTimeLearner.ratioToExpected(attempt, overAtMs));
+      worker.health.recordRunTime(runTimeLearner.ratioToExpected(attempt, overAtMs));
       runTimeLearner.onDone(attempt, requestedAtMs, nowMs);
     }
     if (step.spec.isGang()) {
@@ -503,12 +507,16 @@
     return changes.add(step.job);
   }
 
-  private long onFailed(Worker worker, Task task, long run, long nowMs) {
+  private long onFailed(Worker worker, Task task, Attempt attempt, long run, long nowMs) {
     Job job = task.step.job;
-    worker.blockedUntilMs =
-        Math.max(worker.blockedUntilMs, nowMs + worker.health.recordFailure(job.spec.id()));
+    boolean isLongRunning = task.step.spec.isLongRunning();
+    // Long-running tasks may fail at any time; only one that does not get to work tells of its
+    // worker. Whether one of an earlier owner did is not known.
+    if (!isLongRunning || (attempt != null && !attempt.isAtWork())) {
+      worker.health.recordFailure(job.spec.id(), nowMs);
+    }
     task.avoidedWorker = worker.id;
-    if (task.step.spec.isLongRunning()) {
+    if (isLongRunning) {
       return 0;
     }
     task.failedRuns.add(run);
