Show how many starts the workers with room are sent at a time

What operators see: lines with reason starts-in-flight say that workers have room and get no further starts, but not how many starts they are sent at a time; starts_in_flight counts those of the whole pool.

Change: these lines have starts_allowed, the sum over the workers with room.

A line: 5,698 tasks of 80 jobs, 3 workers with room, free=15840/85800/0, starts_in_flight=7.

Result: StandingWorkTest, ExplainCommandTest and ArchitectureTest pass.

--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -276,7 +276,7 @@
             .distinct()
             .limit(MAX_NAMED_WORKERS)
             .toList(),
-        details(key.reason(), job, task));
+        details(key.reason(), job, task, choice));
   }
 
   private PoolState poolState(String service) {
@@ -317,7 +317,7 @@
         .isEmpty();
   }
 
-  private String details(WaitReason reason, Job job, Task task) {
+  private String details(WaitReason reason, Job job, Task task, Choice choice) {
     String team = job.spec.team();
     return switch (reason) {
       case TEAM_LIMIT ->
@@ -332,7 +332,10 @@
               + PoolState.text(task.step.spec.need());
       case REFUSAL_PAUSE -> "pause_left_ms=" + (task.notBeforeMs - nowMs);
       case TAKEOVER -> "remaining_ms=" + Math.max(0, state.takeoverGuard().overAtMs() - nowMs);
-      case NO_CAPACITY, NO_WORKER, STARTS_IN_FLIGHT, WORKER_KEPT, GANG_DOES_NOT_FIT, POOL_FULL ->
+      case STARTS_IN_FLIGHT ->
+          "starts_allowed="
+              + choice.fitting().stream().mapToInt(worker -> worker.maxOrdersInFlight).sum();
+      case NO_CAPACITY, NO_WORKER, WORKER_KEPT, GANG_DOES_NOT_FIT, POOL_FULL ->
           "reserved=" + PoolState.text(task.step.spec.reserved());
       case QUEUE_NOT_CONFIGURED,
           START_UNANSWERED,
--- a/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
@@ -271,9 +271,11 @@
       decide();
       accept("b", TestJobs.step(1, 100));
       nowMs += 1_000;
-      assertThat(standing())
+      List<StandingWork> all = standing();
+      assertThat(all)
           .extracting(StandingWork::reason)
           .containsExactly(WaitReason.STARTS_IN_FLIGHT, WaitReason.START_UNANSWERED);
+      assertThat(all.get(0).details()).isEqualTo("starts_allowed=4");
     }
 
     @Test
