Determine once a step why its tasks stand

What callers would see: an owner that answers nobody for a tenth of a second, once a second, while tens of thousands of tasks stand.

Cause: WaitSurvey looked up the workers with room for each task, and visited them all each time.

Change: the reason is determined for the first task of a step, and only the wait of a suspect depends on the task.

--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -91,6 +91,8 @@
   private final Map<String, PoolState> pools = new HashMap<>();
   private final Map<String, Placement> placements = new HashMap<>();
   private final Map<Requirement, Choice> choices = new HashMap<>();
+  private Step refinedStep;
+  private WaitReason refinedReason;
 
   WaitSurvey(State state) {
     this.state = state;
@@ -188,21 +190,28 @@
     } else if (task.notBeforeMs > nowMs) {
       return WaitReason.REFUSAL_PAUSE;
     }
-    WaitReason refusal = task.step.lastRefusal;
-    return switch (refusal) {
-      case NO_CAPACITY, NO_TICKET, POOL_FULL, GANG_DOES_NOT_FIT ->
-          refine(refusal, task, queue.get());
-      default -> refusal;
+    return switch (task.step.lastRefusal) {
+      case NO_CAPACITY, NO_TICKET, POOL_FULL, GANG_DOES_NOT_FIT -> refine(task, queue.get());
+      default -> task.step.lastRefusal;
     };
   }
 
   /** Replaces the reason that a round has given by a more exact one. */
-  private WaitReason refine(WaitReason refusal, Task task, QueueConfig queue) {
-    Choice choice = choice(task.step, queue.service());
+  private WaitReason refine(Task task, QueueConfig queue) {
+    if (task.step != refinedStep) {
+      refinedStep = task.step;
+      refinedReason = refine(task.step, queue);
+    }
+    return refinedReason != WaitReason.NO_WORKER && task.needsSeparation(nowMs)
+        ? WaitReason.ISOLATION
+        : refinedReason;
+  }
+
+  private WaitReason refine(Step step, QueueConfig queue) {
+    WaitReason refusal = step.lastRefusal;
+    Choice choice = choice(step, queue.service());
     if (choice.eligible().isEmpty()) {
       return choice.areAllIsolated() ? WaitReason.ISOLATION : WaitReason.NO_WORKER;
-    } else if (task.needsSeparation(nowMs)) {
-      return WaitReason.ISOLATION;
     } else if (refusal == WaitReason.NO_TICKET || refusal == WaitReason.GANG_DOES_NOT_FIT) {
       return refusal;
     } else if (choice.fitting().isEmpty()) {
@@ -243,7 +252,7 @@
                 fitting.add(worker);
               }
             } else {
-              isAnyIsolated |= placement.isEligible(worker, step);
+              isAnyIsolated |= worker.hasIsolatedRun() && placement.isEligible(worker, step);
             }
           }
           return new Choice(eligible, fitting, isAnyIsolated);
