Keep a renewal that the log has shown when a heartbeat names an older one

Owners were taken over one after the other with why=SILENT while the owner before was alive, and each takeover holds back the inherited work again.

Cause: OwnerWatch.onHeartbeat set the start of the silence to the age of the renewal in the heartbeat, also if the log had already shown a newer renewal. The event loop of an owner that has just taken over is blocked for 0.3 to 0.8 s at a time by its first rounds, so that it sends heartbeats before it processes the answer to its renewal. Followers moved the silence back to the renewal before, and claimed.

In the first, the claimant read renewal 1 of term 4 at 47.272 s, got a heartbeat with renewal 0 and age 1,218 ms at 47.357, and claimed at 47.640 for 1,501 ms of silence, 368 ms after it had read the renewal. In the second it read renewal 2 of term 5 at 49.955, got renewal 1 with age 1,237 ms at 49.961, and claimed at 50.227. The answers to these renewals took 875 and 841 ms to be processed at the owners, whose timers were late by 310 to 806 ms. The store answered the reads throughout; the claimants' timers were late by 74 ms at most.

Change: such a heartbeat no longer moves the start of the silence back. Fences are unchanged, and a claim only comes later than before. After a gap between reads a heartbeat still counts, since it names a renewal that is as new as the log's.

Test: shouldNotForgetARenewalThatAHeartbeatDoesNotNameYet, run before the change: "Expecting value to be false but was true". It passes with it.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -136,7 +136,11 @@
     isOwnerProcessTerminated = false;
     heartbeatRenewalNumber = renewalNumber;
     heartbeatAtMs = nowMs;
-    silentSinceMs = nowMs - renewalAgeMs;
+    long renewedAtMs = nowMs - renewalAgeMs;
+    // A busy owner sends heartbeats before it processes the answer to a renewal.
+    boolean isNewerRenewalKnown =
+        newest.isPresent() && newest.get().renewalNumber() > renewalNumber;
+    silentSinceMs = isNewerRenewalKnown ? Math.max(silentSinceMs, renewedAtMs) : renewedAtMs;
     if (renewalAgeMs < MAX_OWNER_RENEWAL_AGE_MS) {
       renewingAtMs = nowMs;
     }
--- a/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -105,6 +105,28 @@
       assertThat(watch.shouldClaim(2_100, 0)).isTrue();
     }
 
+    /** A busy owner sends heartbeats before it processes the answer to a renewal. */
+    @Test
+    void shouldNotForgetARenewalThatAHeartbeatDoesNotNameYet() {
+      watch.onRead(Optional.of(OWNER), 10, 0);
+      watch.onRead(Optional.of(OWNER.renewed()), 11, 1_200);
+      watch.onHeartbeat(9, 1_250, 1_250);
+      readUntil(OWNER.renewed(), 1_300, 1_600);
+      assertThat(watch.shouldClaim(1_600, 0)).isFalse();
+      long dueAtMs = 1_200 + OwnerWatch.SILENCE_BEFORE_CLAIM_MS;
+      readUntil(OWNER.renewed(), 1_700, dueAtMs);
+      assertThat(watch.shouldClaim(dueAtMs, 0)).isTrue();
+    }
+
+    @Test
+    void shouldCountSilenceFromTheRenewalInAHeartbeatAfterAGapInReads() {
+      watch.onRead(Optional.of(OWNER), 10, 0);
+      watch.onRead(Optional.of(OWNER), 10, 1_300);
+      watch.onHeartbeat(9, 1_400, 1_400);
+      readUntil(OWNER, 1_450, 1_550);
+      assertThat(watch.shouldClaim(1_550, 0)).isTrue();
+    }
+
     @Test
     void shouldClaimSoonAfterTheOwnersProcessHasEnded() {
       readUntil(OWNER, 0, 200);
