Leave the ownership to a living owner while lacking processor time

Takeovers from a living owner by daemons that are as busy as it is, each of which is silent in turn.

Cause: a daemon claimed from a living owner whatever its own state was. In a planned handover such a daemon is not even asked (DaemonState.canOwn).

Change: a daemon that has just started, or whose timers are late, by the bounds of DaemonState, leaves an owner whose heartbeats arrive the ownership until its authority has ended (6 s without a stored renewal). From then on any daemon claims, so the fleet gets an owner within that time even if all daemons are busy. Owners that have ended, have released or send no heartbeats are taken over as before, and by other daemons so is an owner that is cut off from the store. A claim only comes later than before, so no wait is shortened.

Test: OwnerWatchTest.WithoutProcessorTime. With the rule disabled, shouldNotClaimFromALivingOwnerThatMayGiveOrders failed with "Expecting value to be false but was true"; the others guard the bound.

--- a/src/main/java/org/laburnumarch/internal/lead/DaemonState.java
+++ b/src/main/java/org/laburnumarch/internal/lead/DaemonState.java
@@ -36,11 +36,21 @@
   /** Returns whether this daemon reads and writes the store, is not stopping and not slow. */
   public boolean canOwn() {
     return !isStopping
-        && uptimeMs >= WARM_UP_MS
+        && isResponsive(uptimeMs, timerDelayMs)
         && readMs >= 0
         && readMs <= MAX_STORE_MS
         && writeMs >= 0
-        && writeMs <= MAX_STORE_MS
-        && timerDelayMs <= MAX_TIMER_DELAY_MS;
+        && writeMs <= MAX_STORE_MS;
+  }
+
+  /**
+   * Returns whether a daemon has the processor time that an owner needs.
+   *
+   * @param uptimeMs time since its start, in milliseconds
+   * @param timerDelayMs by how much its timers ran late at most during the last second, in
+   *     milliseconds
+   */
+  public static boolean isResponsive(long uptimeMs, long timerDelayMs) {
+    return uptimeMs >= WARM_UP_MS && timerDelayMs <= MAX_TIMER_DELAY_MS;
   }
 }
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -64,6 +64,9 @@
   private long heartbeatRenewalNumber = -1;
   private boolean isOwnerProcessTerminated;
 
+  /** Whether this daemon has the processor time that an owner needs. */
+  private boolean isResponsive = true;
+
   /** Local time of the last heartbeat that showed that the owner renews. */
   private long renewingAtMs = Long.MIN_VALUE / 2;
 
@@ -97,6 +100,14 @@
     }
   }
 
+  /**
+   * Records whether this daemon has the processor time that an owner needs. One that does not
+   * leaves the ownership to a living owner until that owner's authority has ended.
+   */
+  public void onOwnState(boolean newIsResponsive) {
+    isResponsive = newIsResponsive;
+  }
+
   /** Records that this daemon could not read the log. */
   public void onReadFailed(long nowMs) {
     readFailedAtMs = nowMs;
@@ -220,6 +231,9 @@
     if (isOwnerLiving && nowMs - readFailedAtMs < GRACE_AFTER_OUTAGE_MS) {
       return false;
     }
+    if (isOwnerLiving && !isResponsive) {
+      return nowMs - silentSinceMs >= OwnerTenure.AUTHORITY_MS;
+    }
     long requiredSilenceMs =
         isOwnerProcessTerminated ? SILENCE_AFTER_END_MS : SILENCE_BEFORE_CLAIM_MS;
     return nowMs - silentSinceMs >= requiredSilenceMs;
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -82,6 +83,7 @@
   private final String host;
   private final int port;
   private final Supplier<OptionalLong> claimDelayMs;
+  private final BooleanSupplier isResponsive;
   private final Listener listener;
   private final OwnerWatch watch = new OwnerWatch();
   private Optional<OwnerTenure> tenure = Optional.empty();
@@ -109,6 +111,7 @@
    * @param port port on which other daemons reach this one
    * @param claimDelayMs returns by how much this daemon delays a claim, so that others claim first;
    *     empty while it must not claim
+   * @param isResponsive returns whether this daemon has the processor time that an owner needs
    */
   Election(
       StoreClient store,
@@ -118,6 +121,7 @@
       String host,
       int port,
       Supplier<OptionalLong> claimDelayMs,
+      BooleanSupplier isResponsive,
       Listener listener) {
     this.store = store;
     this.loop = loop;
@@ -126,6 +130,7 @@
     this.host = host;
     this.port = port;
     this.claimDelayMs = claimDelayMs;
+    this.isResponsive = isResponsive;
     this.listener = listener;
   }
 
@@ -234,6 +239,7 @@
   private void onOwnerRead(NewestPage page) {
     long nowMs = clock.nowMs();
     Optional<OwnerRecord> before = watch.newest();
+    watch.onOwnState(isResponsive.getAsBoolean());
     watch.onRead(decode(page), page.endOffset(), nowMs);
     watch
         .newest()
--- a/src/main/java/org/laburnumarch/internal/node/HandoverCandidate.java
+++ b/src/main/java/org/laburnumarch/internal/node/HandoverCandidate.java
@@ -72,6 +72,20 @@
     }
   }
 
+  /**
+   * Returns whether this daemon has the processor time that an owner needs.
+   *
+   * @param delayMs by how much the periodic timer is late now
+   */
+  boolean isResponsive(long delayMs) {
+    return DaemonState.isResponsive(
+        clock.nowMs() - startedAtMs, Math.max(delayMs, maxTimerDelayMs()));
+  }
+
+  private long maxTimerDelayMs() {
+    return timerDelaysMs.stream().mapToLong(Long::longValue).max().orElse(0);
+  }
+
   /** Records that this daemon is stopping; it accepts no offer any more. */
   void onStopping() {
     isStopping = true;
@@ -108,13 +122,7 @@
     long nowMs = clock.nowMs();
     DaemonState state =
         new DaemonState(
-            holder,
-            size,
-            isStopping,
-            nowMs - startedAtMs,
-            readMs,
-            writeMs,
-            timerDelaysMs.stream().mapToLong(Long::longValue).max().orElse(0));
+            holder, size, isStopping, nowMs - startedAtMs, readMs, writeMs, maxTimerDelayMs());
     reported = Optional.of(state);
     reportedAtMs = nowMs;
     sender.accept(new StateReport(state));
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -97,6 +97,7 @@
             settings.ip(),
             settings.linkPort(),
             daemons::claimDelayMs,
+            this::isResponsive,
             new ElectionListener());
     InstanceSize size = new InstanceSize(settings.cpuShare(), settings.linkMbps());
     this.candidate = new HandoverCandidate(store, clock, daemons, size, holder, election);
@@ -160,6 +161,10 @@
                 && ownerRenewalAgeMs < MAX_READY_RENEWAL_AGE_MS);
   }
 
+  private boolean isResponsive() {
+    return candidate.isResponsive(clock.nowMs() - heartbeatDueAtMs);
+  }
+
   private Heartbeat ownHeartbeat() {
     long nowMs = clock.nowMs();
     Optional<OwnerTenure> tenure = election.tenure();
--- a/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -180,6 +180,58 @@
     }
   }
 
+  @Nested
+  class WithoutProcessorTime {
+
+    /** Lets a living owner send heartbeats that name the same renewal. */
+    private void heartbeatsUntil(long fromMs, long toMs) {
+      for (long nowMs = fromMs; nowMs <= toMs; nowMs += 250) {
+        watch.onHeartbeat(9, nowMs, nowMs);
+        watch.onRead(Optional.of(OWNER), 10, nowMs);
+      }
+    }
+
+    /** Guards against a takeover from a busy owner by a daemon that is as busy. */
+    @Test
+    void shouldNotClaimFromALivingOwnerThatMayGiveOrders() {
+      watch.onOwnState(false);
+      heartbeatsUntil(0, OwnerTenure.AUTHORITY_MS - 250);
+      assertThat(watch.shouldClaim(OwnerTenure.AUTHORITY_MS - 250, 0)).isFalse();
+    }
+
+    /** Guards against a fleet without an owner because all daemons are busy. */
+    @Test
+    void shouldClaimWhenTheAuthorityOfALivingOwnerHasEnded() {
+      watch.onOwnState(false);
+      heartbeatsUntil(0, OwnerTenure.AUTHORITY_MS);
+      assertThat(watch.shouldClaim(OwnerTenure.AUTHORITY_MS, 0)).isTrue();
+    }
+
+    @Test
+    void shouldClaimFromALivingOwnerAsSoonAsItHasProcessorTime() {
+      watch.onOwnState(false);
+      heartbeatsUntil(0, 2_000);
+      watch.onOwnState(true);
+      heartbeatsUntil(2_250, 2_250);
+      assertThat(watch.shouldClaim(2_250, 0)).isTrue();
+    }
+
+    @Test
+    void shouldClaimFromAnOwnerThatSendsNoHeartbeats() {
+      watch.onOwnState(false);
+      readUntil(OWNER, 0, OwnerWatch.SILENCE_BEFORE_CLAIM_MS);
+      assertThat(watch.shouldClaim(OwnerWatch.SILENCE_BEFORE_CLAIM_MS, 0)).isTrue();
+    }
+
+    @Test
+    void shouldClaimSoonAfterTheOwnersProcessHasEnded() {
+      watch.onOwnState(false);
+      heartbeatsUntil(0, 250);
+      watch.onOwnerProcessTerminated();
+      assertThat(watch.shouldClaim(300, 0)).isTrue();
+    }
+  }
+
   @Nested
   class AfterAnOutageOfTheStore {
 
