Store with each renewal for how long earlier owners may send orders

In a series of takeovers for silence, takeover-wait reported 4.6, 7.4 and 8.2 s left in successive terms, although the owners before had stopped.

Cause: a successor that learns that the owner before it has stopped does not know what that owner knew of still earlier ones. TakeoverGuard assumed that they send orders for their whole authority (6 s) from that owner's claim, plus a lease, so each takeover began this wait anew.

Change: each renewal stores the time after which no owner before the holder sends orders, as far as the holder knows. The successor takes the earlier of that and of the bound from the claim.

Why it is safe: the holder's bound is the one by which its own guard starts tasks. It is stored as a duration that is left when the renewal is sent; the successor counts it from when it reads the record, which is later, and keeps the earliest time that a record of this term proves. A claim starts with no proof. Only what owners before the earlier one may do is shortened: the wait for the earlier owner itself, and for the leases that it requested until it stopped, is as before. The field is the last one of the record; earlier builds ignore it, and a record without it proves nothing.

Tests: shouldNotBeginTheWaitForEarlierOrdersAnewWithEachLostOwner; with a guard that ignores the stored time it failed with "Expecting ListN ..." to contain a.0.0.0, the task that still waited. shouldWaitForAnOwnerBeforeTheLostOneThatMayStillGiveOrders fails if an owner stores 0 although the owner before it goes on. OwnerWatchTest has the records of both builds, and that a claim drops the proof of the term before.

581 tests of lead, node, schedule and ArchitectureTest pass.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerRecord.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.OptionalLong;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -19,6 +20,9 @@
  *     decision depends on it, because wall clocks differ and are set
  * @param successor name of the process to which a released ownership has been offered and that has
  *     accepted it; otherwise empty
+ * @param earlierOrdersLeftMs time in milliseconds, from the write of this record, after which no
+ *     owner before the holder sends orders; a reader counts it from when it reads the record, since
+ *     the clocks of daemons differ; empty if the holder does not know
  */
 public record OwnerRecord(
     long term,
@@ -28,11 +32,12 @@
     long renewalNumber,
     boolean isReleased,
     long claimedEpochMs,
-    String successor) {
+    String successor,
+    OptionalLong earlierOrdersLeftMs) {
 
   private static final int FORMAT = 1;
 
-  /** Creates a record that names no successor. */
+  /** Creates the record of an owner that knows nothing of earlier ones and names no successor. */
   public OwnerRecord(
       long term,
       String holder,
@@ -41,7 +46,16 @@
       long renewalNumber,
       boolean isReleased,
       long claimedEpochMs) {
-    this(term, holder, host, port, renewalNumber, isReleased, claimedEpochMs, "");
+    this(
+        term,
+        holder,
+        host,
+        port,
+        renewalNumber,
+        isReleased,
+        claimedEpochMs,
+        "",
+        OptionalLong.empty());
   }
 
   /** Encodes the record. */
@@ -56,6 +70,9 @@
           .packBoolean(isReleased)
           .packLong(claimedEpochMs)
           .packString(successor);
+      if (earlierOrdersLeftMs.isPresent()) {
+        out.packLong(earlierOrdersLeftMs.getAsLong());
+      }
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -63,7 +80,8 @@
   }
 
   /**
-   * Decodes a record. One of an earlier version names no successor; earlier versions ignore it.
+   * Decodes a record. One of an earlier version lacks the last fields; earlier versions ignore
+   * them.
    *
    * @throws IOException if the bytes are not a record of a known format
    */
@@ -81,13 +99,25 @@
           in.unpackLong(),
           in.unpackBoolean(),
           in.unpackLong(),
-          in.hasNext() ? in.unpackString() : "");
+          in.hasNext() ? in.unpackString() : "",
+          in.hasNext() ? OptionalLong.of(in.unpackLong()) : OptionalLong.empty());
     }
   }
 
   /** Returns the record that renews this ownership. */
   public OwnerRecord renewed() {
-    return new OwnerRecord(term, holder, host, port, renewalNumber + 1, false, claimedEpochMs);
+    return renewed(earlierOrdersLeftMs);
+  }
+
+  /**
+   * Returns the record that renews this ownership.
+   *
+   * @param newOrdersLeftMs time in milliseconds after which no earlier owner sends orders; empty if
+   *     it is not known
+   */
+  public OwnerRecord renewed(OptionalLong newOrdersLeftMs) {
+    return new OwnerRecord(
+        term, holder, host, port, renewalNumber + 1, false, claimedEpochMs, "", newOrdersLeftMs);
   }
 
   /** Returns the record that releases this ownership. */
@@ -102,7 +132,15 @@
    */
   public OwnerRecord releasedTo(String chosen) {
     return new OwnerRecord(
-        term, holder, host, port, renewalNumber + 1, true, claimedEpochMs, chosen);
+        term,
+        holder,
+        host,
+        port,
+        renewalNumber + 1,
+        true,
+        claimedEpochMs,
+        chosen,
+        earlierOrdersLeftMs);
   }
 
   /** Returns whether this ownership is released to another process than the given one. */
--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -56,6 +56,9 @@
   /** Local time at which this daemon first knew of the newest term. */
   private long termSeenAtMs;
 
+  /** Local time from which the owners before the newest term send no orders, as it has stored. */
+  private long earlierOrdersOverAtMs = Long.MAX_VALUE;
+
   private long endOffset = -1;
   private long silentSinceMs;
   private long lastReadAtMs = Long.MIN_VALUE / 2;
@@ -86,11 +89,7 @@
     if (isRenewed || isAfterGap) {
       silentSinceMs = nowMs;
     }
-    if (record.isPresent() && newest.map(old -> old.term() != record.get().term()).orElse(true)) {
-      isOwnerProcessTerminated = false;
-      termSeenAtMs = nowMs;
-    }
-    newest = record.isPresent() ? record : newest;
+    record.ifPresent(read -> updateNewest(read, nowMs));
     endOffset = newEndOffset;
     lastReadAtMs = nowMs;
     if (!isClaimDue(nowMs)) {
@@ -100,6 +99,19 @@
     }
   }
 
+  private void updateNewest(OwnerRecord record, long nowMs) {
+    if (newest.map(old -> old.term() != record.term()).orElse(true)) {
+      isOwnerProcessTerminated = false;
+      termSeenAtMs = nowMs;
+      earlierOrdersOverAtMs = Long.MAX_VALUE;
+    }
+    if (record.earlierOrdersLeftMs().isPresent()) {
+      earlierOrdersOverAtMs =
+          Math.min(earlierOrdersOverAtMs, nowMs + record.earlierOrdersLeftMs().getAsLong());
+    }
+    newest = Optional.of(record);
+  }
+
   /**
    * Records whether this daemon has the processor time that an owner needs. One that does not
    * leaves the ownership to a living owner until that owner's authority has ended.
@@ -165,9 +177,7 @@
 
   /** Records an ownership that its holder has announced; it must be newer than the one known. */
   public void onAnnounced(OwnerRecord record, long nowMs) {
-    newest = Optional.of(record);
-    termSeenAtMs = nowMs;
-    isOwnerProcessTerminated = false;
+    updateNewest(record, nowMs);
     heartbeatRenewalNumber = record.renewalNumber();
     heartbeatAtMs = nowMs;
     silentSinceMs = nowMs;
@@ -199,6 +209,14 @@
     return termSeenAtMs;
   }
 
+  /**
+   * Returns the local time from which the owners before the newest term send no orders, as far as
+   * its records tell; {@link Long#MAX_VALUE} if they do not.
+   */
+  public long earlierOrdersOverAtMs() {
+    return earlierOrdersOverAtMs;
+  }
+
   /** Returns the end offset of the log at the last read; -1 before the first read. */
   public long endOffset() {
     return endOffset;
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -34,8 +34,20 @@
      *
      * @param earlier the newest record of the earlier owner, if there was one
      * @param earlierSeenAtMs local time at which this daemon first knew of the earlier ownership
+     * @param earlierOrdersOverAtMs local time from which the owners before the earlier one send no
+     *     orders, as it has stored; {@link Long#MAX_VALUE} if it has not
      */
-    void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier, long earlierSeenAtMs);
+    void onOwnershipGained(
+        OwnerTenure tenure,
+        Optional<OwnerRecord> earlier,
+        long earlierSeenAtMs,
+        long earlierOrdersOverAtMs);
+
+    /**
+     * Returns the time in milliseconds for which owners before this one may still send orders;
+     * empty if it is not known.
+     */
+    OptionalLong earlierOrdersLeftMs();
 
     /** This daemon does not own the fleet any more. */
     void onOwnershipLost();
@@ -297,12 +309,13 @@
     OwnerRecord claim = watch.claim(holder, host, port, clock.epochMs());
     Optional<OwnerRecord> earlier = watch.newest();
     long earlierSeenAtMs = watch.termSeenAtMs();
+    long earlierOrdersOverAtMs = watch.earlierOrdersOverAtMs();
     write(
         claim,
         watch.endOffset(),
         result -> {
           if (result.outcome() == WriteOutcome.STORED) {
-            gain(claim, nowMs, result.endOffset(), earlier, earlierSeenAtMs);
+            gain(claim, nowMs, result.endOffset(), earlier, earlierSeenAtMs, earlierOrdersOverAtMs);
           }
         });
   }
@@ -312,7 +325,8 @@
       long sentAtMs,
       long newEnd,
       Optional<OwnerRecord> earlier,
-      long earlierSeenAtMs) {
+      long earlierSeenAtMs,
+      long earlierOrdersOverAtMs) {
     endOffset = newEnd;
     lastRenewalAttemptMs = sentAtMs;
     OwnerTenure gained = new OwnerTenure(claim, sentAtMs);
@@ -322,13 +336,13 @@
         claim.term(),
         holder,
         ClaimCause.of(earlier, holder));
-    listener.onOwnershipGained(gained, earlier, earlierSeenAtMs);
+    listener.onOwnershipGained(gained, earlier, earlierSeenAtMs, earlierOrdersOverAtMs);
   }
 
   private void renew(long nowMs) {
     lastRenewalAttemptMs = nowMs;
     OwnerTenure held = tenure.orElseThrow();
-    OwnerRecord renewed = held.newest().renewed();
+    OwnerRecord renewed = held.newest().renewed(listener.earlierOrdersLeftMs());
     write(
         renewed,
         endOffset,
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -291,7 +292,10 @@
   private final class ElectionListener implements Election.Listener {
     @Override
     public void onOwnershipGained(
-        OwnerTenure tenure, Optional<OwnerRecord> earlier, long earlierSeenAtMs) {
+        OwnerTenure tenure,
+        Optional<OwnerRecord> earlier,
+        long earlierSeenAtMs,
+        long earlierOrdersOverAtMs) {
       meters.count("ownerships_total", "gained");
       meters.count("ownership_causes_total", ClaimCause.of(earlier, holder).name());
       offers.onGained();
@@ -307,6 +311,7 @@
               tenure,
               earlier,
               earlierSeenAtMs,
+              earlierOrdersOverAtMs,
               meters,
               new OwnerListener());
       owner = Optional.of(created);
@@ -332,6 +337,13 @@
       started.start();
     }
 
+    @Override
+    public OptionalLong earlierOrdersLeftMs() {
+      return owner
+          .map(current -> OptionalLong.of(current.earlierOrdersLeftMs()))
+          .orElse(OptionalLong.empty());
+    }
+
     @Override
     public void onOwnershipLost() {
       meters.count("ownerships_total", "lost");
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -106,6 +106,7 @@
       OwnerTenure tenure,
       Optional<OwnerRecord> earlier,
       long earlierSeenAtMs,
+      long earlierOrdersOverAtMs,
       Meters meters,
       Listener listener) {
     this.loop = loop;
@@ -130,6 +131,7 @@
             tenure.term(),
             clock.nowMs(),
             earlier.isPresent());
+    scheduler.onEarlierOrdersBounded(earlierOrdersOverAtMs);
     this.runTimesKeeper = new RunTimesKeeper(scheduler.runTimes(), meters);
     this.jobs =
         new JobStore(
@@ -194,6 +196,11 @@
     scheduleRound();
   }
 
+  /** Returns the time in milliseconds for which earlier owners may still send orders. */
+  long earlierOrdersLeftMs() {
+    return scheduler.earlierOrdersLeftMs(clock.nowMs());
+  }
+
   /** Returns the measurements of the last second, once. */
   Optional<LoadSample> takeLoadSample() {
     return load.takeSample();
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -153,6 +153,19 @@
     }
   }
 
+  /**
+   * Records the local time from which the owners before the earlier one send no orders, as the
+   * earlier one has stored it.
+   */
+  public void onEarlierOrdersBounded(long overAtMs) {
+    takeoverGuard.onEarlierOrdersBounded(overAtMs);
+  }
+
+  /** Returns the time in milliseconds for which earlier owners may still send orders. */
+  public long earlierOrdersLeftMs(long nowMs) {
+    return takeoverGuard.ordersLeftMs(nowMs);
+  }
+
   /**
    * Records that the earlier owner has certainly stopped giving orders.
    *
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -42,6 +42,9 @@
   /** Local time from which no earlier owner sends orders any more. */
   private long ordersOverAtMs;
 
+  /** Local time from which the owners before the earlier one send no orders, as it has stored. */
+  private long storedOrdersOverAtMs = Long.MAX_VALUE;
+
   /** Whether the earlier owner has left the locations of its runs, which are exact. */
   private boolean hasLocations;
 
@@ -147,18 +150,24 @@
         .filter(worker -> isUnreported(worker, nowMs) && !task.earlierRun.isAbsentAt(worker));
   }
 
+  /** Records from when the owners before the earlier one send no orders, as it has stored. */
+  void onEarlierOrdersBounded(long overAtMs) {
+    storedOrdersOverAtMs = Math.min(storedOrdersOverAtMs, overAtMs);
+  }
+
   /**
    * Records that the earlier owner has certainly stopped, which may shorten the wait. The leases
-   * that it requested still have to expire. So do those of the owner before it, which may have gone
-   * on giving orders for a limited time after the earlier owner's claim.
+   * that it requested still have to expire. So do those of the owners before it, which may have
+   * gone on giving orders for a limited time after the earlier owner's claim, or until the time
+   * that it has stored.
    */
   void onEarlierOwnerStopped(long earlierClaimedAtMs, long nowMs) {
     if (hasLocations) {
       return;
     }
-    overAtMs = Math.min(overAtMs, Math.max(nowMs + leaseWaitMs, earlierClaimedAtMs + fullWaitMs));
-    ordersOverAtMs =
-        Math.min(ordersOverAtMs, Math.max(nowMs, earlierClaimedAtMs + authorityWaitMs));
+    long earlierOverAtMs = Math.min(storedOrdersOverAtMs, earlierClaimedAtMs + authorityWaitMs);
+    ordersOverAtMs = Math.min(ordersOverAtMs, Math.max(nowMs, earlierOverAtMs));
+    overAtMs = Math.min(overAtMs, Math.max(nowMs, earlierOverAtMs) + leaseWaitMs);
   }
 
   /**
--- a/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -3,9 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 
 /** Tests when a daemon claims the ownership of the fleet, and when an owner loses its authority. */
 class OwnerWatchTest {
@@ -66,6 +71,37 @@
     }
   }
 
+  @Nested
+  class TheOrdersOfOwnersBefore {
+
+    private OwnerRecord renewed(OwnerRecord record, long ordersLeftMs) {
+      return record.renewed(OptionalLong.of(ordersLeftMs));
+    }
+
+    @Test
+    void shouldEndAtTheEarliestTimeThatARecordOfTheTermProves() {
+      OwnerRecord first = renewed(OWNER, 5_000);
+      watch.onRead(Optional.of(first), 10, 10_000);
+      watch.onRead(Optional.of(first), 10, 10_400);
+      assertThat(watch.earlierOrdersOverAtMs()).isEqualTo(15_000);
+      watch.onRead(Optional.of(renewed(first, 0)), 11, 10_500);
+      watch.onRead(Optional.of(renewed(first, 0)), 11, 10_900);
+      assertThat(watch.earlierOrdersOverAtMs()).isEqualTo(10_500);
+    }
+
+    /** Guards against a proof of one owner that is taken for one of its successor. */
+    @Test
+    void shouldBeUnknownAgainAfterAClaim() {
+      watch.onRead(Optional.of(renewed(OWNER, 0)), 10, 10_000);
+      OwnerRecord later = new OwnerRecord(5, "south-1/3", "127.0.0.1", 7000, 0, false, 1);
+      watch.onAnnounced(later, 10_500);
+      assertThat(watch.earlierOrdersOverAtMs()).isEqualTo(Long.MAX_VALUE);
+      watch.onAnnounced(renewed(later, 3_000), 10_600);
+      watch.onRead(Optional.of(new OwnerRecord(6, "n/1", "127.0.0.1", 1, 0, false, 1)), 9, 10_700);
+      assertThat(watch.earlierOrdersOverAtMs()).isEqualTo(Long.MAX_VALUE);
+    }
+  }
+
   @Nested
   class WithAnOwner {
 
@@ -291,8 +327,47 @@
     }
   }
 
-  @Test
-  void shouldDecodeAnEncodedRecord() throws IOException {
-    assertThat(OwnerRecord.decode(OWNER.encode())).isEqualTo(OWNER);
+  @Nested
+  class StoredRecord {
+
+    private final OwnerRecord renewed = OWNER.renewed(OptionalLong.of(2_500));
+
+    @Test
+    void shouldDecodeAnEncodedRecord() throws IOException {
+      assertThat(OwnerRecord.decode(OWNER.encode())).isEqualTo(OWNER);
+      assertThat(OwnerRecord.decode(renewed.encode())).isEqualTo(renewed);
+      OwnerRecord released = renewed.releasedTo("south-1/3");
+      assertThat(OwnerRecord.decode(released.encode())).isEqualTo(released);
+      assertThat(released.earlierOrdersLeftMs()).hasValue(2_500);
+    }
+
+    /** Guards against a proof that a record of an earlier build does not give. */
+    @Test
+    void shouldKnowNothingOfEarlierOrdersFromAnEarlierBuild() throws IOException {
+      byte[] encoded = renewed.encode();
+      try (MessageBufferPacker last = MessagePack.newDefaultBufferPacker()) {
+        last.packLong(2_500);
+        int length = encoded.length - last.toByteArray().length;
+        OwnerRecord decoded = OwnerRecord.decode(Arrays.copyOf(encoded, length));
+        assertThat(decoded).isEqualTo(OWNER.renewed());
+        assertThat(decoded.earlierOrdersLeftMs()).isEmpty();
+      }
+    }
+
+    /** Reads the fields of an earlier build, which ignores what follows. */
+    @Test
+    void shouldBeReadableByAnEarlierBuild() throws IOException {
+      try (MessageUnpacker in = MessagePack.newDefaultUnpacker(renewed.encode())) {
+        assertThat(in.unpackInt()).isEqualTo(1);
+        assertThat(in.unpackLong()).isEqualTo(renewed.term());
+        assertThat(in.unpackString()).isEqualTo(renewed.holder());
+        assertThat(in.unpackString()).isEqualTo(renewed.host());
+        assertThat(in.unpackInt()).isEqualTo(renewed.port());
+        assertThat(in.unpackLong()).isEqualTo(renewed.renewalNumber());
+        assertThat(in.unpackBoolean()).isFalse();
+        assertThat(in.unpackLong()).isEqualTo(renewed.claimedEpochMs());
+        assertThat(in.unpackString()).isEmpty();
+      }
+    }
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -25,11 +25,14 @@
 final class TakeoverSeries {
 
   private static final long STEP_MS = 50;
+  private static final long RENEW_EVERY_MS = 500;
 
   long nowMs = 1_000_000;
   Scheduler scheduler;
   private long term;
   private long claimedAtMs;
+  private long renewedAtMs;
+  private long earlierOrdersOverAtMs = Long.MAX_VALUE;
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final Set<String> departed = new HashSet<>();
   private final Set<String> cutOff = new HashSet<>();
@@ -109,11 +112,23 @@
   /** Lets the next owner take over without knowing whether the earlier one has stopped. */
   void takeOverFromRunningOwner() {
     Scheduler next = new Scheduler(TestJobs.SETTINGS, ++term, nowMs, true);
+    next.onEarlierOrdersBounded(earlierOrdersOverAtMs);
     enrolled.values().forEach(next::restoreEnrolled);
     begin(next);
     jobs.forEach(
         (id, job) -> next.restore(job, Optional.ofNullable(progress.get(id)), nowMs, nowMs));
     claimedAtMs = nowMs;
+    renewedAtMs = nowMs;
+    earlierOrdersOverAtMs = Long.MAX_VALUE;
+  }
+
+  /** Stores what the next owner reads a step later. */
+  private void renew() {
+    if (nowMs - renewedAtMs >= RENEW_EVERY_MS) {
+      renewedAtMs = nowMs;
+      earlierOrdersOverAtMs =
+          Math.min(earlierOrdersOverAtMs, nowMs + STEP_MS + scheduler.earlierOrdersLeftMs(nowMs));
+    }
   }
 
   private void begin(Scheduler next) {
@@ -149,6 +164,7 @@
       if (!isStoreDown) {
         scheduler.takeChanges().ifPresent(this::store);
       }
+      renew();
       scheduler.onOwnershipProven(nowMs);
       scheduler.decide(nowMs, nowMs).orders().forEach(this::deliver);
       assertNoTaskRunsTwice();
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -160,6 +160,36 @@
       assertThat(series.runningTasks()).contains("a.0.0.0");
     }
 
+    /** Guards against a wait for an owner that the lost one knew to have stopped. */
+    @Test
+    void shouldNotBeginTheWaitForEarlierOrdersAnewWithEachLostOwner() {
+      series.advance(20_000);
+      series.cutOff(series.workerOf("a.0.0.0").orElseThrow());
+      series.advance(100);
+      for (int i = 0; i < 4; i++) {
+        series.advance(1_500);
+        series.takeOver();
+      }
+      series.advance(3_500);
+      assertThat(series.runningTasks()).doesNotContain("a.0.0.0");
+      series.advance(1_000);
+      assertThat(series.runningTasks()).contains("a.0.0.0");
+    }
+
+    /** Guards against a second run under a lease of an owner that goes on after a lost one. */
+    @Test
+    void shouldWaitForAnOwnerBeforeTheLostOneThatMayStillGiveOrders() {
+      series.advance(20_000);
+      series.cutOff(series.workerOf("a.0.0.0").orElseThrow());
+      series.takeOverFromRunningOwner();
+      series.advance(1_500);
+      series.takeOver();
+      series.advance(TestJobs.SETTINGS.earlierOwnerAuthorityMs() + 2_400);
+      assertThat(series.runningTasks()).doesNotContain("a.0.0.0");
+      series.advance(1_000);
+      assertThat(series.runningTasks()).contains("a.0.0.0");
+    }
+
     @Test
     void shouldWaitForThemWhileTheEarlierOwnerMayStillGiveOrders() {
       String worker = series.workerOf("a.0.0.0").orElseThrow();
