--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -56,6 +56,9 @@
   /** Local time at which this daemon first knew of the newest term. */
   private long termSeenAtMs;
 
+  /** Local time from which the owners before the newest term send no orders, as it has stored. */
+  private long earlierOrdersOverAtMs = Long.MAX_VALUE;
+
   private long endOffset = -1;
   private long silentSinceMs;
   private long lastReadAtMs = Long.MIN_VALUE / 2;
@@ -64,6 +67,9 @@
   private long heartbeatRenewalNumber = -1;
   private boolean isOwnerProcessTerminated;
 
+  /** Whether this daemon has the processor time that an owner needs. */
+  private boolean isResponsive = true;
+
   /** Local time of the last heartbeat that showed that the owner renews. */
   private long renewingAtMs = Long.MIN_VALUE / 2;
 
@@ -83,11 +89,7 @@
     if (isRenewed || isAfterGap) {
       silentSinceMs = nowMs;
     }
-    if (record.isPresent() && newest.map(old -> old.term() != record.get().term()).orElse(true)) {
-      isOwnerProcessTerminated = false;
-      termSeenAtMs = nowMs;
-    }
-    newest = record.isPresent() ? record : newest;
+    record.ifPresent(read -> updateNewest(read, nowMs));
     endOffset = newEndOffset;
     lastReadAtMs = nowMs;
     if (!isClaimDue(nowMs)) {
@@ -97,6 +99,27 @@
     }
   }
 
+  private void updateNewest(OwnerRecord record, long nowMs) {
+    if (newest.map(old -> old.term() != record.term()).orElse(true)) {
+      isOwnerProcessTerminated = false;
+      termSeenAtMs = nowMs;
+      earlierOrdersOverAtMs = Long.MAX_VALUE;
+    }
+    if (record.earlierOrdersLeftMs().isPresent()) {
+      earlierOrdersOverAtMs =
+          Math.min(earlierOrdersOverAtMs, nowMs + record.earlierOrdersLeftMs().getAsLong());
+    }
+    newest = Optional.of(record);
+  }
+
+  /**
+   * Records whether this daemon has the processor time that an owner needs. One that does not
+   * leaves the ownership to a living owner until that owner's authority has ended.
+   */
+  public void onOwnState(boolean newIsResponsive) {
+    isResponsive = newIsResponsive;
+  }
+
   /** Records that this daemon could not read the log. */
   public void onReadFailed(long nowMs) {
     readFailedAtMs = nowMs;
@@ -136,7 +159,11 @@
     isOwnerProcessTerminated = false;
     heartbeatRenewalNumber = renewalNumber;
     heartbeatAtMs = nowMs;
-    silentSinceMs = nowMs - renewalAgeMs;
+    long renewedAtMs = nowMs - renewalAgeMs;
+    // A busy owner sends heartbeats before it processes the answer to a renewal.
+    boolean isNewerRenewalKnown =
+        newest.isPresent() && newest.get().renewalNumber() > renewalNumber;
+    silentSinceMs = isNewerRenewalKnown ? Math.max(silentSinceMs, renewedAtMs) : renewedAtMs;
     if (renewalAgeMs < MAX_OWNER_RENEWAL_AGE_MS) {
       renewingAtMs = nowMs;
     }
@@ -150,9 +177,7 @@
 
   /** Records an ownership that its holder has announced; it must be newer than the one known. */
   public void onAnnounced(OwnerRecord record, long nowMs) {
-    newest = Optional.of(record);
-    termSeenAtMs = nowMs;
-    isOwnerProcessTerminated = false;
+    updateNewest(record, nowMs);
     heartbeatRenewalNumber = record.renewalNumber();
     heartbeatAtMs = nowMs;
     silentSinceMs = nowMs;
@@ -184,6 +209,14 @@
     return termSeenAtMs;
   }
 
+  /**
+   * Returns the local time from which the owners before the newest term send no orders, as far as
+   * its records tell; {@link Long#MAX_VALUE} if they do not.
+   */
+  public long earlierOrdersOverAtMs() {
+    return earlierOrdersOverAtMs;
+  }
+
   /** Returns the end offset of the log at the last read; -1 before the first read. */
   public long endOffset() {
     return endOffset;
@@ -216,6 +249,9 @@
     if (isOwnerLiving && nowMs - readFailedAtMs < GRACE_AFTER_OUTAGE_MS) {
       return false;
     }
+    if (isOwnerLiving && !isResponsive) {
+      return nowMs - silentSinceMs >= OwnerTenure.AUTHORITY_MS;
+    }
     long requiredSilenceMs =
         isOwnerProcessTerminated ? SILENCE_AFTER_END_MS : SILENCE_BEFORE_CLAIM_MS;
     return nowMs - silentSinceMs >= requiredSilenceMs;
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -33,8 +34,20 @@
      *
      * @param earlier the newest record of the earlier owner, if there was one
      * @param earlierSeenAtMs local time at which this daemon first knew of the earlier ownership
+     * @param earlierOrdersOverAtMs local time from which the owners before the earlier one send no
+     *     orders, as it has stored; {@link Long#MAX_VALUE} if it has not
      */
-    void onOwnershipGained(OwnerTenure tenure, Optional<OwnerRecord> earlier, long earlierSeenAtMs);
+    void onOwnershipGained(
+        OwnerTenure tenure,
+        Optional<OwnerRecord> earlier,
+        long earlierSeenAtMs,
+        long earlierOrdersOverAtMs);
+
+    /**
+     * Returns the time in milliseconds for which owners before this one may still send orders;
+     * empty if it is not known.
+     */
+    OptionalLong earlierOrdersLeftMs();
 
     /** This daemon does not own the fleet any more. */
     void onOwnershipLost();
@@ -82,6 +95,7 @@
   private final String host;
   private final int port;
   private final Supplier<OptionalLong> claimDelayMs;
+  private final BooleanSupplier isResponsive;
   private final Listener listener;
   private final OwnerWatch watch = new OwnerWatch();
   private Optional<OwnerTenure> tenure = Optional.empty();
@@ -109,6 +123,7 @@
    * @param port port on which other daemons reach this one
    * @param claimDelayMs returns by how much this daemon delays a claim, so that others claim first;
    *     empty while it must not claim
+   * @param isResponsive returns whether this daemon has the processor time that an owner needs
    */
   Election(
       StoreClient store,
@@ -118,6 +133,7 @@
       String host,
       int port,
       Supplier<OptionalLong> claimDelayMs,
+      BooleanSupplier isResponsive,
       Listener listener) {
     this.store = store;
     this.loop = loop;
@@ -126,6 +142,7 @@
     this.host = host;
     this.port = port;
     this.claimDelayMs = claimDelayMs;
+    this.isResponsive = isResponsive;
     this.listener = listener;
   }
 
@@ -234,6 +251,7 @@
   private void onOwnerRead(NewestPage page) {
     long nowMs = clock.nowMs();
     Optional<OwnerRecord> before = watch.newest();
+    watch.onOwnState(isResponsive.getAsBoolean());
     watch.onRead(decode(page), page.endOffset(), nowMs);
     watch
         .newest()
@@ -291,12 +309,13 @@
     OwnerRecord claim = watch.claim(holder, host, port, clock.epochMs());
     Optional<OwnerRecord> earlier = watch.newest();
     long earlierSeenAtMs = watch.termSeenAtMs();
+    long earlierOrdersOverAtMs = watch.earlierOrdersOverAtMs();
     write(
         claim,
         watch.endOffset(),
         result -> {
           if (result.outcome() == WriteOutcome.STORED) {
-            gain(claim, nowMs, result.endOffset(), earlier, earlierSeenAtMs);
+            gain(claim, nowMs, result.endOffset(), earlier, earlierSeenAtMs, earlierOrdersOverAtMs);
           }
         });
   }
@@ -306,7 +325,8 @@
       long sentAtMs,
       long newEnd,
       Optional<OwnerRecord> earlier,
-      long earlierSeenAtMs) {
+      long earlierSeenAtMs,
+      long earlierOrdersOverAtMs) {
     endOffset = newEnd;
     lastRenewalAttemptMs = sentAtMs;
     OwnerTenure gained = new OwnerTenure(claim, sentAtMs);
@@ -316,13 +336,13 @@
         claim.term(),
         holder,
         ClaimCause.of(earlier, holder));
-    listener.onOwnershipGained(gained, earlier, earlierSeenAtMs);
+    listener.onOwnershipGained(gained, earlier, earlierSeenAtMs, earlierOrdersOverAtMs);
   }
 
   private void renew(long nowMs) {
     lastRenewalAttemptMs = nowMs;
     OwnerTenure held = tenure.orElseThrow();
-    OwnerRecord renewed = held.newest().renewed();
+    OwnerRecord renewed = held.newest().renewed(listener.earlierOrdersLeftMs());
     write(
         renewed,
         endOffset,
