Read what has arrived before a stopping daemon closes its connections

What callers saw: a connection to a daemon that had got SIGTERM ended without a response, long after the request was sent (LOST; two at one moment in a soak with planned work and OVERLAPPING_TASKS, three soaks at once on: 547 and 487 ms, CHANNEL_CLOSED_INBOUND).

Cause: RequestDrain closed the connections in a timer. If the event loop is late, because the process lacks processor time, a request may have arrived and still be unread when the timer runs: an open connection then ends with FIN, a connection that is not accepted yet is reset, and one that was accepted in the same turn of the loop ends with FIN. That this was the cause of the two cases of the soak is inferred; their logs do not show it.

Evidence: RequestDrainTest holds the event loop up until the requests have arrived, on real sockets. Run before the change, on: shouldAnswerARequestOnAnOpenConnection printed `Expecting actual: "" to contain: "503"`, shouldAnswerRequestsOnNewConnections printed `java.net.SocketException: Connection reset`.

Change: the connections are closed after four turns of the event loop that took 100 ms together at most; otherwise the daemon logs close-postponed and tries again, for 500 ms. The listener stays open meanwhile, and requests are answered.

Result: the tests pass, and those of NodeStopTest and JobRouterTest. A stall of the process between its last read and the close of the sockets still cuts what arrives during it.

--- a/src/main/java/org/laburnumarch/internal/node/RequestDrain.java
+++ b/src/main/java/org/laburnumarch/internal/node/RequestDrain.java
@@ -30,6 +30,23 @@
 
   private static final long IDLE_CHECK_EVERY_MS = 20;
 
+  /**
+   * Turns of the event loop in which it accepts the connections that have been opened and reads
+   * what has arrived on them. It accepts a connection and reads from it in different turns.
+   */
+  private static final int READ_TURNS = 4;
+
+  private static final long TURN_EVERY_MS = 5;
+
+  /** Longest time for these turns. What arrives meanwhile may be unread at the close. */
+  private static final long MAX_READ_MS = 100;
+
+  /**
+   * Time after which the connections are closed although the event loop is late: what it accepts
+   * until the process is killed would be lost.
+   */
+  private static final long MAX_POSTPONEMENT_MS = 500;
+
   private final EventLoopThread loop;
   private final SuspendAwareClock clock;
   private final JobRouter router;
@@ -80,9 +97,34 @@
         router.pendingRequests(),
         router.longestWaitMs());
     router.stopWaitingForOwner();
-    gracefulClose.get().afterFinally(() -> loop.execute(this::finish)).subscribe();
-    lastBusyAtMs = clock.nowMs();
-    awaitIdle();
+    closeWhenRead(clock.nowMs() + MAX_POSTPONEMENT_MS);
+  }
+
+  /** Closes the connections once an event loop that was late has caught up, or at a deadline. */
+  private void closeWhenRead(long deadlineMs) {
+    long startedAtMs = clock.nowMs();
+    runAfterTurns(
+        READ_TURNS,
+        () -> {
+          long nowMs = clock.nowMs();
+          long durationMs = nowMs - startedAtMs;
+          if (isDrained) {
+            return;
+          }
+          if (durationMs > MAX_READ_MS && nowMs < deadlineMs) {
+            Logger.info("node: event=close-postponed eventLoopDelayMs={}", durationMs);
+            closeWhenRead(deadlineMs);
+            return;
+          }
+          gracefulClose.get().afterFinally(() -> loop.execute(this::finish)).subscribe();
+          lastBusyAtMs = nowMs;
+          awaitIdle();
+        });
+  }
+
+  /** Runs a task later. The event loop reads from its sockets before each turn. */
+  private void runAfterTurns(int turns, Runnable task) {
+    loop.schedule(TURN_EVERY_MS, turns == 1 ? task : () -> runAfterTurns(turns - 1, task));
   }
 
   private void awaitIdle() {
