Count the grace period of a stop from the signal

The daemon got SIGTERM at 14:07:15.34, logged `started` at 17.39 and `stopping` at 19.37, and was killed 6 s after the signal, before it had logged `draining`.

Cause: the grace period counted from the call of Node.stop(). The main thread makes it only once the daemon has been constructed, and when it gets processor time, so the daemon took the end of its grace period to be seconds later than it was.

Evidence: NodeStopTest.shouldCountTheGracePeriodFromTheSignal. Run with the new parameter ignored, it printed `Expecting <CompletableFuture[Incomplete]> to be completed within 2.5S`.

Change: the signal handler records its time, and the drain and the time-out of the process count from there.

Result: the test passes, as do the other tests of NodeStopTest and RequestDrainTest.

--- a/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
+++ b/src/main/java/org/laburnumarch/internal/daemon/TerminationSignals.java
@@ -20,19 +20,20 @@
 
   /** Returns a future that the first signal completes. The second ends the process at once. */
   public static CompletableFuture<Void> firstSignal() {
-    return firstSignal(() -> Runtime.getRuntime().halt(FORCED_EXIT_STATUS));
+    return firstSignal(() -> Runtime.getRuntime().halt(FORCED_EXIT_STATUS)).thenAccept(atNs -> {});
   }
 
   /**
-   * Returns a future that the first signal completes, for a process whose stop is bounded in time.
-   * Later SIGTERMs do not cut the stop short; a later SIGINT still ends the process at once.
+   * Returns a future that the first signal completes with the {@link System#nanoTime} at which it
+   * was received, for a process whose stop is bounded in time. Later SIGTERMs do not cut the stop
+   * short; a later SIGINT still ends the process at once.
    */
-  public static CompletableFuture<Void> firstSignalOfBoundedStop() {
+  public static CompletableFuture<Long> firstSignalOfBoundedStop() {
     return firstSignal(() -> Logger.info("node: event=stop-repeated"));
   }
 
-  private static CompletableFuture<Void> firstSignal(Runnable onRepeatedTermination) {
-    CompletableFuture<Void> first = new CompletableFuture<>();
+  private static CompletableFuture<Long> firstSignal(Runnable onRepeatedTermination) {
+    CompletableFuture<Long> first = new CompletableFuture<>();
     AtomicBoolean isStopping = new AtomicBoolean();
     try {
       handle("TERM", () -> stop(first, isStopping, onRepeatedTermination));
@@ -47,11 +48,11 @@
   }
 
   private static void stop(
-      CompletableFuture<Void> first, AtomicBoolean isStopping, Runnable onRepeated) {
+      CompletableFuture<Long> first, AtomicBoolean isStopping, Runnable onRepeated) {
     if (isStopping.getAndSet(true)) {
       onRepeated.run();
     } else {
-      first.complete(null);
+      first.complete(System.nanoTime());
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -233,10 +233,11 @@
    * Shuts down gracefully: hands over or releases the ownership, serves open connections a little
    * longer, and completes when all requests that were read have been answered, at the latest
    * shortly before the grace period ends. The daemon must still be closed afterwards.
+   *
+   * @param requestedAtNs the {@link System#nanoTime} at which the grace period began
    */
-  public CompletionStage<Void> stop() {
+  public CompletionStage<Void> stop(long requestedAtNs) {
     CompletableFuture<Void> stopped = new CompletableFuture<>();
-    long requestedAtNs = System.nanoTime();
     loop.execute(
         () -> {
           long delayMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - requestedAtNs);
--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -47,11 +47,14 @@
 
   private static int runUntilSignal(NodeSettings settings, Path file) {
     BoundedOutput output = BoundedOutput.install();
-    CompletableFuture<Void> signal = TerminationSignals.firstSignalOfBoundedStop();
+    CompletableFuture<Long> signal = TerminationSignals.firstSignalOfBoundedStop();
     TerminationSignals.onHangup(() -> checkSettings(settings, file));
     try (Node node = new Node(settings, output::totalDroppedLines)) {
-      signal.get();
-      node.stop().toCompletableFuture().get(settings.shutdownTimeoutMs(), TimeUnit.MILLISECONDS);
+      long signalledAtNs = signal.get();
+      long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledAtNs);
+      node.stop(signalledAtNs)
+          .toCompletableFuture()
+          .get(settings.shutdownTimeoutMs() - elapsedMs, TimeUnit.MILLISECONDS);
       return ResultCode.OK.outcome().exitStatus();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/src/main/java/org/laburnumarch/internal/rehearsal/RehearsalCommand.java
+++ b/src/main/java/org/laburnumarch/internal/rehearsal/RehearsalCommand.java
@@ -101,7 +101,10 @@
       try (Node first = start("first", "127.0.0.2", firstPort, store, instanceService);
           Node second = start("second", "127.0.0.3", firstPort, store, instanceService)) {
         boolean isComplete = runJob(firstPort, "127.0.0.2", "00000000000000a1", loop, checker);
-        first.stop().toCompletableFuture().get(JOB_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        first
+            .stop(System.nanoTime())
+            .toCompletableFuture()
+            .get(JOB_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         Logger.info("rehearsal: {} handed over the ownership to {}", first, second);
         return runJob(firstPort, "127.0.0.3", "00000000000000a2", loop, checker) && isComplete;
       }
--- a/src/test/java/org/laburnumarch/internal/node/NodeStopTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/NodeStopTest.java
@@ -42,6 +42,9 @@
   /** Well below the grace period; a stop serves open connections for 3 s. */
   private static final Duration QUICK_STOP = Duration.ofMillis(4_500);
 
+  /** Less than the 3 s for which a stop with the whole grace period serves open connections. */
+  private static final Duration SHORTENED_STOP = Duration.ofMillis(2_500);
+
   /** Time for which a sent request may still be unread, so that its connection may end. */
   private static final long LOSS_SLACK_MS = 200;
 
@@ -120,7 +123,7 @@
   }
 
   private Void stop() throws Exception {
-    return node.stop()
+    return node.stop(System.nanoTime())
         .toCompletableFuture()
         .get(settings.shutdownTimeoutMs(), TimeUnit.MILLISECONDS);
   }
@@ -165,6 +168,18 @@
     }
   }
 
+  @Nested
+  class WhenTheSignalIsHandledLate {
+
+    private static final Duration DELAY = Duration.ofSeconds(5);
+
+    /** Guards against requests that are cut by SIGKILL because the daemon counts from later on. */
+    @Test
+    void shouldCountTheGracePeriodFromTheSignal() {
+      assertThat(node.stop(System.nanoTime() - DELAY.toNanos())).succeedsWithin(SHORTENED_STOP);
+    }
+  }
+
   @Nested
   class WhenACallerIsSilent {
 
