Do not start a daemon that was told to stop before it listens

The daemon got the signal at 13:54:42.49, the request was sent at 46.75, and the process was killed at the end of the grace period without having logged `started`.

Cause: the daemon bound its addresses although the signal had been received, so callers could connect to a process that was late to read from its sockets.

Evidence: NodeCommandTest.shouldNotListenIfItIsToldToStopBeforeItHasStarted. Run with the check of the signal disabled, it printed `expected: 0 but was: 4`, the status after a failed bind.

Change: the process ends at once if the signal was received before it listens.

Result: the test passes.

--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import org.laburnumarch.ResultCode;
 import org.laburnumarch.internal.cli.Subcommand;
 import org.laburnumarch.internal.daemon.TerminationSignals;
@@ -49,7 +50,22 @@
     BoundedOutput output = BoundedOutput.install();
     CompletableFuture<Long> signal = TerminationSignals.firstSignalOfBoundedStop();
     TerminationSignals.onHangup(() -> checkSettings(settings, file));
-    try (Node node = new Node(settings, output::totalDroppedLines)) {
+    return runUntil(signal, settings, output::totalDroppedLines);
+  }
+
+  /**
+   * Runs a daemon until a signal has been received.
+   *
+   * @param signal completes with the {@link System#nanoTime} of the signal
+   * @return the exit status
+   */
+  static int runUntil(
+      CompletableFuture<Long> signal, NodeSettings settings, LongSupplier droppedLogLines) {
+    if (signal.isDone()) {
+      Logger.info("node: event=stopped-before-start");
+      return ResultCode.OK.outcome().exitStatus();
+    }
+    try (Node node = new Node(settings, droppedLogLines)) {
       long signalledAtNs = signal.get();
       long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledAtNs);
       node.stop(signalledAtNs)
