--- a/src/main/java/org/laburnumarch/internal/node/RequestDrain.java
+++ b/src/main/java/org/laburnumarch/internal/node/RequestDrain.java
@@ -41,6 +41,12 @@
   /** Longest time for these turns. What arrives meanwhile may be unread at the close. */
   private static final long MAX_READ_MS = 100;
 
+  /**
+   * Time after which the connections are closed although the event loop is late: what it accepts
+   * until the process is killed would be lost.
+   */
+  private static final long MAX_POSTPONEMENT_MS = 500;
+
   private final EventLoopThread loop;
   private final SuspendAwareClock clock;
   private final JobRouter router;
@@ -91,26 +97,27 @@
         router.pendingRequests(),
         router.longestWaitMs());
     router.stopWaitingForOwner();
-    closeWhenRead();
+    closeWhenRead(clock.nowMs() + MAX_POSTPONEMENT_MS);
   }
 
-  /** Closes the connections as soon as an event loop that was late has caught up. */
-  private void closeWhenRead() {
+  /** Closes the connections once an event loop that was late has caught up, or at a deadline. */
+  private void closeWhenRead(long deadlineMs) {
     long startedAtMs = clock.nowMs();
     runAfterTurns(
         READ_TURNS,
         () -> {
-          long durationMs = clock.nowMs() - startedAtMs;
+          long nowMs = clock.nowMs();
+          long durationMs = nowMs - startedAtMs;
           if (isDrained) {
             return;
           }
-          if (durationMs > MAX_READ_MS) {
+          if (durationMs > MAX_READ_MS && nowMs < deadlineMs) {
             Logger.info("node: event=close-postponed eventLoopDelayMs={}", durationMs);
-            closeWhenRead();
+            closeWhenRead(deadlineMs);
             return;
           }
           gracefulClose.get().afterFinally(() -> loop.execute(this::finish)).subscribe();
-          lastBusyAtMs = clock.nowMs();
+          lastBusyAtMs = nowMs;
           awaitIdle();
         });
   }
--- a/src/test/java/org/laburnumarch/internal/node/RequestDrainTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/RequestDrainTest.java
@@ -1,18 +1,27 @@
 package org.laburnumarch.internal.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.mockito.ArgumentMatchers.any;
+import static org.mockito.ArgumentMatchers.anyLong;
+import static org.mockito.Mockito.doAnswer;
+import static org.mockito.Mockito.mock;
+import static org.mockito.Mockito.when;
 
+import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpServerContext;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -141,4 +150,36 @@
       drained.get(GRACE_MS, TimeUnit.MILLISECONDS);
     }
   }
+
+  @Nested
+  class WhenTheEventLoopStaysLate {
+
+    private static final long TURN_MS = 150;
+    private static final long CLOSED_WITHIN_MS = 1_200;
+
+    /** Guards against a daemon that accepts connections until it is killed. */
+    @Test
+    void shouldCloseTheConnectionsBeforeTheGracePeriodEnds() {
+      EventLoopThread lateLoop = mock(EventLoopThread.class);
+      SuspendAwareClock lateClock = mock(SuspendAwareClock.class);
+      Deque<Runnable> timers = new ArrayDeque<>();
+      doAnswer(call -> timers.add(call.getArgument(1))).when(lateLoop).schedule(anyLong(), any());
+      AtomicBoolean isClosed = new AtomicBoolean();
+      new RequestDrain(
+              lateLoop,
+              lateClock,
+              new JobRouter(lateLoop, lateClock),
+              () -> {
+                isClosed.set(true);
+                return Completable.never();
+              },
+              () -> {})
+          .closeConnections();
+      for (long nowMs = TURN_MS; nowMs < CLOSED_WITHIN_MS && !isClosed.get(); nowMs += TURN_MS) {
+        when(lateClock.nowMs()).thenReturn(nowMs);
+        timers.remove().run();
+      }
+      assertThat(isClosed).isTrue();
+    }
+  }
 }
