Judge waiting work after the end of every soak run, and change the configuration in the soak

The soak could not show it: it judged delays of starts only in planned and quiet runs, waited up to 90 s for work to finish after faults, and its operators only added or dropped a queue that nobody used.

- From 14 s after the last event and submission on, each run judges jobs and long-running tasks by the rule: nothing runs for 3 s, the pool has room twice and is used by less than half, the team uses less than half of its limit.
The line names queue, team and pool and counts the other work of both that waits.
- ConfigChange adds many routes, drops routes of accepted work and adds them again, sends queues to other pools, and changes limits, weights and keys of teams; SoakKind CONFIG_CHANGES plays them alone, and CONFIG_CHANGES_BESIDE_FAULTS beside isolated faults.
The checker allows what any version allows that may still be in force.
- The load PEAKS has five pools of unequal size and six teams, demand that rises in turn to five times the mean, and jobs that fail often, fail always or crash their workers.

A long-running task is now judged also if workers have crashed under it twice; before, it was left out, as are other jobs that may be given up.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.LongStream;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.StepSpec;
@@ -44,9 +45,6 @@
   /** Longest time after its acceptance in which a job may be unknown to some daemons. */
   private static final long MAX_TIME_UNKNOWN_MS = 3_000;
 
-  /** One in this many runs fails, chosen by a hash of its task name and run number. */
-  private static final int ONE_FAILURE_IN = 40;
-
   // A run of a long-running task ends by itself, done or failed, after a time between these.
   private static final int MIN_LONG_RUN_MS = 4_000;
   private static final int MAX_LONG_RUN_MS = 30_000;
@@ -63,8 +61,9 @@
   /** Formatted on demand, because the events of a run that follow its breach belong to it, too. */
   private final List<Supplier<String>> breaches = new ArrayList<>();
 
-  private final long teamLimitCpuMillis;
+  private final WrittenConfigs configs = new WrittenConfigs();
   private final int runTimeSpreadPercent;
+  private Consumer<SimulatedWorker> fatalStartListener = worker -> {};
   private long starts;
 
   /**
@@ -73,7 +72,7 @@
    * @param trace receives one line for each event on a worker
    */
   public InvariantChecker(SuspendAwareClock clock, Consumer<String> trace) {
-    this(clock, trace, TEAM_CPU_MILLIS, 0);
+    this(clock, trace, 0);
   }
 
   /**
@@ -83,17 +82,13 @@
    * @param trace receives one line for each event on a worker
    */
   public InvariantChecker(SuspendAwareClock clock, Consumer<String> trace, PlatformLayout layout) {
-    this(clock, trace, layout.teamCpuMillis(), layout.runTimeSpreadPercent());
+    this(clock, trace, layout.runTimeSpreadPercent());
   }
 
   private InvariantChecker(
-      SuspendAwareClock clock,
-      Consumer<String> trace,
-      long teamLimitCpuMillis,
-      int runTimeSpreadPercent) {
+      SuspendAwareClock clock, Consumer<String> trace, int runTimeSpreadPercent) {
     this.clock = clock;
     this.trace = trace;
-    this.teamLimitCpuMillis = teamLimitCpuMillis;
     this.runTimeSpreadPercent = runTimeSpreadPercent;
   }
 
@@ -122,6 +117,34 @@
     breaches.add(() -> prefix + detail.get());
   }
 
+  /** Records that a new version of the configuration is about to be written. */
+  public synchronized void onConfigWritten(OperatorConfig config) {
+    configs.add(config, clock.nowMs());
+  }
+
+  /** Sets what is called when a task has started that crashes its worker. */
+  synchronized void onFatalStart(Consumer<SimulatedWorker> listener) {
+    fatalStartListener = listener;
+  }
+
+  private LongStream teamLimits(String team) {
+    return configs.isEmpty()
+        ? LongStream.of(TEAM_CPU_MILLIS)
+        : configs.teamLimits(team, clock.nowMs());
+  }
+
+  private Optional<String> poolOf(SubmittedJob submitted) {
+    return configs.isEmpty()
+        ? Optional.of(submitted.service)
+        : configs.poolOf(submitted.job.queue(), clock.nowMs());
+  }
+
+  private boolean hasRoute(SubmittedJob submitted, String pool) {
+    return configs.isEmpty()
+        ? submitted.service.equals(pool)
+        : configs.hasRoute(submitted.job.queue(), pool);
+  }
+
   /** Records that a job is about to be submitted for the first time. */
   public synchronized void onSubmit(JobSpec job, String service) {
     jobs.put(job.id(), new SubmittedJob(job, service));
@@ -245,10 +268,12 @@
       boolean isJudged =
           submitted.isOwed()
               && !submitted.reportedStatus.isFinal()
-              && !hasFailedTask(submitted)
-              && teamCpuMillis.getOrDefault(submitted.job.team(), 0L) < teamLimitCpuMillis / 2;
-      if (isJudged) {
-        List<WaitingWork> ofJob = waitingTasks(submitted);
+              && (submitted.job.isLongRunning() || !hasFailedTask(submitted))
+              && teamCpuMillis.getOrDefault(submitted.job.team(), 0L)
+                  < teamLimits(submitted.job.team()).min().orElse(0) / 2;
+      Optional<String> pool = poolOf(submitted);
+      if (isJudged && pool.isPresent()) {
+        List<WaitingWork> ofJob = waitingTasks(submitted, pool.get());
         if (submitted.job.isLongRunning()) {
           waiting.addAll(ofJob);
         } else if (submitted.taskNames().stream().noneMatch(name -> history(name).isRunning())) {
@@ -259,7 +284,7 @@
     return waiting;
   }
 
-  private List<WaitingWork> waitingTasks(SubmittedJob submitted) {
+  private List<WaitingWork> waitingTasks(SubmittedJob submitted, String pool) {
     List<WaitingWork> waiting = new ArrayList<>();
     for (int number = 0; number < submitted.job.steps().size(); number++) {
       StepSpec step = submitted.job.steps().get(number);
@@ -269,9 +294,13 @@
       for (String task : submitted.taskNames(number)) {
         if (!history(task).isRunning() && !history(task).isDone()) {
           waiting.add(
-              step.isLongRunning()
-                  ? new WaitingWork(task, submitted.service, step.need(), history(task).lastEndAtMs)
-                  : new WaitingWork(submitted.job.id(), submitted.service, step.need(), -1));
+              new WaitingWork(
+                  step.isLongRunning() ? task : submitted.job.id(),
+                  submitted.job.queue(),
+                  submitted.job.team(),
+                  pool,
+                  step.need(),
+                  step.isLongRunning() ? history(task).lastEndAtMs : -1));
         }
       }
     }
@@ -316,7 +345,8 @@
       long runMs = (long) MIN_LONG_RUN_MS + Math.floorMod(hash, MAX_LONG_RUN_MS - MIN_LONG_RUN_MS);
       return new Behaviour(nowMs + runMs, hash % ONE_LONG_RUN_FAILURE_IN == 0, step.need());
     }
-    boolean isFailing = Math.floorMod(hash, ONE_FAILURE_IN) == 0;
+    boolean isFailing =
+        Math.floorMod(hash, TaskProgram.of(submitted.get().job.program()).oneFailureIn()) == 0;
     return new Behaviour(nowMs + runMs(step, hash), isFailing, step.need(), step.isCheckpointing());
   }
 
@@ -354,7 +384,7 @@
     if (submitted.isRefused) {
       recordBreach("REFUSED", runDescription + " belongs to a refused job");
     }
-    if (!submitted.service.equals(worker.service())) {
+    if (!hasRoute(submitted, worker.service())) {
       recordBreach("ROUTE", runDescription + " is in the pool of " + worker.service());
     }
     if (submitted.cancelConfirmedAtMs >= 0
@@ -367,9 +397,13 @@
         recordBreach("ORDER", runDescription + " starts before step " + earlier + " is done");
       }
     }
+    if (TaskProgram.of(submitted.job.program()) == TaskProgram.CRASHES) {
+      fatalStartListener.accept(worker);
+    }
     history.running.add(started);
     long cpuMillis = teamCpuMillis.merge(submitted.job.team(), step.need().cpuMillis(), Long::sum);
-    if (cpuMillis > teamLimitCpuMillis * TEAM_LIMIT_FACTOR + step.need().cpuMillis()) {
+    long limitCpuMillis = teamLimits(submitted.job.team()).max().orElse(0);
+    if (cpuMillis > limitCpuMillis * TEAM_LIMIT_FACTOR + step.need().cpuMillis()) {
       recordBreach(
           "QUOTA",
           runDescription + " raises the CPU use of " + submitted.job.team() + " to " + cpuMillis);
--- a/src/main/java/org/laburnumarch/internal/platform/standin/OperatorConfig.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/OperatorConfig.java
@@ -3,76 +3,160 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
 import org.laburnumarch.internal.platform.Json;
 
-/** The configuration that the stand-in's operators write. */
-final class OperatorConfig {
+/** The configuration that the stand-in's operators write; immutable. */
+public record OperatorConfig(
+    List<Queue> queues, List<String> pools, String sparePool, List<Team> teams) {
 
-  private OperatorConfig() {}
+  /** A queue and the pool that serves it. */
+  public record Queue(
+      String name,
+      String pool,
+      int priority,
+      int maxAttempts,
+      double stretch,
+      long latencyTargetMs) {
 
-  /**
-   * Encodes a version of the configuration.
-   *
-   * @param hasExtraRoute whether it has a queue that nobody uses
-   */
-  static byte[] encode(PlatformLayout layout, long version, boolean hasExtraRoute) {
-    List<PlatformLayout.Route> routes = new ArrayList<>(layout.routes());
-    if (hasExtraRoute) {
-      routes.add(new PlatformLayout.Route("extra", routes.get(0).pool(), 0));
+    /** Returns a queue like this one under another name. */
+    public Queue named(String otherName) {
+      return new Queue(otherName, pool, priority, maxAttempts, stretch, latencyTargetMs);
     }
+
+    /** Returns this queue served by another pool. */
+    public Queue inPool(String otherPool) {
+      return new Queue(name, otherPool, priority, maxAttempts, stretch, latencyTargetMs);
+    }
+  }
+
+  /** A team, the keys of its callers, and the limit of its running tasks. */
+  public record Team(String name, List<String> keys, double weight, long cpuMillis) {
+
+    /** Creates a team whose callers use its name as their key. */
+    public Team(String name, double weight, long cpuMillis) {
+      this(name, List.of(name), weight, cpuMillis);
+    }
+  }
+
+  /** Copies the lists. */
+  public OperatorConfig {
+    queues = List.copyOf(queues);
+    pools = List.copyOf(pools);
+    teams = List.copyOf(teams);
+  }
+
+  /** Returns the first configuration of a platform. */
+  static OperatorConfig of(PlatformLayout layout) {
+    return new OperatorConfig(
+        layout.routes().stream()
+            .map(
+                route ->
+                    new Queue(
+                        route.queue(),
+                        route.pool(),
+                        route.priority(),
+                        InvariantChecker.MAX_ATTEMPTS,
+                        1.6,
+                        600))
+            .toList(),
+        layout.routes().stream().map(PlatformLayout.Route::pool).distinct().toList(),
+        layout.sparePool(),
+        layout.teams());
+  }
+
+  /** Returns a queue; empty if it is not routed. */
+  public Optional<Queue> queue(String name) {
+    return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
+  }
+
+  Optional<Team> team(String name) {
+    return teams.stream().filter(team -> team.name().equals(name)).findFirst();
+  }
+
+  /** Returns this configuration with a queue added or replaced. */
+  public OperatorConfig with(Queue queue) {
+    return new OperatorConfig(
+        replaced(queues, queue, other -> other.name().equals(queue.name())),
+        pools,
+        sparePool,
+        teams);
+  }
+
+  /** Returns this configuration with a team added or replaced. */
+  public OperatorConfig with(Team team) {
+    return new OperatorConfig(
+        queues, pools, sparePool, replaced(teams, team, other -> other.name().equals(team.name())));
+  }
+
+  /** Returns this configuration without the queues that a name's condition selects. */
+  public OperatorConfig withoutQueues(Predicate<String> names) {
+    return new OperatorConfig(
+        queues.stream().filter(queue -> !names.test(queue.name())).toList(),
+        pools,
+        sparePool,
+        teams);
+  }
+
+  private static <T> List<T> replaced(List<T> all, T added, Predicate<T> isReplaced) {
+    List<T> changed = new ArrayList<>(all);
+    changed.removeIf(isReplaced);
+    changed.add(added);
+    return changed;
+  }
+
+  byte[] encode(long version) {
     List<Map<String, Object>> services = new ArrayList<>();
-    layout.routes().stream()
-        .map(PlatformLayout.Route::pool)
-        .distinct()
-        .forEach(pool -> services.add(service(pool, false)));
-    services.add(service(layout.sparePool(), true));
+    pools.forEach(pool -> services.add(service(pool, false)));
+    services.add(service(sparePool, true));
     return Json.encode(
         Map.of(
             "version",
             version,
             "routes",
-            routes.stream().map(OperatorConfig::route).toList(),
+            queues.stream().map(OperatorConfig::encode).toList(),
             "services",
             services,
             "tenants",
-            PlatformStandIn.TEAMS.stream().map(name -> team(name, layout.teamCpuMillis())).toList(),
+            teams.stream().map(OperatorConfig::encode).toList(),
             "limits",
             Map.of()));
   }
 
-  private static Map<String, Object> route(PlatformLayout.Route route) {
+  private static Map<String, Object> encode(Queue queue) {
     return Map.of(
         "name",
-        route.queue(),
+        queue.name(),
         "host",
         PlatformStandIn.HOST,
         "pathPrefix",
-        '/' + route.queue() + '/',
+        '/' + queue.name() + '/',
         "service",
-        route.pool(),
+        queue.pool(),
         "priority",
-        route.priority(),
+        queue.priority(),
         "maxAttempts",
-        InvariantChecker.MAX_ATTEMPTS,
+        queue.maxAttempts(),
         "stretch",
-        1.6,
+        queue.stretch(),
         "targetLatencyMs",
-        600);
+        queue.latencyTargetMs());
   }
 
   private static Map<String, Object> service(String name, boolean isSpare) {
     return Map.of("name", name, "rejectsOverload", true, "spare", isSpare);
   }
 
-  private static Map<String, Object> team(String name, long cpuMillis) {
+  private static Map<String, Object> encode(Team team) {
     return Map.of(
         "name",
-        name,
+        team.name(),
         "apiKeys",
-        List.of(name),
+        team.keys(),
         "weight",
-        50,
+        team.weight(),
         "maxCount",
-        Map.of("cpu", cpuMillis, "memMb", 0, "gpus", 0));
+        Map.of("cpu", team.cpuMillis(), "memMb", 0, "gpus", 0));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformLayout.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformLayout.java
@@ -18,7 +18,7 @@
  * @param stopTimeoutMs limit of that time, as the daemons' settings state it
  * @param minClockRate lowest rate of a worker's clock; the platform allows 0.98 to 1
  * @param isConcurrent whether each worker has a thread of its own and responds late at times
- * @param teamCpuMillis limit of one team's running tasks, in thousandths of a processor core
+ * @param teams the teams and their limits
  * @param runTimeSpreadPercent by how much a run may be shorter or longer than its estimate
  */
 public record PlatformLayout(
@@ -33,7 +33,7 @@
     long stopTimeoutMs,
     double minClockRate,
     boolean isConcurrent,
-    long teamCpuMillis,
+    List<OperatorConfig.Team> teams,
     int runTimeSpreadPercent) {
 
   /** A queue, the pool that serves it, and its priority; 0 comes first. */
@@ -58,10 +58,17 @@
         200,
         0.981,
         false,
-        InvariantChecker.TEAM_CPU_MILLIS,
+        equalTeams(InvariantChecker.TEAM_CPU_MILLIS),
         0);
   }
 
+  /** Returns the usual teams with the same limit for each, in thousandths of a processor core. */
+  public static List<OperatorConfig.Team> equalTeams(long cpuMillis) {
+    return PlatformStandIn.TEAMS.stream()
+        .map(name -> new OperatorConfig.Team(name, 50, cpuMillis))
+        .toList();
+  }
+
   /** Returns the number of instances in all pools. */
   public int instances() {
     return poolSizes.values().stream().mapToInt(Integer::intValue).sum();
--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -51,6 +51,9 @@
   /** Time that a worker's process takes to restart. */
   private static final long WORKER_RESTART_MS = 300;
 
+  /** Time from the start of a task that crashes its worker until the process ends. */
+  private static final long CRASH_DELAY_MS = 50;
+
   private static final int MAINTENANCE_DUE_S = 30;
 
   /** Number of missed heartbeats after which a worker is removed from the registry. */
@@ -94,7 +97,7 @@
   private int startedWorkers;
   private long heartbeatNumber;
   private long configVersion;
-  private boolean hasExtraRoute;
+  private OperatorConfig config;
   private boolean isClosed;
 
   /**
@@ -135,12 +138,14 @@
       long seed)
       throws Exception {
     this.layout = layout;
+    this.config = OperatorConfig.of(layout);
     this.loop = loop;
     this.clock = clock;
     this.random = new Random(seed);
     this.advertisedAddress = advertisedAddress;
     this.checker = checker;
     this.nextWorkerPort = addresses.firstWorkerPort();
+    checker.onFatalStart(worker -> loop.schedule(CRASH_DELAY_MS, () -> restartWorker(worker)));
     this.store = new StoreStandIn(addresses.store(), loop, random.nextLong());
     this.instanceService =
         new InstanceServiceStandIn(
@@ -361,6 +366,12 @@
                 }));
   }
 
+  private void restartWorker(SimulatedWorker worker) {
+    instancesWithWorker().stream()
+        .filter(name -> instanceService.workerOf(name).equals(worker.id()))
+        .forEach(this::restartWorker);
+  }
+
   /** Suspends or resumes the heartbeats that renew a worker's entry in the registry. */
   public void setHeartbeatsSuspended(String instanceName, boolean isSuspended) {
     instancesByName.get(instanceName).areHeartbeatsSuspended = isSuspended;
@@ -381,18 +392,21 @@
     instancesByName.values().forEach(instance -> instance.workerStandIn.setReportsSplit(areSplit));
   }
 
-  /** Writes a new version of the configuration that adds or removes an unused queue. */
-  public void changeConfig() {
-    hasExtraRoute = !hasExtraRoute;
+  /** Returns the first configuration. */
+  public OperatorConfig initialConfig() {
+    return OperatorConfig.of(layout);
+  }
+
+  /** Writes a new version of the configuration. */
+  public void changeConfig(UnaryOperator<OperatorConfig> change) {
+    config = change.apply(config);
     writeConfig();
   }
 
   private void writeConfig() {
     configVersion += 1 + random.nextInt(3);
-    store.write(
-        StoreClient.OPERATOR_LOG,
-        "config",
-        Optional.of(OperatorConfig.encode(layout, configVersion, hasExtraRoute)));
+    checker.onConfigWritten(config);
+    store.write(StoreClient.OPERATOR_LOG, "config", Optional.of(config.encode(configVersion)));
   }
 
   private void tick() {
--- a/src/main/java/org/laburnumarch/internal/platform/standin/StartDelayChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/StartDelayChecker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -31,16 +32,33 @@
    * @param need what its next task needs
    * @param lastEndAtMs when a long-running task's last run ended; negative if there is none
    */
-  record WaitingWork(String name, String service, Resources need, long lastEndAtMs) {}
+  record WaitingWork(
+      String name, String queue, String team, String service, Resources need, long lastEndAtMs) {
+
+    boolean isOfSameTeamAndPool(WaitingWork other) {
+      return team.equals(other.team) && service.equals(other.service);
+    }
+  }
 
   private final InvariantChecker checker;
+  private final boolean isJudgedInBusyPools;
   private final Map<String, Long> waitsSinceMs = new HashMap<>();
   private final Set<String> reported = new HashSet<>();
   private long maxDelayMs;
 
   /** Creates a checker of the work that another checker knows; breaches are recorded there. */
   public StartDelayChecker(InvariantChecker checker) {
+    this(checker, true);
+  }
+
+  private StartDelayChecker(InvariantChecker checker, boolean isJudgedInBusyPools) {
     this.checker = checker;
+    this.isJudgedInBusyPools = isJudgedInBusyPools;
+  }
+
+  /** Creates a checker that judges only work whose pool is used by less than half. */
+  public static StartDelayChecker ofIdlePools(InvariantChecker checker) {
+    return new StartDelayChecker(checker, false);
   }
 
   /** Returns the longest delay so far, in milliseconds. */
@@ -63,6 +81,7 @@
         checker.waitingWork().stream()
             .filter(work -> work.lastEndAtMs() < 0 || nowMs - work.lastEndAtMs() > RERUN_GRACE_MS)
             .filter(work -> hasRoom(workers, work))
+            .filter(work -> isJudgedInBusyPools || isHalfIdle(workers, work.service()))
             .toList();
     Set<String> names = waiting.stream().map(WaitingWork::name).collect(Collectors.toSet());
     waitsSinceMs.keySet().retainAll(names);
@@ -72,9 +91,32 @@
       maxDelayMs = Math.max(maxDelayMs, delayMs);
       if (delayMs > MAX_DELAY_MS && reported.add(work.name())) {
         checker.recordBreach(
-            "LOST", work.name() + " may run and has not started for " + delayMs + " ms");
+            "LOST",
+            String.format(
+                Locale.ROOT,
+                "%s may run and has not started for %d ms: queue=%s team=%s pool=%s,"
+                    + " %d more of its team and pool wait",
+                work.name(),
+                delayMs,
+                work.queue(),
+                work.team(),
+                work.service(),
+                waiting.stream().filter(work::isOfSameTeamAndPool).count() - 1));
+      }
+    }
+  }
+
+  private static boolean isHalfIdle(Collection<SimulatedWorker> workers, String service) {
+    Resources capacity = Resources.NONE;
+    Resources free = Resources.NONE;
+    for (SimulatedWorker worker : workers) {
+      if (worker.service().equals(service)) {
+        capacity = capacity.plus(worker.capacity());
+        free = free.plus(worker.freeCapacity());
       }
     }
+    Resources used = capacity.minus(free);
+    return capacity.holds(used.plus(used));
   }
 
   private static boolean hasRoom(Collection<SimulatedWorker> workers, WaitingWork work) {
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFault.java
@@ -155,8 +155,7 @@
   CONFIG_CHANGE {
     @Override
     public Runnable inject(SoakFleet fleet, Random random) {
-      fleet.platform().changeConfig();
-      return () -> {};
+      return ConfigChange.ADD_ROUTES.inject(fleet, random);
     }
   };
 
--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -34,6 +34,27 @@
       return List.of();
     }
   },
+  /** Only changes of the configuration. */
+  CONFIG_CHANGES(1_200) {
+    @Override
+    List<SoakEvent> events() {
+      return List.of(ConfigChange.values());
+    }
+  },
+  /** Changes of the configuration beside faults, with calm spans after a few of them. */
+  CONFIG_CHANGES_BESIDE_FAULTS(1_500, 5) {
+    @Override
+    List<SoakEvent> events() {
+      List<SoakEvent> events = new ArrayList<>(ISOLATED_FAULTS.events());
+      events.addAll(List.of(ConfigChange.values()));
+      events.add(SoakFault.KILL_OWNER);
+      events.add(SoakFault.PAUSE_OWNER);
+      events.add(SoakFault.STORE_DOWN);
+      events.add(SoakFault.STORE_LOSES_ANSWERS);
+      events.add(SoakFault.LATE_ORDERS);
+      return events;
+    }
+  },
   /** Nothing but the load. */
   QUIET(1_000) {
     @Override
--- a/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
@@ -54,7 +54,7 @@
           1_000,
           0.98,
           true,
-          400_000,
+          PlatformLayout.equalTeams(400_000),
           40);
     }
 
@@ -93,7 +93,7 @@
           500,
           0.98,
           true,
-          400_000,
+          PlatformLayout.equalTeams(400_000),
           40);
     }
 
@@ -106,6 +106,35 @@
     List<SoakEvent> faults() {
       return LogFault.all();
     }
+  },
+  /** Pools of several sizes with jobs of teams of unequal size, whose demand peaks in turn. */
+  PEAKS(90_000) {
+    @Override
+    PlatformLayout layout() {
+      Map<String, Integer> poolSizes = new HashMap<>();
+      Arrays.stream(PeakJobs.Queue.values())
+          .forEach(queue -> poolSizes.put(queue.pool(), queue.workers()));
+      poolSizes.put(PlatformStandIn.SPARE_POOL, 6);
+      return new PlatformLayout(
+          poolSizes,
+          Arrays.stream(PeakJobs.Queue.values()).flatMap(queue -> queue.routes().stream()).toList(),
+          PlatformStandIn.SPARE_POOL,
+          List.of("north", "central", "south"),
+          4,
+          new Resources(32_000, 65_536, 0),
+          20,
+          900,
+          900,
+          0.98,
+          true,
+          Arrays.stream(PeakJobs.Team.values()).map(PeakJobs.Team::config).toList(),
+          40);
+    }
+
+    @Override
+    JobSource jobs(Random random, SuspendAwareClock clock) {
+      return new PeakJobs(random, clock);
+    }
   };
 
   private static final int WORKERS_PER_POOL = 10;
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -29,6 +29,9 @@
   /** Time after the end of an event until all daemons that have exited are started. */
   private static final long START_DELAY_MS = 4_500;
 
+  /** Time after the end of submissions and faults from which no work may wait without a reason. */
+  private static final long FINISH_MS = 14_000;
+
   private static final long CHECK_INTERVAL_MS = 250;
 
   /** Longest time after the last event until all daemons are ready again. */
@@ -64,6 +67,7 @@
   private final PrintStream events;
   private final InvariantChecker checker;
   private final StartDelayChecker startDelays;
+  private final StartDelayChecker delaysAfterEnd;
   private final Random random;
   private final SoakFleet fleet;
   private final SoakCallers callers;
@@ -110,6 +114,7 @@
             Files.newOutputStream(directory.resolve(EVENTS_FILE)), false, StandardCharsets.UTF_8);
     this.checker = new InvariantChecker(new SuspendAwareClock(), events::println, load.layout());
     this.startDelays = new StartDelayChecker(checker);
+    this.delaysAfterEnd = StartDelayChecker.ofIdlePools(checker);
     this.fleet =
         new SoakFleet(
             directory, firstPort, daemons, loop, clock, checker, load.layout(), random.nextLong());
@@ -139,7 +144,7 @@
           fleet.daemons().forEach(fleet::start);
           callers.start();
           if (kind.isPlanned()) {
-            checkStartDelays(clock.nowMs());
+            checkStartDelays(startDelays, clock.nowMs());
           }
           return null;
         });
@@ -160,6 +165,7 @@
             checker.recordBreach("LOST", "a daemon is not ready again after its restart");
           }
           callers.stopSubmitting();
+          loop.schedule(FINISH_MS, () -> checkStartDelays(delaysAfterEnd, clock.nowMs()));
           return null;
         });
     long settledAfterMs = awaitSettled();
@@ -206,16 +212,17 @@
         });
   }
 
-  private void checkStartDelays(long expectedAtMs) {
+  private void checkStartDelays(StartDelayChecker delays, long expectedAtMs) {
     if (isClosed) {
       return;
     }
     long nowMs = clock.nowMs();
     if (nowMs - expectedAtMs > MAX_LAG_MS) {
-      startDelays.restart();
+      delays.restart();
     }
-    startDelays.check(fleet.platform().readyWorkers(), nowMs);
-    loop.schedule(START_CHECK_INTERVAL_MS, () -> checkStartDelays(nowMs + START_CHECK_INTERVAL_MS));
+    delays.check(fleet.platform().readyWorkers(), nowMs);
+    loop.schedule(
+        START_CHECK_INTERVAL_MS, () -> checkStartDelays(delays, nowMs + START_CHECK_INTERVAL_MS));
   }
 
   /**
@@ -248,7 +255,7 @@
         callers.responses(),
         callers.unanswered(),
         callers.maxResponseMs(),
-        startDelays.maxDelayMs(),
+        Math.max(startDelays.maxDelayMs(), delaysAfterEnd.maxDelayMs()),
         settledAfterMs);
   }
 
--- a/src/test/java/org/laburnumarch/internal/platform/standin/StartDelayCheckerTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/standin/StartDelayCheckerTest.java
@@ -2,15 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.StepSpec;
+import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
 import org.laburnumarch.internal.schedule.EndKind;
 import org.laburnumarch.internal.schedule.EndedTask;
+import org.laburnumarch.internal.schedule.Order;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
 /** Tests which waits for a start are reported as lost work. */
@@ -19,6 +23,7 @@
   private static final String JOB = "00000000000000a1";
   private static final String TASK = JOB + ".0.0.0";
   private static final String SERVICE = "desk";
+  private static final String QUEUE = "holds";
   private static final Resources NEED = new Resources(5_000, 1_000, 0);
 
   private final SuspendAwareClock clock = new SuspendAwareClock();
@@ -36,7 +41,7 @@
 
   private void accept(StepSpec step) {
     invariants.onSubmit(
-        new JobSpec(JOB, "holds", "banks", "program", List.of(step), 0, 0, 0, 0), SERVICE);
+        new JobSpec(JOB, QUEUE, "banks", "program", List.of(step), 0, 0, 0, 0), SERVICE);
     invariants.onAccepted(JOB);
   }
 
@@ -84,6 +89,84 @@
     }
   }
 
+  @Nested
+  class AJobOfAPoolInUse {
+
+    private final StartDelayChecker ofIdlePools = StartDelayChecker.ofIdlePools(invariants);
+
+    private void shouldBeReported(int times, int runningElsewhere) {
+      accept(StepSpec.ofTasks(1, NEED, 100, List.of()));
+      List<SimulatedWorker> workers = new ArrayList<>(roomForTwo);
+      for (int i = 0; i < runningElsewhere; i++) {
+        SimulatedWorker busy = new SimulatedWorker("busy" + i, SERVICE, "r1", 0);
+        busy.start(
+            new Order.Start(busy.id(), "00000000000000b" + i + ".0.0.0", 1, "", 5_000, "", ""),
+            1,
+            new Behaviour(Long.MAX_VALUE, false, SimulatedWorker.CAPACITY),
+            0);
+        workers.add(busy);
+      }
+      for (long endMs = nowMs + 4_000; nowMs <= endMs; nowMs += 100) {
+        ofIdlePools.check(workers, nowMs);
+      }
+      assertThat(invariants.breaches()).hasSize(times);
+    }
+
+    /** Guards against a check that misses work of a pool that is used by half. */
+    @Test
+    void shouldBeReportedIfHalfOfThePoolIsIdle() {
+      shouldBeReported(1, 2);
+    }
+
+    /** Guards against reports of work that more urgent work may keep waiting. */
+    @Test
+    void shouldNotBeReportedIfMoreOfThePoolIsInUse() {
+      shouldBeReported(0, 3);
+    }
+  }
+
+  @Nested
+  class AJobWhoseQueueChanges {
+
+    private final OperatorConfig config =
+        OperatorConfig.of(PlatformLayout.small(Map.of(SERVICE, 2)));
+
+    @BeforeEach
+    void accepted() {
+      invariants.onConfigWritten(config);
+      accept(StepSpec.ofTasks(1, NEED, 100, List.of()));
+    }
+
+    /** Guards against reports of work that has no pool. */
+    @Test
+    void shouldNotBeReportedWithoutARoute() {
+      invariants.onConfigWritten(config.withoutQueues(QUEUE::equals));
+      waitFor(9_000, roomForTwo);
+      assertThat(invariants.breaches()).isEmpty();
+    }
+
+    /** Guards against a check that takes the pool before a change for the only one. */
+    @Test
+    void shouldRunInEachPoolOfItsQueueButInNoOther() {
+      invariants.onConfigWritten(config.with(config.queue(QUEUE).orElseThrow().inPool("yard")));
+      invariants.onStart(new SimulatedWorker("w3", "yard", "r1", 0), TASK, 1);
+      assertThat(invariants.breaches()).isEmpty();
+      invariants.onStart(new SimulatedWorker("w4", "reserve", "r1", 0), JOB + ".0.0.0", 2);
+      assertThat(invariants.breaches()).anyMatch(breach -> breach.contains("ROUTE"));
+    }
+
+    /** Guards against a check of work that the lower of two limits may keep waiting. */
+    @Test
+    void shouldNotBeReportedWhileALowerLimitMayBeInForce() {
+      OperatorConfig.Team team = config.team("banks").orElseThrow();
+      invariants.onConfigWritten(
+          config.with(new OperatorConfig.Team(team.name(), team.weight(), 1)));
+      invariants.onConfigWritten(config);
+      waitFor(9_000, roomForTwo);
+      assertThat(invariants.breaches()).isEmpty();
+    }
+  }
+
   @Nested
   class ALongRunningTask {
 
