Start tasks that fit behind any number of larger ones that do not

Callers can see accepted jobs wait although their pool has room for them.

Cause: a round of starts gave up a pool once 24 steps had found no worker. Only steps of exactly the same needs counted once, and the needs of jobs differ, so 24 large steps, or steps that fit no worker at all, kept all smaller work behind them from free capacity, in every round.

Evidence: SchedulerTest.shouldStartTasksThatFitBehindManyThatDoNot (two workers with 3 cores free each, 40 steps of 7.961 to 8 cores, one of 1 core) failed before: "Expecting actual: [] to contain exactly: ["small.0.0.0"]".

Change: a step is left out of a round if a step that needs no more of any resource, and whose label it needs too, has found no worker in it. That needs no limit on the number of steps: only the least needs are kept, and few of many different needs are tried. The limit of 24 remains for gangs, long-running steps, steps with a limit for each worker and queues with advice, which are tried one by one; these no longer end the round of the pool for others.

The time of a round on large fleets has not been measured.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -39,7 +39,6 @@
   private final Set<String> outOfServiceDataCentres;
   private final double remoteSlowdownFactor;
   private final long nowMs;
-  private final boolean hasIsolatedWorker;
 
   /** Workers that get no further tasks in this round, so that a large task will fit there. */
   private final Set<Worker> heldWorkers = new HashSet<>();
@@ -56,7 +55,6 @@
     this.outOfServiceDataCentres = outOfServiceDataCentres;
     this.remoteSlowdownFactor = remoteSlowdownFactor;
     this.nowMs = nowMs;
-    this.hasIsolatedWorker = pool.stream().anyMatch(Worker::hasIsolatedRun);
   }
 
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
@@ -132,11 +130,6 @@
     return !worker.hasIsolatedRun() && isEligible(worker, step);
   }
 
-  /** Returns whether any worker has been kept for a single suspect since before this round. */
-  boolean hasIsolatedWorker() {
-    return hasIsolatedWorker;
-  }
-
   private boolean isIsolated(Worker worker) {
     return worker.hasIsolatedRun() || heldForSuspects.contains(worker);
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -1,10 +1,9 @@
 package org.laburnumarch.internal.schedule;
 
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.StepSpec;
@@ -19,9 +18,8 @@
   private static final int RUN_BITS_PER_TERM = 12;
 
   /**
-   * Number of steps in one round that found no worker, after which the pool counts as full. Steps
-   * that need the same as one before count once: the order between teams puts many of them in a
-   * row, and they must not keep smaller ones behind them from free capacity.
+   * Number of gangs, long-running steps and steps with limits for each worker that may find no
+   * worker in one round; the others of these kinds are then left out of it.
    */
   private static final int MAX_MISSES = 24;
 
@@ -39,6 +37,13 @@
           ? Optional.of(new Shape(spec.reserved(), spec.need(), spec.requiredLabel()))
           : Optional.empty();
     }
+
+    /** Returns whether every worker that could run this could also run the other. */
+    boolean isAtLeast(Shape other) {
+      return reserved.holds(other.reserved)
+          && need.holds(other.need)
+          && (other.requiredLabel.isEmpty() || other.requiredLabel.equals(requiredLabel));
+    }
   }
 
   /**
@@ -66,7 +71,10 @@
   private final Context context;
   private final Placement placement;
   private final long nowMs;
-  private final Set<Shape> missed = new HashSet<>();
+
+  /** The least needs of steps that found no worker; none of them is at least another. */
+  private final List<Shape> missed = new ArrayList<>();
+
   private int misses;
 
   StartRound(Context context, Placement placement) {
@@ -75,19 +83,12 @@
     this.nowMs = context.nowMs();
   }
 
-  /**
-   * Returns whether so many steps have found no worker that the pool counts as full. Suspects that
-   * need not be kept apart any more may still find one with an isolated run.
-   */
-  boolean isPoolFull() {
-    return misses >= MAX_MISSES && !placement.hasIsolatedWorker();
-  }
-
   void startCandidate(Candidate candidate, List<Worker> pool) {
     Step step = candidate.step();
     Optional<Shape> shape = Shape.of(candidate);
     int together = step.spec.isGang() ? step.tasks.size() : 1;
-    boolean isMissed = misses >= MAX_MISSES || shape.filter(missed::contains).isPresent();
+    boolean isMissed =
+        shape.map(own -> missed.stream().anyMatch(own::isAtLeast)).orElse(misses >= MAX_MISSES);
     if (isMissed && !mayEndIsolation(step)) {
       step.tasks.forEach(task -> task.limitIsolationWait(nowMs));
       return;
@@ -106,11 +107,15 @@
             ? startGang(step, stepTickets, needsTicket)
             : startTasks(candidate, stepTickets, needsTicket);
     if (!isPlaced) {
-      misses++;
-      shape.ifPresent(missed::add);
+      shape.ifPresentOrElse(this::addMissed, () -> misses++);
     }
   }
 
+  private void addMissed(Shape shape) {
+    missed.removeIf(other -> other.isAtLeast(shape));
+    missed.add(shape);
+  }
+
   private boolean mayEndIsolation(Step step) {
     return step.tasks.stream()
         .anyMatch(task -> task.isStartable(nowMs) && task.hasWaitedForSeparation(nowMs));
--- a/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
@@ -26,12 +26,12 @@
     pools.add(new PoolCandidates(round, pool, new ArrayDeque<>(candidates)));
   }
 
-  /** Starts candidates until none is left, all pools are full or the budget is used up. */
+  /** Starts candidates until none is left or the budget is used up. */
   void run(StartBudget budget) {
     while (!pools.isEmpty() && !budget.isHeld()) {
       PoolCandidates next = pools.remove();
       next.round().startCandidate(next.waiting().removeFirst(), next.pool());
-      if (!next.waiting().isEmpty() && !next.round().isPoolFull()) {
+      if (!next.waiting().isEmpty()) {
         pools.add(next);
       }
     }
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -112,6 +112,18 @@
       assertThat(starts()).extracting(Order.Start::taskName).containsExactly("a.0.1.0");
     }
 
+    /** Guards against small tasks that wait behind many larger ones of different sizes. */
+    @Test
+    void shouldStartTasksThatFitBehindManyThatDoNot() {
+      scheduler.accept(TestJobs.job("running", nowMs, TestJobs.step(2, 5_000)), nowMs);
+      starts().forEach(start -> deliver(start, 60_000, false));
+      for (int i = 0; i < 40; i++) {
+        scheduler.accept(TestJobs.job("large" + i, nowMs, TestJobs.step(1, 8_000 - i)), nowMs);
+      }
+      scheduler.accept(TestJobs.job("small", nowMs, TestJobs.step(1, 1_000)), nowMs);
+      assertThat(starts()).extracting(Order.Start::taskName).containsExactly("small.0.0.0");
+    }
+
     @Test
     void shouldReportCompletedOnlyWhenThatIsStored() {
       scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(1, 1_000)), nowMs);
