--- a/src/main/java/org/laburnumarch/internal/node/RunLocationsCodec.java
+++ b/src/main/java/org/laburnumarch/internal/node/RunLocationsCodec.java
@@ -135,7 +135,7 @@
 
   private static <T> T find(List<T> listed, int number) throws IOException {
     if (number < 0 || number >= listed.size()) {
-      throw new IOException("the locations of runs name workers that they do not list");
+      throw new IOException("the locations of runs refer to an entry that they do not list");
     }
     return listed.get(number);
   }
--- a/src/main/java/org/laburnumarch/internal/platform/standin/StartDelayChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/StartDelayChecker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -25,6 +26,9 @@
   /** How many times the pool must have room for the work. */
   private static final int ROOM_FACTOR = 2;
 
+  /** What a GPU counts beside cores, in thousandths of a core. */
+  private static final long CORE_MILLIS_PER_GPU = 8_000;
+
   /** Part of a pool's capacity, as a divisor, that has to be in use for a job to wait. */
   private static final int BUSY_DIVISOR = 2;
 
@@ -36,7 +40,18 @@
    * @param lastEndAtMs when a long-running task's last run ended; negative if there is none
    */
   record WaitingWork(
-      String name, String service, Resources need, boolean isLongRunning, long lastEndAtMs) {}
+      String name,
+      String queue,
+      String team,
+      String service,
+      Resources need,
+      boolean isLongRunning,
+      long lastEndAtMs) {
+
+    boolean isOfSameTeamAndPool(WaitingWork other) {
+      return team.equals(other.team) && service.equals(other.service);
+    }
+  }
 
   private final InvariantChecker checker;
   private final Map<String, Long> waitsSinceMs = new HashMap<>();
@@ -78,7 +93,17 @@
       maxDelayMs = Math.max(maxDelayMs, delayMs);
       if (delayMs > MAX_DELAY_MS && reported.add(work.name())) {
         checker.recordBreach(
-            "LOST", work.name() + " may run and has not started for " + delayMs + " ms");
+            "LOST",
+            String.format(
+                Locale.ROOT,
+                "%s may run and has not started for %d ms: queue=%s team=%s pool=%s,"
+                    + " %d more of its team and pool wait",
+                work.name(),
+                delayMs,
+                work.queue(),
+                work.team(),
+                work.service(),
+                waiting.stream().filter(work::isOfSameTeamAndPool).count() - 1));
       }
     }
   }
@@ -97,23 +122,20 @@
     return rooms == ROOM_FACTOR;
   }
 
-  /** Returns whether half or more of any resource of a pool is in use. */
+  /** Returns whether half or more of the cores of a pool is in use. */
   private static boolean isBusy(Collection<SimulatedWorker> workers, String service) {
-    Resources capacity = Resources.NONE;
-    Resources free = Resources.NONE;
+    long capacity = 0;
+    long free = 0;
     for (SimulatedWorker worker : workers) {
       if (worker.service().equals(service)) {
-        capacity = capacity.plus(worker.capacity());
-        free = free.plus(worker.freeCapacity());
+        capacity += coreMillis(worker.capacity());
+        free += coreMillis(worker.freeCapacity());
       }
     }
-    Resources used = capacity.minus(free).times(BUSY_DIVISOR);
-    return isReached(used.cpuMillis(), capacity.cpuMillis())
-        || isReached(used.memoryMb(), capacity.memoryMb())
-        || isReached(used.gpus(), capacity.gpus());
+    return BUSY_DIVISOR * (capacity - free) >= capacity;
   }
 
-  private static boolean isReached(long used, long capacity) {
-    return capacity > 0 && used >= capacity;
+  private static long coreMillis(Resources amount) {
+    return amount.cpuMillis() + CORE_MILLIS_PER_GPU * amount.gpus();
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -17,6 +17,9 @@
 
   private static final double AVOIDED_WORKER_COST = 2;
 
+  /** Fraction of the capacity in use below which a pool counts as mostly idle. */
+  private static final double IDLE_FRACTION = 0.5;
+
   /** Cost of each run that a task which may crash its worker would end with it. */
   private static final double ENDANGERED_RUN_COST = 0.5;
 
@@ -39,8 +42,8 @@
   private final Set<String> outOfServiceDataCentres;
   private final double remoteSlowdownFactor;
   private final long nowMs;
-  private final boolean hasIsolatedWorker;
   private final boolean hasBlockedWorker;
+  private final boolean isMostlyIdle;
 
   /** Workers that get no further tasks in this round, so that a large task will fit there. */
   private final Set<Worker> heldWorkers = new HashSet<>();
@@ -57,8 +60,25 @@
     this.outOfServiceDataCentres = outOfServiceDataCentres;
     this.remoteSlowdownFactor = remoteSlowdownFactor;
     this.nowMs = nowMs;
-    this.hasIsolatedWorker = pool.stream().anyMatch(Worker::hasIsolatedRun);
     this.hasBlockedWorker = pool.stream().anyMatch(worker -> worker.health.isBlocked(nowMs));
+    this.isMostlyIdle = hasBlockedWorker && isMostlyIdle();
+  }
+
+  /**
+   * Returns whether less than half of the workers that are not blocked is in use, if any is not.
+   */
+  private boolean isMostlyIdle() {
+    Resources capacity = Resources.NONE;
+    Resources reserved = Resources.NONE;
+    boolean areAllBlocked =
+        pool.stream().allMatch(worker -> worker.health.isBlocked(nowMs) || !worker.acceptsTasks());
+    for (Worker worker : pool) {
+      if (worker.acceptsTasks() && (areAllBlocked || !worker.health.isBlocked(nowMs))) {
+        capacity = capacity.plus(worker.listing.capacity());
+        reserved = reserved.plus(worker.reserved);
+      }
+    }
+    return DemandEstimator.fractionOfWorker(reserved, capacity) < IDLE_FRACTION;
   }
 
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
@@ -106,9 +126,12 @@
     return Optional.ofNullable(best);
   }
 
-  /** Returns whether a blocked worker may be given one more task, one at a time. */
+  /**
+   * Returns whether a blocked worker may be given one more task: one at a time, unless the pool is
+   * mostly idle, where other tasks would wait although it has the capacity for all of them.
+   */
   private boolean isProbeDue(Worker worker) {
-    return worker.health.mayBeProbed(nowMs) && worker.newRunCount() == 0;
+    return worker.health.mayBeProbed(nowMs) && (isMostlyIdle || worker.newRunCount() == 0);
   }
 
   /**
@@ -149,11 +172,6 @@
     return !worker.hasIsolatedRun() && isEligible(worker, step);
   }
 
-  /** Returns whether any worker has been kept for a single suspect since before this round. */
-  boolean hasIsolatedWorker() {
-    return hasIsolatedWorker;
-  }
-
   private boolean isIsolated(Worker worker) {
     return worker.hasIsolatedRun() || heldForSuspects.contains(worker);
   }
@@ -268,7 +286,7 @@
         int limit = task.step.spec.maxPerWorker();
         if (heldWorkers.contains(worker)
             || heldForSuspects.contains(worker)
-            || (worker.health.isBlocked(nowMs) && !(mayProbe && worker.health.mayBeProbed(nowMs)))
+            || (worker.health.isBlocked(nowMs) && !(mayProbe && isProbeDue(worker)))
             || !remaining.holds(task.step.spec.reserved())
             || !mayRun(worker, task.step)
             || (limit > 0 && countTasks(task.step, worker) + count >= limit)
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -307,6 +307,11 @@
   /** Returns which processes that may have a task have lacked it in one complete report. */
   private Map<TaskKey, Set<Incarnation>> absences(Map<TaskKey, Set<String>> workersByTask) {
     Map<TaskKey, Set<Incarnation>> absences = new HashMap<>();
+    Map<Worker, Set<Task>> running = new HashMap<>();
+    for (Worker worker : workers.all()) {
+      running.put(
+          worker, worker.attempts.values().stream().map(it -> it.task).collect(Collectors.toSet()));
+    }
     workersByTask.forEach(
         (key, workerIds) -> {
           Job job = jobs.get(key.job());
@@ -316,7 +321,7 @@
                 key,
                 workerIds.stream()
                     .map(workers::find)
-                    .filter(worker -> !worker.isRunning(task))
+                    .filter(worker -> !running.get(worker).contains(task))
                     .flatMap(worker -> task.earlierRun.absencesAt(worker).stream())
                     .collect(Collectors.toSet()));
           }
--- a/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
@@ -30,14 +30,12 @@
     candidates.waiting().forEach(candidate -> candidate.step().lastRefusal = reason);
   }
 
-  /** Starts candidates until none is left, all pools are full or the budget is used up. */
+  /** Starts candidates until none is left or the budget is used up. */
   void run(StartBudget budget) {
     while (!pools.isEmpty() && !budget.isHeld()) {
       PoolCandidates next = pools.remove();
       next.round().startCandidate(next.waiting().removeFirst(), next.pool());
-      if (next.round().isPoolFull()) {
-        refuse(next, WaitReason.POOL_FULL);
-      } else if (!next.waiting().isEmpty()) {
+      if (!next.waiting().isEmpty()) {
         pools.add(next);
       }
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitReason.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitReason.java
@@ -22,6 +22,8 @@
   NO_CAPACITY,
   /** The workers with free capacity have as many starts in flight as they are sent. */
   STARTS_IN_FLIGHT,
+  /** The workers with free capacity are blocked because they have failed several jobs. */
+  WORKERS_BLOCKED,
   /** The workers with free capacity are kept for a larger task. */
   WORKER_KEPT,
   /** A suspect finds no worker of its own, or other tasks wait because suspects have them all. */
@@ -30,7 +32,7 @@
   NO_TICKET,
   /** The link takes no more starts. */
   START_BUDGET,
-  /** A worker has room, but the round ended before the step because others found none. */
+  /** A worker has room, but the step was left out because too many of its kind found none. */
   POOL_FULL,
   /** No set of workers takes the whole gang at once. */
   GANG_DOES_NOT_FIT,
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -216,6 +216,8 @@
       return refusal;
     } else if (choice.fitting().isEmpty()) {
       return WaitReason.NO_CAPACITY;
+    } else if (choice.fitting().stream().allMatch(worker -> worker.health.isBlocked(nowMs))) {
+      return WaitReason.WORKERS_BLOCKED;
     } else if (choice.fitting().stream().allMatch(WaitSurvey::hasMostStartsInFlight)) {
       return WaitReason.STARTS_IN_FLIGHT;
     } else if (refusal == WaitReason.POOL_FULL) {
@@ -309,7 +311,7 @@
           pool.stream()
               .filter(worker -> worker.attempts.values().stream().anyMatch(Attempt::isDoubtful));
       case ISOLATION -> pool.stream().filter(Worker::hasIsolatedRun);
-      case STARTS_IN_FLIGHT, WORKER_KEPT, POOL_FULL -> choice.fitting().stream();
+      case STARTS_IN_FLIGHT, WORKERS_BLOCKED, WORKER_KEPT, POOL_FULL -> choice.fitting().stream();
       case QUEUE_NOT_CONFIGURED,
           REFUSAL_PAUSE,
           TEAM_LIMIT,
@@ -344,7 +346,7 @@
       case STARTS_IN_FLIGHT ->
           "starts_allowed="
               + choice.fitting().stream().mapToInt(worker -> worker.maxOrdersInFlight).sum();
-      case NO_CAPACITY, NO_WORKER, WORKER_KEPT, GANG_DOES_NOT_FIT, POOL_FULL ->
+      case NO_CAPACITY, NO_WORKER, WORKERS_BLOCKED, WORKER_KEPT, GANG_DOES_NOT_FIT, POOL_FULL ->
           "reserved=" + PoolState.text(task.step.spec.reserved());
       case QUEUE_NOT_CONFIGURED,
           START_UNANSWERED,
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -168,11 +168,6 @@
         && missedReports == 0;
   }
 
-  /** Returns whether a run of a task may be going on there as far as this owner knows. */
-  boolean isRunning(Task task) {
-    return attempts.values().stream().anyMatch(attempt -> attempt.task == task);
-  }
-
   int longRunningCount() {
     int count = 0;
     for (Attempt attempt : attempts.values()) {
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerHealth.java
@@ -39,10 +39,12 @@
   /** Records a failed run, which may block the worker. */
   void recordFailure(String job, long nowMs) {
     failedJobs.add(job);
-    missingSuccesses = failedJobs.size() + 1;
+    missingSuccesses = Math.max(missingSuccesses, failedJobs.size() + 1);
     if (failedJobs.size() >= FAILURES_BEFORE_BLOCK) {
       blockedUntilMs = Math.max(blockedUntilMs, nowMs + blockMs);
-      probedFromMs = nowMs + FIRST_BLOCK_MS;
+      if (nowMs >= probedFromMs) {
+        probedFromMs = nowMs + FIRST_BLOCK_MS;
+      }
       blockMs = Math.min(MAX_BLOCK_MS, 2 * blockMs);
     }
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
@@ -291,15 +291,15 @@
       assertThat(onlyStanding(WaitReason.START_BUDGET).fitting()).isOne();
     }
 
-    /** Guards against room that stays free because other steps found none, without a trace. */
+    /** Guards against room that stays free because other gangs found none, without a trace. */
     @Test
-    void shouldShowAPoolThatCountsAsFullAlthoughAWorkerHasRoom() {
+    void shouldShowAPoolThatCountsAsFullForGangsAlthoughAWorkerHasRoom() {
       begin(TestJobs.config(0, 9));
       for (int i = 0; i < 24; i++) {
-        accept("huge" + i, TestJobs.step(1, 9_000 + i));
+        accept("huge" + i, TestJobs.gangStep(2, 9_000 + i));
       }
       nowMs++;
-      accept("small", TestJobs.step(1, 100));
+      accept("small", TestJobs.gangStep(2, 100));
       nowMs += 1_000;
       assertThat(standing())
           .filteredOn(work -> work.reason() == WaitReason.POOL_FULL)
--- a/src/test/java/org/laburnumarch/internal/soak/LoopDelaysTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/LoopDelaysTest.java
@@ -24,14 +24,15 @@
   private final SuspendAwareClock clock = mock(SuspendAwareClock.class);
   private final Deque<Runnable> timers = new ArrayDeque<>();
   private final LoopDelays delays = new LoopDelays(loop, clock);
+  private long nowMs = START_MS;
   private long timerDueAtMs;
 
   @BeforeEach
   void startOnAnIdleLoop() {
-    when(clock.nowMs()).thenReturn(START_MS);
+    when(clock.nowMs()).thenAnswer(call -> nowMs);
     doAnswer(
             call -> {
-              timerDueAtMs = clock.nowMs() + call.<Long>getArgument(0);
+              timerDueAtMs = nowMs + call.<Long>getArgument(0);
               return timers.add(call.getArgument(1));
             })
         .when(loop)
@@ -40,14 +41,14 @@
   }
 
   private void runTimerLate(long delayMs) {
-    when(clock.nowMs()).thenReturn(timerDueAtMs + delayMs);
+    nowMs = timerDueAtMs + delayMs;
     timers.remove().run();
   }
 
   /** Guards against a delay that is missed because sockets are handled before timers. */
   @Test
   void shouldIncludeADelayThatIsNotOver() {
-    when(clock.nowMs()).thenReturn(timerDueAtMs + DELAY_MS);
+    nowMs = timerDueAtMs + DELAY_MS;
     assertThat(delays.longestSinceMs(START_MS)).isEqualTo(DELAY_MS);
   }
 
@@ -63,6 +64,6 @@
   void shouldIgnoreAnEarlierDelay() {
     runTimerLate(DELAY_MS);
     runTimerLate(0);
-    assertThat(delays.longestSinceMs(clock.nowMs())).isZero();
+    assertThat(delays.longestSinceMs(nowMs)).isZero();
   }
 }
