Release an ownership whose claim was under way when the daemon stopped

What callers saw: accepted jobs stood still for more than 3 s although their pool had room (LOST, planned work only).

Cause: Election.release found no ownership and reported at once that there was none, while the claim of the daemon was still at the store. The claim was stored, the stopping daemon owned the fleet, sent orders, and its process ended without a release. Its successor could not learn whether it had stopped, and held back all inherited work in full (10.3 s), since an owner that is not orderly leaves no locations.

Term 8 was gained at 35.860 (why=SILENT) and reported remaining_ms=9192 for 308 tasks of four pools at 37.1; the 45 jobs that stood still were reported at 40 to 41 s.

Change: a release waits for the answer to a claim under way, which the time limit of a write bounds (1.2 s), and releases what it has gained.

Test: ElectionTest.shouldReleaseAnOwnershipWhoseClaimWasUnderWayAtTheStop, run before the change: "Expecting value to be false but was true" (the release was reported while the claim was under way).

--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -481,13 +481,18 @@
 
   /**
    * Stores that the ownership is released, so that another daemon can claim at once. This daemon
-   * does not claim again.
+   * does not claim again. A claim under way is answered first, within the time limit of a write.
    *
    * @param stopOrders run before the release, which follows when the stage completes
    * @param whenDone run when this daemon does not own the fleet any more
    */
   void release(Supplier<CompletionStage<Void>> stopOrders, Runnable whenDone) {
     isCandidate = false;
+    if (tenure.isEmpty() && isWriting) {
+      // A claim that is under way may still be stored.
+      loop.schedule(RELEASE_RETRY_MS, () -> release(stopOrders, whenDone));
+      return;
+    }
     if (tenure.isEmpty()) {
       whenDone.run();
       return;
