--- a/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
+++ b/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
@@ -195,7 +195,9 @@
   private static void ignoreResult(Future<?> unused) {}
 
   private static void reset(Channel channel) {
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
     ignoreResult(channel.close());
   }
 
