Charge teams after a takeover for no more than unreported workers can run

Callers of a team can see all their jobs wait after a takeover, in every pool, while one worker of one pool has not reported.

Cause: all tasks of the team that may be running on unreported workers count against its limit. With a backlog these are many more than can run: 300 held tasks of one pool in a soak run, whose teams were limited to 40 to 500 cores. The team then gets no start at all until the takeover ends.

Evidence: SchedulerTest .shouldCountNoMoreAgainstTheTeamLimitThanUnreportedWorkersCanRun (100 held tasks of 1 core, one unreported worker of 8 cores, a limit of 10 cores) failed before: "Expected size: 2 but was: 0".

Change: the tasks are charged for at most the capacity of all unreported workers, which their runs cannot exceed. What fillers use beyond their reservation has no such bound and is charged in full. Which tasks are held is unchanged, so none can start twice.

Measured: 99 tests pass (SchedulerTest, TakeoverSeriesTest, RunningEarlierOwnerTest, JobTest, ShareOrderTest, CrashingTaskTest). No soak has been run on this commit.

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -762,10 +762,10 @@
   private void startWaiting(
       List<Order> orders, List<AdviceQuery> queries, long nowMs, long epochMs) {
     Map<String, List<Candidate>> byService = new HashMap<>();
-    Map<String, Resources> unreportedByTeam = new HashMap<>();
+    HeldUsage heldUsage = new HeldUsage();
     for (Job job : liveJobs.values()) {
       if (!job.status.isFinal()) {
-        collectCandidates(job, byService, unreportedByTeam, nowMs, epochMs);
+        collectCandidates(job, byService, heldUsage, nowMs, epochMs);
       }
     }
     StartBudget budget = new StartBudget(startLimits, nowMs);
@@ -777,7 +777,7 @@
             runTracker,
             teamUsage,
             adviceTickets,
-            unreportedByTeam,
+            heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs)),
             orders,
             queries,
             budget,
@@ -800,7 +800,7 @@
   private void collectCandidates(
       Job job,
       Map<String, List<Candidate>> byService,
-      Map<String, Resources> unreportedByTeam,
+      HeldUsage heldUsage,
       long nowMs,
       long epochMs) {
     Optional<QueueConfig> queue = config.queue(job.spec.queue());
@@ -813,10 +813,7 @@
       job.mayHaveHeldTasks = !takeoverGuard.isOver(workers, ownershipProvenAtMs);
       takeoverGuard.updateHeldTasks(job, service, workers, ownershipProvenAtMs);
       // A held task may be running, so its team is charged for it.
-      heldTasks(job)
-          .forEach(
-              task ->
-                  unreportedByTeam.merge(job.spec.team(), task.step.spec.need(), Resources::plus));
+      heldTasks(job).forEach(task -> heldUsage.add(job.spec.team(), task.step.spec));
     }
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -478,6 +478,21 @@
       assertThat(starts()).hasSize(2);
     }
 
+    /** Guards against a team whose backlog keeps it from all capacity after a takeover. */
+    @Test
+    void shouldCountNoMoreAgainstTheTeamLimitThanUnreportedWorkersCanRun() {
+      scheduler = newScheduler(2, true);
+      scheduler.configure(TestJobs.config(10_000, 2));
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.step(100, 1_000)), Optional.empty(), nowMs, nowMs);
+      report(one, 2);
+      nowMs += 1_000;
+      WorkerReport second = one.renew(new Renewal(one.id(), -1, 0, 0), 2, nowMs);
+      scheduler.onReport(one.id(), second, nowMs, nowMs);
+      scheduler.accept(TestJobs.job("b", nowMs, TestJobs.step(8, 1_000)), nowMs);
+      assertThat(starts()).hasSize(2);
+    }
+
     @Test
     void shouldResumeSoonerWhenTheEarlierOwnerHasStopped() {
       scheduler = newScheduler(2, true);
