--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -832,12 +832,14 @@
   private void startWaiting(
       List<Order> orders, List<AdviceQuery> queries, long nowMs, long epochMs) {
     Map<String, List<Candidate>> byService = new HashMap<>();
-    unreportedByTeam = new HashMap<>();
+    HeldUsage heldUsage = new HeldUsage();
     for (Job job : liveJobs.values()) {
       if (!job.status.isFinal()) {
-        collectCandidates(job, byService, nowMs, epochMs);
+        collectCandidates(job, byService, heldUsage, nowMs, epochMs);
       }
     }
+    unreportedByTeam =
+        heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs));
     StartBudget budget = new StartBudget(startLimits, nowMs);
     StartRound.Context context =
         new StartRound.Context(
@@ -868,7 +870,11 @@
   }
 
   private void collectCandidates(
-      Job job, Map<String, List<Candidate>> byService, long nowMs, long epochMs) {
+      Job job,
+      Map<String, List<Candidate>> byService,
+      HeldUsage heldUsage,
+      long nowMs,
+      long epochMs) {
     Optional<QueueConfig> queue = config.queue(job.spec.queue());
     if (queue.isEmpty()) {
       return;
@@ -879,10 +885,7 @@
       job.mayHaveHeldTasks = !takeoverGuard.isOver(workers, ownershipProvenAtMs);
       takeoverGuard.updateHeldTasks(job, service, workers, ownershipProvenAtMs);
       // A held task may be running, so its team is charged for it.
-      heldTasks(job)
-          .forEach(
-              task ->
-                  unreportedByTeam.merge(job.spec.team(), task.step.spec.need(), Resources::plus));
+      heldTasks(job).forEach(task -> heldUsage.add(job.spec.team(), task.step.spec));
     }
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
