Name the delay of the callers' event loop in breaches of the soak

Cause: the age is the time until the callers' own event loop reads the end of the connection, and it was not recorded how late that loop was. So a breach did not show whether the daemon or the callers were slow.

Change: LoopDelays measures the event loop, and the line of the breach names the longest delay since the request. What counts as a breach is unchanged.

Result: LoopDelaysTest passes (in virtual time).

--- a/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
@@ -54,6 +54,7 @@
   private final PlatformLayout layout;
   private final JobSource jobs;
   private final boolean mustBeAnswered;
+  private final LoopDelays loopDelays;
   private final List<CallerClient> clients = new ArrayList<>();
   private final Map<String, String> teamsByJob = new LinkedHashMap<>();
   private long responses;
@@ -94,6 +95,7 @@
     this.layout = load.layout();
     this.jobs = load.jobs(random, clock);
     this.mustBeAnswered = mustBeAnswered;
+    this.loopDelays = new LoopDelays(loop, clock);
     for (DaemonProcess daemon : daemons) {
       for (int i = 0; i < CALLERS; i++) {
         clients.add(
@@ -105,6 +107,7 @@
 
   void start() {
     startedAtMs = clock.nowMs();
+    loopDelays.start();
     submitNext();
     pollJobs();
   }
@@ -191,7 +194,13 @@
       long ageMs = clock.nowMs() - sentAtMs;
       if (mustBeAnswered && ageMs > READ_WITHIN_MS && isConnectionEnd(failure)) {
         checker.recordBreach(
-            "LOST", "a connection ended " + ageMs + " ms after a request: " + failure.getMessage());
+            "LOST",
+            "a connection ended "
+                + ageMs
+                + " ms after a request, with the callers up to "
+                + loopDelays.longestSinceMs(sentAtMs)
+                + " ms late: "
+                + failure.getMessage());
       }
     }
   }
@@ -280,6 +289,7 @@
   @Override
   public void close() {
     isClosed = true;
+    loopDelays.close();
     clients.forEach(CallerClient::close);
   }
 }
