--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -838,8 +838,7 @@
         collectCandidates(job, byService, heldUsage, nowMs, epochMs);
       }
     }
-    unreportedByTeam =
-        heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs));
+    unreportedByTeam = heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs));
     StartBudget budget = new StartBudget(startLimits, nowMs);
     StartRound.Context context =
         new StartRound.Context(
