Do not block the event loop of a new owner with first requests to all workers

What callers saw: accepted jobs stood still for more than 3 s although their pool had room (LOST, planned work only): a living owner was taken over for silence, and its successor held back the inherited work again.

Cause: the first round of an owner opens the connections to all workers in one turn of the event loop, milliseconds of processor time for each. The ownership is renewed and heartbeats are sent on the same loop, so both come late, and at 1.5 s another daemon claims.

Change: requests that have taken 50 ms leave the further workers to the next round, so that timers and answers are served in between.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -46,6 +46,12 @@
   /** Pause after a read that returned records; each worker writes to the registry every 1.5 s. */
   private static final long REGISTRY_PAUSE_MS = 120;
 
+  /**
+   * Time after which the requests to further workers wait for the next round. The first request to
+   * a worker costs milliseconds of processor time, and the event loop also renews the ownership.
+   */
+  private static final long MAX_REQUESTS_MS = 50;
+
   private static final Pattern NOT_PRINTABLE = Pattern.compile("[^ -~]");
 
   private record Connection(WorkerListing listing, WorkerClient client) {}
@@ -310,8 +316,13 @@
       closeUnused(knownWorkerIds);
       pacer.retainWorkers(knownWorkerIds);
     }
+    long startedAtMs = clock.nowMs();
     for (String workerId : workerIds) {
       long nowMs = clock.nowMs();
+      if (nowMs - startedAtMs >= MAX_REQUESTS_MS) {
+        onEvent.run();
+        return;
+      }
       if (!tenure.hasAuthority(nowMs)) {
         // This process was paused since its last check; a later owner counts no lease from now.
         return;
