Do not take an owner that waits for the answer to its claim for ended

Cause: a daemon that reads a claim in the log connects to its holder. If the answer to the claim is still on its way there, the holder's first heartbeat names no term, and the daemon took its process for ended and claimed after 100 ms. The log says SILENT then, too.

Change: a heartbeat without a term from the holder itself counts only once that process has named the term. A new owner sends its heartbeat at once, so that daemons that had connected before learn of its term.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -67,6 +67,9 @@
   private long heartbeatRenewalNumber = -1;
   private boolean isOwnerProcessTerminated;
 
+  /** Whether a heartbeat of the newest term's holder has named the term. */
+  private boolean isTermNamed;
+
   /** Whether this daemon has the processor time that an owner needs. */
   private boolean isResponsive = true;
 
@@ -102,6 +105,7 @@
   private void updateNewest(OwnerRecord record, long nowMs) {
     if (newest.map(old -> old.term() != record.term()).orElse(true)) {
       isOwnerProcessTerminated = false;
+      isTermNamed = false;
       termSeenAtMs = nowMs;
       earlierOrdersOverAtMs = Long.MAX_VALUE;
     }
@@ -134,6 +138,20 @@
     renewingAtMs = Long.MIN_VALUE / 2;
   }
 
+  /**
+   * Records that the process at the owner's address reports that it does not own the fleet: the
+   * owner has stepped down, or a new process has replaced it. The holder itself also reports that
+   * while the answer to its claim is on the way.
+   *
+   * @param holder name of the process
+   */
+  public void onHeartbeatWithoutTerm(String holder) {
+    boolean isHolder = newest.map(record -> record.holder().equals(holder)).orElse(false);
+    if (!isHolder || isTermNamed) {
+      onOwnerProcessTerminated();
+    }
+  }
+
   /** Records that the link to the owner has ended. */
   public void onLinkClosed() {
     renewingAtMs = Long.MIN_VALUE / 2;
@@ -157,6 +175,7 @@
    */
   public void onHeartbeat(long renewalNumber, long renewalAgeMs, long nowMs) {
     isOwnerProcessTerminated = false;
+    isTermNamed = true;
     heartbeatRenewalNumber = renewalNumber;
     heartbeatAtMs = nowMs;
     long renewedAtMs = nowMs - renewalAgeMs;
@@ -178,6 +197,7 @@
   /** Records an ownership that its holder has announced; it must be newer than the one known. */
   public void onAnnounced(OwnerRecord record, long nowMs) {
     updateNewest(record, nowMs);
+    isTermNamed = true;
     heartbeatRenewalNumber = record.renewalNumber();
     heartbeatAtMs = nowMs;
     silentSinceMs = nowMs;
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -202,9 +202,7 @@
     if (isOwner) {
       watch.onHeartbeat(heartbeat.renewalNumber(), heartbeat.renewalAgeMs(), nowMs);
     } else if (heartbeat.term() == 0) {
-      // The process at the owner's address does not own the fleet: the owner has stepped down, or a
-      // new process has replaced it.
-      watch.onOwnerProcessTerminated();
+      watch.onHeartbeatWithoutTerm(heartbeat.holder());
     }
   }
 
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -321,6 +321,8 @@
       if (earlier.filter(candidate::hasStopped).isPresent()) {
         created.onEarlierOwnerStopped();
       }
+      // Daemons that have connected before know only that this one did not own the fleet.
+      linkServer.broadcast(ownHeartbeat());
       announcer.ifPresent(Announcer::close);
       Announcer started =
           new Announcer(
--- a/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
+++ b/src/test/java/org/laburnumarch/internal/lead/OwnerWatchTest.java
@@ -170,6 +170,30 @@
       assertThat(watch.shouldClaim(200, 0)).isTrue();
     }
 
+    @Test
+    void shouldNotTakeAnOwnerThatDoesNotKnowOfItsClaimYetForEnded() {
+      watch.onRead(Optional.of(OWNER), 10, 0);
+      watch.onHeartbeatWithoutTerm(OWNER.holder());
+      readUntil(OWNER, 100, 400);
+      assertThat(watch.shouldClaim(400, 0)).isFalse();
+    }
+
+    @Test
+    void shouldClaimSoonAfterAnotherProcessHasReplacedTheOwner() {
+      readUntil(OWNER, 0, 200);
+      watch.onHeartbeatWithoutTerm("north-1/18");
+      assertThat(watch.shouldClaim(200, 0)).isTrue();
+    }
+
+    @Test
+    void shouldClaimSoonAfterTheOwnerHasSteppedDown() {
+      watch.onRead(Optional.of(OWNER), 10, 0);
+      watch.onHeartbeat(OWNER.renewalNumber(), 0, 0);
+      readUntil(OWNER, 100, 200);
+      watch.onHeartbeatWithoutTerm(OWNER.holder());
+      assertThat(watch.shouldClaim(200, 0)).isTrue();
+    }
+
     @Test
     void shouldDelayItsClaimForPreferredDaemons() {
       readUntil(OWNER, 0, 1_600);
