Check start delays of a soak run with one checker

What was seen: two checkers with the same rule ran side by side after the end of planned runs, since the merge had made their conditions equal; work that stood across the end was recorded twice.

Cause: the check after the end was written as a second checker while its condition still differed.

What is checked, when, and the bound are unchanged; a breach is recorded once. Counts of standing jobs in earlier runs of planned work may include some of them twice.

--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -67,7 +67,6 @@
   private final PrintStream events;
   private final InvariantChecker checker;
   private final StartDelayChecker startDelays;
-  private final StartDelayChecker delaysAfterEnd;
   private final Random random;
   private final SoakFleet fleet;
   private final SoakCallers callers;
@@ -114,7 +113,6 @@
             Files.newOutputStream(directory.resolve(EVENTS_FILE)), false, StandardCharsets.UTF_8);
     this.checker = new InvariantChecker(new SuspendAwareClock(), events::println, load.layout());
     this.startDelays = new StartDelayChecker(checker);
-    this.delaysAfterEnd = new StartDelayChecker(checker);
     this.fleet =
         new SoakFleet(
             directory, firstPort, daemons, loop, clock, checker, load.layout(), random.nextLong());
@@ -144,7 +142,7 @@
           fleet.daemons().forEach(fleet::start);
           callers.start();
           if (kind.isPlanned()) {
-            checkStartDelays(startDelays, clock.nowMs());
+            checkStartDelays(clock.nowMs());
           }
           return null;
         });
@@ -165,7 +163,9 @@
             checker.recordBreach("LOST", "a daemon is not ready again after its restart");
           }
           callers.stopSubmitting();
-          loop.schedule(FINISH_MS, () -> checkStartDelays(delaysAfterEnd, clock.nowMs()));
+          if (!kind.isPlanned()) {
+            loop.schedule(FINISH_MS, () -> checkStartDelays(clock.nowMs()));
+          }
           return null;
         });
     long settledAfterMs = awaitSettled();
@@ -212,17 +212,16 @@
         });
   }
 
-  private void checkStartDelays(StartDelayChecker delays, long expectedAtMs) {
+  private void checkStartDelays(long expectedAtMs) {
     if (isClosed) {
       return;
     }
     long nowMs = clock.nowMs();
     if (nowMs - expectedAtMs > MAX_LAG_MS) {
-      delays.restart();
+      startDelays.restart();
     }
-    delays.check(fleet.platform().readyWorkers(), nowMs);
-    loop.schedule(
-        START_CHECK_INTERVAL_MS, () -> checkStartDelays(delays, nowMs + START_CHECK_INTERVAL_MS));
+    startDelays.check(fleet.platform().readyWorkers(), nowMs);
+    loop.schedule(START_CHECK_INTERVAL_MS, () -> checkStartDelays(nowMs + START_CHECK_INTERVAL_MS));
   }
 
   /**
@@ -255,7 +254,7 @@
         callers.responses(),
         callers.unanswered(),
         callers.maxResponseMs(),
-        Math.max(startDelays.maxDelayMs(), delaysAfterEnd.maxDelayMs()),
+        startDelays.maxDelayMs(),
         settledAfterMs);
   }
 
