Look for unreported workers only while tasks are held

What was seen: nothing; found when the change was read again.

Cause: each round of the scheduler searched all workers for those that have not reported, also long after a takeover, when no held task is charged to a team.

The result of a round is the same.

Result: 245 tests of the scheduler, the stand-ins, PlannedWorkTest, OverlappingTasksTest and ArchitectureTest pass.

--- a/src/main/java/org/laburnumarch/internal/schedule/HeldUsage.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/HeldUsage.java
@@ -22,6 +22,10 @@
     unreserved.merge(team, step.need().minus(step.reserved()), Resources::plus);
   }
 
+  boolean isEmpty() {
+    return reserved.isEmpty();
+  }
+
   /** Returns the usage of each team that has held tasks. */
   Map<String, Resources> byTeam(Collection<Worker> unreported) {
     Resources capacity =
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -838,7 +838,10 @@
         collectCandidates(job, byService, heldUsage, nowMs, epochMs);
       }
     }
-    unreportedByTeam = heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs));
+    unreportedByTeam =
+        heldUsage.isEmpty()
+            ? Map.of()
+            : heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs));
     StartBudget budget = new StartBudget(startLimits, nowMs);
     StartRound.Context context =
         new StartRound.Context(
--- a/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartSequence.java
@@ -26,10 +26,6 @@
     pools.add(new PoolCandidates(round, pool, new ArrayDeque<>(candidates)));
   }
 
-  private static void refuse(PoolCandidates candidates, WaitReason reason) {
-    candidates.waiting().forEach(candidate -> candidate.step().lastRefusal = reason);
-  }
-
   /** Starts candidates until none is left or the budget is used up. */
   void run(StartBudget budget) {
     while (!pools.isEmpty() && !budget.isHeld()) {
@@ -39,6 +35,8 @@
         pools.add(next);
       }
     }
-    pools.forEach(left -> refuse(left, WaitReason.START_BUDGET));
+    for (PoolCandidates left : pools) {
+      left.waiting().forEach(candidate -> candidate.step().lastRefusal = WaitReason.START_BUDGET);
+    }
   }
 }
