Kill only the process that was told to stop in planned restarts of the soak

What was seen: soaks of planned work reported requests that ended without an answer, and takeovers, that the daemons had not caused.

Cause: RollingRestarts polls whether the daemon's process has gone. The run starts every daemon that has exited 4.5 s after the end of an event. If that comes before the next poll, the poll sees the new process, takes it for the one that is stopping, and kills it at the end of the grace period of the old one. A second SIGTERM could reach the new process in the same way.

Change: the restart keeps the handle of the process that got SIGTERM, waits for the end of that process, and sends all later signals to it.

Result: DaemonProcessTest#shouldLeaveTheNewProcessRunning fails without the change (the process is another one after 7 s) and passes with it; the other five tests of the class pass in both runs.

--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -100,6 +100,18 @@
     return process != null && !process.isAlive();
   }
 
+  /**
+   * Returns the process that was started last.
+   *
+   * @throws IllegalStateException if none was started
+   */
+  ProcessHandle lastProcess() {
+    if (process == null) {
+      throw new IllegalStateException(name + " was not started");
+    }
+    return process.toHandle();
+  }
+
   /** Returns the local ports of the sockets that the process has open; needs Linux. */
   Set<Integer> localPorts() {
     Set<Integer> ports = new HashSet<>();
--- a/src/main/java/org/laburnumarch/internal/soak/RollingRestarts.java
+++ b/src/main/java/org/laburnumarch/internal/soak/RollingRestarts.java
@@ -114,13 +114,16 @@
   private void restart(DaemonProcess daemon, long secondSignalMs) {
     restarting.add(daemon);
     Logger.info("soak: {} gets SIGTERM", daemon.name());
-    daemon.terminate();
+    ProcessHandle stopping = daemon.lastProcess();
+    stopping.destroy();
     long nowMs = clock.nowMs();
-    awaitExit(daemon, nowMs + secondSignalMs, nowMs + GRACE_MS);
+    awaitExit(daemon, stopping, nowMs + secondSignalMs, nowMs + GRACE_MS);
   }
 
-  private void awaitExit(DaemonProcess daemon, long secondSignalAtMs, long killAtMs) {
-    if (daemon.hasExited()) {
+  private void awaitExit(
+      DaemonProcess daemon, ProcessHandle stopping, long secondSignalAtMs, long killAtMs) {
+    // Others may have started the daemon again, so the signals go to the process that is stopping.
+    if (!stopping.isAlive()) {
       starter.accept(daemon);
       awaitReady(daemon);
       return;
@@ -128,14 +131,15 @@
     boolean isSignalDue = clock.nowMs() >= secondSignalAtMs;
     if (isSignalDue) {
       Logger.info("soak: {} gets a second SIGTERM", daemon.name());
-      daemon.terminate();
+      stopping.destroy();
     }
     if (clock.nowMs() >= killAtMs) {
-      daemon.kill();
+      stopping.destroyForcibly();
     }
     loop.schedule(
         CHECK_INTERVAL_MS,
-        () -> awaitExit(daemon, isSignalDue ? Long.MAX_VALUE : secondSignalAtMs, killAtMs));
+        () ->
+            awaitExit(daemon, stopping, isSignalDue ? Long.MAX_VALUE : secondSignalAtMs, killAtMs));
   }
 
   private void awaitReady(DaemonProcess daemon) {
--- a/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
@@ -185,6 +185,31 @@
     }
   }
 
+  @Nested
+  class WhenADaemonIsStartedAgainDuringItsPlannedRestart {
+
+    /**
+     * Guards against a soak that kills the new process and reports the cut requests as breaches.
+     */
+    @Test
+    void shouldLeaveTheNewProcessRunning() throws Exception {
+      DaemonProcess daemon = fleet.daemons().get(0);
+      ProcessHandle started =
+          loop.call(
+              () -> {
+                fleet.restarts().restart(daemon);
+                daemon.close();
+                fleet.start(daemon);
+                return daemon.lastProcess();
+              });
+      await()
+          .atMost(Duration.ofMillis(TIMEOUT_MS))
+          .until(() -> loop.call(() -> fleet.restarts().isIdle()));
+      assertThat(loop.call(daemon::lastProcess)).isEqualTo(started);
+      assertThat(started.isAlive()).isTrue();
+    }
+  }
+
   @Nested
   class WhenAnotherWriterLeavesEntriesInTheRegistry {
 
