--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -95,11 +95,6 @@
     return process != null && process.isAlive() && !isPaused;
   }
 
-  /** Returns whether the process was started and has gone. */
-  boolean hasExited() {
-    return process != null && !process.isAlive();
-  }
-
   /**
    * Returns the process that was started last.
    *
