Count the start delay checks of a soak that came too late

A soak begins all waits anew when its own timer is over 100 ms late, since the daemons may lack processor time, too. On a machine that is busy throughout, no wait may reach the limit, and a run without a breach then says nothing. The result of a run now gives the number of checks and how many were late.

--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -106,7 +106,8 @@
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
-                + " slowestAnswerMs=%d maxStartDelayMs=%d settledAfterMs=%d faults=%d logs=%s%n",
+                + " slowestAnswerMs=%d maxStartDelayMs=%d startChecks=%d lateStartChecks=%d"
+                + " settledAfterMs=%d faults=%d logs=%s%n",
             seed,
             result.breaches().size(),
             result.acceptedJobs(),
@@ -115,6 +116,8 @@
             result.unanswered(),
             result.slowestAnswerMs(),
             result.maxStartDelayMs(),
+            result.startChecks(),
+            result.lateStartChecks(),
             result.settledAfterMs(),
             result.faults().size(),
             directory);
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -55,6 +55,8 @@
       long unanswered,
       long slowestAnswerMs,
       long maxStartDelayMs,
+      long startChecks,
+      long lateStartChecks,
       long settledAfterMs) {}
 
   private final SoakKind kind;
@@ -76,6 +78,11 @@
   private final Thread shutdownHook = new Thread(this::killDaemons, "kill-daemons");
 
   private int activeFaults;
+  private long startChecks;
+
+  /** Checks that came so late that all waits had to begin anew. */
+  private long lateStartChecks;
+
   private boolean isClosed;
 
   /** Prepares a run with short tasks. */
@@ -217,7 +224,9 @@
       return;
     }
     long nowMs = clock.nowMs();
+    startChecks++;
     if (nowMs - expectedAtMs > MAX_LAG_MS) {
+      lateStartChecks++;
       startDelays.restart();
     }
     startDelays.check(fleet.platform().readyWorkers(), nowMs);
@@ -255,6 +264,8 @@
         callers.unanswered(),
         callers.maxResponseMs(),
         startDelays.maxDelayMs(),
+        startChecks,
+        lateStartChecks,
         settledAfterMs);
   }
 
