Write the queued log lines before a daemon ends

Cause: lines pass through a queue to a writer thread, which ends with the process. Nothing waited for the queue when the process had done its work.

Change: BoundedOutput is closed at the end of the command and waits up to 100 ms until the writer thread has written all lines. Nobody who does not read the output can hold up the end for longer.

--- a/src/main/java/org/laburnumarch/internal/node/BoundedOutput.java
+++ b/src/main/java/org/laburnumarch/internal/node/BoundedOutput.java
@@ -6,6 +6,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -15,6 +17,12 @@
  */
 final class BoundedOutput extends OutputStream {
 
+  /** Longest time that {@link #close} waits for the writer thread. */
+  private static final long CLOSE_TIMEOUT_MS = 100;
+
+  /** Entry of the queue behind the last line. */
+  private static final byte[] END = new byte[0];
+
   /** Capacity of the queue; about half a megabyte. */
   static final int MAX_QUEUED_LINES = 4_000;
 
@@ -22,6 +30,7 @@
   private final AtomicLong unreportedDrops = new AtomicLong();
   private final AtomicLong totalDrops = new AtomicLong();
   private final ByteArrayOutputStream currentLine = new ByteArrayOutputStream();
+  private final CountDownLatch written = new CountDownLatch(1);
 
   /** Replaces {@link System#out} by a bounded output. Must be called before the first log line. */
   static BoundedOutput install() {
@@ -77,6 +86,9 @@
         if (queue.isEmpty()) {
           target.flush();
         }
+        if (next == END) {
+          written.countDown();
+        }
         long unreported = unreportedDrops.getAndSet(0);
         if (unreported > 0) {
           target.println("log: event=dropped lines=" + unreported);
@@ -86,4 +98,17 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  /** Waits for a limited time until all lines have been written; a process may end after that. */
+  @Override
+  public void close() {
+    long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CLOSE_TIMEOUT_MS);
+    try {
+      if (queue.offer(END, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+        boolean unused = written.await(deadlineNs - System.nanoTime(), TimeUnit.NANOSECONDS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
+++ b/src/main/java/org/laburnumarch/internal/node/NodeCommand.java
@@ -47,10 +47,11 @@
   }
 
   private static int runUntilSignal(NodeSettings settings, Path file) {
-    BoundedOutput output = BoundedOutput.install();
-    CompletableFuture<Long> signal = TerminationSignals.firstSignalOfBoundedStop();
-    TerminationSignals.onHangup(() -> checkSettings(settings, file));
-    return runUntil(signal, settings, output::totalDroppedLines);
+    try (BoundedOutput output = BoundedOutput.install()) {
+      CompletableFuture<Long> signal = TerminationSignals.firstSignalOfBoundedStop();
+      TerminationSignals.onHangup(() -> checkSettings(settings, file));
+      return runUntil(signal, settings, output::totalDroppedLines);
+    }
   }
 
   /**
--- a/src/test/java/org/laburnumarch/internal/node/BoundedOutputTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/BoundedOutputTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Guards against requests that block because nobody reads the log output. */
 class BoundedOutputTest {
@@ -41,4 +42,30 @@
         .until(() -> read.toString(StandardCharsets.UTF_8).contains("event=dropped lines=3"));
     reader.interrupt();
   }
+
+  /** Guards against a daemon whose log ends before the lines that say how it stopped. */
+  @Test
+  void shouldWriteTheQueuedLinesBeforeItIsClosed() {
+    BoundedOutput output = new BoundedOutput();
+    print(output, BoundedOutput.MAX_QUEUED_LINES);
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    PrintStream target = new PrintStream(read, false, StandardCharsets.UTF_8);
+    Thread writer = new Thread(() -> output.drainTo(target));
+    writer.setDaemon(true);
+    writer.start();
+    output.close();
+    assertThat(read.toString(StandardCharsets.UTF_8).lines())
+        .hasSize(BoundedOutput.MAX_QUEUED_LINES);
+    writer.interrupt();
+  }
+
+  /** Guards against a daemon that does not end because nobody reads its log. */
+  @Test
+  @Timeout(20)
+  void shouldCloseAlthoughNobodyReads() {
+    BoundedOutput output = new BoundedOutput();
+    print(output, BoundedOutput.MAX_QUEUED_LINES);
+    output.close();
+    assertThat(output.totalDroppedLines()).isZero();
+  }
 }
