Count the longest lease of silent workers after an owner is lost

They ran on w47 from 21:52:13.476 to 18.548 (stopped), and on w17 and w46 from 18.036 on, where the next owner had started them.

Cause: an order names the end of its lease on the worker's clock. A worker that restarts under its id counts from 0, so that an order by the clock of its earlier incarnation names a time far ahead, and the worker grants its longest lease (6 s). TakeoverGuard counted the requested 4 s.

Evidence: w47 restarted between 12.661 (end number 6) and 13.387; its next end has number 1. The earlier owner, paused from 11.95 to 13.26, ordered four starts there from 13.387 to 13.480 and closed the runs of the earlier incarnation at 13.490, when it read the registry. It stopped at 13.564. The next owner waited until 17.7 and asked w47 twice without an answer. These requests had no deadline, as the first end that it knew of w47 is of 18.451, and before the first report a request has none. With the lease requested the runs would have lapsed by 17.58; they were still there at 18.548. The lease granted ends at 19.48.

Change: for workers whose leases are not known, the guard counts the longest lease that a worker grants. With locations of runs it counts what the earlier owner knew, as before.

Cost: after the loss of an owner, inherited tasks of a pool with a silent worker wait 6.2 s instead of 4.1 s if that owner is known to have stopped, and 12.4 s instead of 10.3 s otherwise.

Tests: TakeoverSeriesTest.WhenAWorkerRestartsUnderItsId ("Found duplicate(s): a.0.0.0") and RunningEarlierOwnerTest .shouldNotRunATaskTwiceThatTheEarlierOwnerStartsOnARestartedWorkerAfterTheTakeover failed before and pass now. Four tests asserted a wait of one requested lease; they assert one of the longest lease now, and SchedulerTest.shouldResumeSoonerWhenTheEarlierOwnerHasStopped its lower bound, too.

--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -17,10 +17,12 @@
  * pool do.
  *
  * <p>Earlier owners stop sending orders at one time, and the leases that they have requested expire
- * a lease later, for each worker as far as that is known. A worker whose process is known to have
- * ended does not count from the first of these times on: before it, a new process might still get
- * an order. A worker that cannot be reached may be running, whether its address refuses connections
- * or does not answer, so its leases count.
+ * a lease later, for each worker as far as that is known. Where it is not known, the longest lease
+ * that a worker grants counts: an order that reaches a restarted worker names a time on the clock
+ * of its earlier incarnation, which lies far ahead on the new clock. A worker whose process is
+ * known to have ended does not count from the first of these times on: before it, a new process
+ * might still get an order. A worker that cannot be reached may be running, whether its address
+ * refuses connections or does not answer, so its leases count.
  */
 final class TakeoverGuard {
 
@@ -28,7 +30,6 @@
   private static final double SLOW_CLOCK_FACTOR = 1.03;
 
   private final long leaseWaitMs;
-  private final long fullWaitMs;
   private final long authorityWaitMs;
 
   /**
@@ -49,13 +50,11 @@
   private boolean hasLocations;
 
   TakeoverGuard(SchedulerSettings settings, long nowMs, boolean hadEarlierOwner) {
-    this.leaseWaitMs = (long) (settings.leaseMs() * SLOW_CLOCK_FACTOR);
-    this.fullWaitMs =
-        (long) ((settings.earlierOwnerAuthorityMs() + settings.leaseMs()) * SLOW_CLOCK_FACTOR);
+    this.leaseWaitMs = (long) (settings.maxLeaseMs() * SLOW_CLOCK_FACTOR);
     this.authorityWaitMs = (long) (settings.earlierOwnerAuthorityMs() * SLOW_CLOCK_FACTOR);
-    this.overAtMs = hadEarlierOwner ? nowMs + fullWaitMs : nowMs;
-    this.isOver = !hadEarlierOwner;
     this.ordersOverAtMs = hadEarlierOwner ? nowMs + authorityWaitMs : nowMs;
+    this.overAtMs = hadEarlierOwner ? ordersOverAtMs + leaseWaitMs : nowMs;
+    this.isOver = !hadEarlierOwner;
   }
 
   /** Returns whether no task can be held any more. Never becomes false again. */
--- a/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
@@ -46,6 +46,11 @@
   private void startUnderTheEarlierOwner(
       SimulatedWorker worker, long run, long runMs, boolean isFailing) {
     long leaseEndClockMs = worker.clockMs(nowMs) + TestJobs.SETTINGS.leaseMs();
+    startUnderTheEarlierOwner(worker, run, runMs, isFailing, leaseEndClockMs);
+  }
+
+  private void startUnderTheEarlierOwner(
+      SimulatedWorker worker, long run, long runMs, boolean isFailing, long leaseEndClockMs) {
     Order.Start start = new Order.Start(worker.id(), TASK, run, "", leaseEndClockMs, "", "");
     Behaviour behaviour = new Behaviour(nowMs + runMs, isFailing, Resources.NONE);
     assertThat(worker.start(start, EARLIER_TERM, behaviour, nowMs).outcome())
@@ -86,6 +91,20 @@
     assertThat(silent.runningTasks()).isEmpty();
   }
 
+  /** Guards against a wait that ends before the lease of an order by an outdated clock reading. */
+  @Test
+  void shouldNotRunATaskTwiceThatTheEarlierOwnerStartsOnARestartedWorkerAfterTheTakeover() {
+    long outdatedClockMs = silent.clockMs(nowMs);
+    takeOver();
+    silent.crash(nowMs);
+    long leftMs = TestJobs.SETTINGS.earlierOwnerAuthorityMs() - STEP_MS;
+    assertThat(advance(leftMs)).isEmpty();
+    long leaseEndClockMs = outdatedClockMs + leftMs + TestJobs.SETTINGS.leaseMs();
+    startUnderTheEarlierOwner(silent, 1, LONG_RUN_MS, false, leaseEndClockMs);
+    assertThat(advance(20_000)).hasSize(1);
+    assertThat(silent.runningTasks()).isEmpty();
+  }
+
   /** Guards against a wait for leases of a silent worker that cannot have the task. */
   @Test
   void shouldNotWaitForSilentWorkersIfTheRunGoesOnAfterTheLastOrderOfTheEarlierOwner() {
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -534,7 +534,10 @@
           TestJobs.job("a", START_MS, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
       report(one, 2);
       scheduler.onEarlierOwnerStopped(START_MS - 60_000, nowMs);
-      nowMs += 4_500;
+      nowMs += TestJobs.SETTINGS.maxLeaseMs();
+      report(one, 2);
+      assertThat(starts()).isEmpty();
+      nowMs += 500;
       report(one, 2);
       assertThat(starts()).hasSize(1);
     }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -36,6 +36,7 @@
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final Set<String> departed = new HashSet<>();
   private final Set<String> cutOff = new HashSet<>();
+  private final Set<String> restarting = new HashSet<>();
   private final Map<String, WorkerListing> enrolled = new LinkedHashMap<>();
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final Map<String, JobProgress> progress = new HashMap<>();
@@ -79,6 +80,11 @@
     cutOff.remove(id);
   }
 
+  /** Restarts a worker under its id right before its next start order arrives. */
+  void restartBeforeNextStart(String id) {
+    restarting.add(id);
+  }
+
   /** Accepts a job of which each run takes some time. */
   void accept(JobSpec job, long runMs) {
     accept(job, startedAtMs -> startedAtMs + runMs);
@@ -206,6 +212,9 @@
     SimulatedWorker worker = workers.get(order.workerId());
     boolean isReachable = isReachable(order.workerId());
     if (order instanceof Order.Start start) {
+      if (restarting.remove(order.workerId())) {
+        worker.crash(nowMs);
+      }
       String jobId = start.taskName().substring(0, start.taskName().indexOf('.'));
       long endsAtMs = runEnds.get(jobId).applyAsLong(nowMs);
       OrderReply reply =
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -144,9 +144,9 @@
       series.cutOff(series.workerOf("a.0.0.0").orElseThrow());
       series.advance(100);
       series.takeOver();
-      series.advance(3_500);
+      series.advance(TestJobs.SETTINGS.maxLeaseMs());
       assertThat(series.runningTasks()).doesNotContain("a.0.0.0");
-      series.advance(1_500);
+      series.advance(500);
       assertThat(series.runningTasks()).contains("a.0.0.0");
     }
 
@@ -170,9 +170,9 @@
         series.advance(1_500);
         series.takeOver();
       }
-      series.advance(3_500);
+      series.advance(TestJobs.SETTINGS.maxLeaseMs());
       assertThat(series.runningTasks()).doesNotContain("a.0.0.0");
-      series.advance(1_000);
+      series.advance(500);
       assertThat(series.runningTasks()).contains("a.0.0.0");
     }
 
@@ -184,7 +184,8 @@
       series.takeOverFromRunningOwner();
       series.advance(1_500);
       series.takeOver();
-      series.advance(TestJobs.SETTINGS.earlierOwnerAuthorityMs() + 2_400);
+      long untilMs = TestJobs.SETTINGS.earlierOwnerAuthorityMs() + TestJobs.SETTINGS.maxLeaseMs();
+      series.advance(untilMs - 1_500);
       assertThat(series.runningTasks()).doesNotContain("a.0.0.0");
       series.advance(1_000);
       assertThat(series.runningTasks()).contains("a.0.0.0");
@@ -203,6 +204,31 @@
     }
   }
 
+  @Nested
+  class WhenAWorkerRestartsUnderItsId {
+
+    private final TakeoverSeries restarted = new TakeoverSeries(1);
+
+    @BeforeEach
+    void startATaskByAnOrderForTheEarlierIncarnation() {
+      restarted.advance(20_000);
+      restarted.restartBeforeNextStart("w0");
+      restarted.accept(TestJobs.job("a", restarted.nowMs, TestJobs.step(1, 1_000)), LONG_RUN_MS);
+      restarted.advance(50);
+      assertThat(restarted.workerOf("a.0.0.0")).contains("w0");
+      restarted.addWorker("w1");
+      restarted.cutOff("w0");
+    }
+
+    /** Guards against a wait that is shorter than the lease which the worker grants. */
+    @Test
+    void shouldNotRunATaskTwiceAfterALostOwner() {
+      restarted.takeOver();
+      restarted.advance(8_000);
+      assertThat(restarted.runningTasks()).containsExactly("a.0.0.0");
+    }
+  }
+
   @Nested
   class WhenAClockIsSlow {
 
