--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerTest.java
@@ -357,7 +357,7 @@
       Order.Start start = starts().get(0);
       deliver(start, 60_000, false);
       scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, nowMs, nowMs);
-      nowMs += 6_000;
+      nowMs += TestJobs.SETTINGS.longestLeaseMs();
       scheduler.onOwnershipProven(nowMs);
       Decisions restarted = scheduler.decide(nowMs, nowMs);
       assertThat(restarted.runEvents())
@@ -534,7 +534,10 @@
           TestJobs.job("a", START_MS, TestJobs.step(1, 1_000)), Optional.empty(), nowMs, nowMs);
       report(one, 2);
       scheduler.onEarlierOwnerStopped(START_MS - 60_000, nowMs);
-      nowMs += 4_500;
+      nowMs += TestJobs.SETTINGS.maxLeaseMs();
+      report(one, 2);
+      assertThat(starts()).isEmpty();
+      nowMs += 500;
       report(one, 2);
       assertThat(starts()).hasSize(1);
     }
