Trace acknowledgements of ends that a simulated worker has not listed

The trace of the workers says that the end of run 8194 on w116 was acknowledged, not by which owner nor with which number, so that it had to be inferred from two logs.

Change: a worker traces each acknowledgement of a higher number than its incarnation has listed, with that number and the fencing token of the request. Such an acknowledgement was meant for an earlier incarnation.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
@@ -454,6 +454,21 @@
     }
   }
 
+  @Override
+  public synchronized void onAcknowledgedAhead(
+      SimulatedWorker worker, long acknowledgedEnd, long listedEnd, long fencingToken) {
+    trace.accept(
+        clock.epochMs()
+            + " acknowledged ahead "
+            + worker.id()
+            + " number="
+            + acknowledgedEnd
+            + " listed="
+            + listedEnd
+            + " token="
+            + fencingToken);
+  }
+
   @Override
   public synchronized void onLost(SimulatedWorker worker, String task, long run) {
     trace("lost", worker, task, run, "");
--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -89,6 +89,13 @@
     /** An end that was listed under a valid lease has been acknowledged and is no longer listed. */
     void onAcknowledged(SimulatedWorker worker, EndedTask end);
 
+    /**
+     * Ends were acknowledged that this incarnation has not listed, so the acknowledgement was meant
+     * for an earlier one. The worker forgets these ends without listing them.
+     */
+    default void onAcknowledgedAhead(
+        SimulatedWorker worker, long acknowledgedEnd, long listedEnd, long fencingToken) {}
+
     /** A run was lost because the worker's process ended. */
     void onLost(SimulatedWorker worker, String task, long run);
   }
@@ -148,6 +155,7 @@
   private long leaseEndMs = -1;
   private long nextEndNumber = 1;
   private long highestAcknowledgedEnd;
+  private long highestListedEnd;
 
   /**
    * Number of the newest end at the time when the lease last expired. Acknowledgements up to it
@@ -277,6 +285,7 @@
     leaseEndMs = -1;
     nextEndNumber = 1;
     highestAcknowledgedEnd = 0;
+    highestListedEnd = 0;
     lastEndBeforeLapse = 0;
     startedAtMs = nowMs;
   }
@@ -374,6 +383,9 @@
     if (renewal.leaseEndClockMs() >= 0) {
       extendLease(renewal.leaseEndClockMs(), nowMs);
     }
+    if (renewal.acknowledgedEnd() > highestListedEnd) {
+      observer.onAcknowledgedAhead(this, renewal.acknowledgedEnd(), highestListedEnd, token);
+    }
     acknowledge(renewal.acknowledgedEnd());
     return report(nowMs);
   }
@@ -398,6 +410,9 @@
       list.add(new RunningTask(run.task, run.run, run.checkpoint(nowMs, false), percent, 0));
     }
     List<EndedTask> listedEnds = ended.subList(0, Math.min(ended.size(), MAX_LISTED_ENDS));
+    if (!listedEnds.isEmpty()) {
+      highestListedEnd = Math.max(highestListedEnd, listedEnds.get(listedEnds.size() - 1).number());
+    }
     return new WorkerReport(
         clockMs(nowMs), startedAtMs, list, listedEnds, listedEnds.size() < MAX_LISTED_ENDS);
   }
--- a/src/test/java/org/laburnumarch/internal/platform/standin/InvariantCheckerTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/standin/InvariantCheckerTest.java
@@ -28,11 +28,16 @@
   private static final long STOP_MS = 900;
   private static final long TOKEN = 7;
 
+  private final List<String> trace = new ArrayList<>();
   private final InvariantChecker checker =
-      new InvariantChecker(new SuspendAwareClock(), line -> {});
+      new InvariantChecker(new SuspendAwareClock(), this::addToTrace);
   private final SimulatedWorker north = worker("w1", "north");
   private final SimulatedWorker south = worker("w2", "south");
 
+  private void addToTrace(String line) {
+    trace.add(line);
+  }
+
   private SimulatedWorker worker(String id, String dataCentre) {
     return new SimulatedWorker(
         id,
@@ -174,6 +179,34 @@
     }
   }
 
+  @Nested
+  class AnAcknowledgement {
+
+    /** Guards against a lost end of which the trace does not tell who made the worker forget it. */
+    @Test
+    void shouldBeTracedWithItsTokenIfItIsAheadOfTheListedEnds() {
+      accept(false);
+      start(north, 1, 0, 5_000);
+      north.advance(RUN_MS);
+      acknowledge(north, RUN_MS + 10);
+      assertThat(trace)
+          .filteredOn(line -> line.contains(" acknowledged ahead "))
+          .singleElement()
+          .asString()
+          .endsWith("w1 number=1 listed=0 token=7");
+    }
+
+    @Test
+    void shouldNotBeTracedAsAheadIfItsEndsWereListed() {
+      accept(false);
+      start(north, 1, 0, 5_000);
+      north.advance(RUN_MS);
+      north.renew(new Renewal("w1", -1, 0, 0), TOKEN, RUN_MS);
+      acknowledge(north, RUN_MS + 10);
+      assertThat(trace).noneMatch(line -> line.contains(" acknowledged ahead "));
+    }
+  }
+
   @Nested
   class AWorker {
 
