Acknowledge ends only to a worker process that ran a moment ago

Cause: ends are acknowledged by their highest number, and a worker that starts again under its id numbers its ends from 1. RenewalPolicy took the incarnation for certain if a report had arrived within 100 ms. A report may arrive after its process has ended and the next one has started. The process of w116 ended at 37.883 and the next one began 300 ms later; a report of the first, with end number 18, arrived at 38.217; the owner learnt of the restart at 38.355. In between it acknowledged ends of the first process to the next one, which so had ends acknowledged before they were made. It forgot number 3 with the first request of the next owner, which acknowledged nothing itself.

The sequence is replayed by shouldNotRestartATaskAfterATakeoverThat...HasDone.

Change: an acknowledgement also requires that the process was certainly running at most 200 ms ago. That time is that of the request of its last report or, for a report that waited at the worker, follows from the progress of the worker's clock since an earlier report. Otherwise the next report is requested without a wait first.

--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -44,12 +44,16 @@
    */
   private static final long MAX_IDLE_CLOCK_AGE_MS = 30_000;
 
+  /** Maximum time since a worker's last report arrived for acknowledging ends. */
+  private static final long MAX_REPORT_AGE_FOR_ACK_MS = 100;
+
   /**
-   * Maximum age of a worker's last report for acknowledging ends. A worker that restarts under its
-   * id numbers its ends from 1 again and must not receive an acknowledgement meant for its earlier
-   * incarnation. A process takes longer than this to restart.
+   * Maximum time since a worker's process was certainly running for acknowledging ends. A worker
+   * that restarts under its id numbers its ends from 1 again and must not receive an
+   * acknowledgement meant for its earlier incarnation: it would forget ends that it has never
+   * listed. A process takes longer than this to restart.
    */
-  private static final long MAX_REPORT_AGE_FOR_ACK_MS = 100;
+  private static final long MAX_ALIVE_AGE_FOR_ACK_MS = 200;
 
   /** Interval between requests after a missed report. */
   private static final long RETRY_AFTER_MISS_MS = 200;
@@ -88,7 +92,8 @@
   private static long acknowledgement(Worker worker, long nowMs) {
     boolean isIncarnationCertain =
         worker.missedReports == 0
-            && nowMs - worker.lastReportAttemptMs <= MAX_REPORT_AGE_FOR_ACK_MS;
+            && nowMs - worker.lastReportAttemptMs <= MAX_REPORT_AGE_FOR_ACK_MS
+            && worker.wasAliveWithin(MAX_ALIVE_AGE_FOR_ACK_MS, nowMs);
     return isIncarnationCertain ? worker.ends.acknowledged() : 0;
   }
 
@@ -120,9 +125,8 @@
     }
     long acknowledgement = acknowledgement(worker, nowMs);
     if (worker.attempts.isEmpty()) {
-      boolean hasUnsentAck = worker.ends.acknowledged() > worker.sentAcknowledgement;
       boolean isAckDue =
-          hasUnsentAck
+          worker.hasUnsentAcknowledgement()
               && (sinceReportMs > IDLE_ACK_INTERVAL_MS
                   || (acknowledgement > 0 && sinceReportMs >= MIN_REPORT_INTERVAL_MS));
       boolean isProbeDue = worker.missedReports > 0 && sinceReportMs > retryAfterMissMs(worker);
@@ -159,8 +163,12 @@
       return Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
     long leaseEndClockMs = worker.requestLease(settings.leaseMs(), nowMs);
+    boolean isAckWithheld = worker.hasUnsentAcknowledgement() && acknowledgement == 0;
     boolean isAwaited =
-        worker.ends.hasUnacknowledged() || mayHaveEarlierRuns || worker.needsSecondReport();
+        worker.ends.hasUnacknowledged()
+            || mayHaveEarlierRuns
+            || worker.needsSecondReport()
+            || isAckWithheld;
     long waitMs = isAwaited ? 0 : MAX_REPORT_WAIT_MS;
     return Optional.of(new Renewal(worker.id, leaseEndClockMs, acknowledgement, waitMs));
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -220,6 +220,7 @@
     updateIncarnation(worker, report.startedEpochMs(), nowMs);
     worker.incarnationShownAtMs = nowMs;
     worker.recordClock(report.workerClockMs(), nowMs);
+    worker.recordAlive(report.workerClockMs(), requestedAtMs);
     if (!worker.isFenced && earlierLeaseMs.isPresent()) {
       // What earlier owners have requested is not known, and no worker grants more than this.
       worker.leaseEndClockMs =
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -84,6 +84,15 @@
   private long clockReadingMs = -1;
   private long clockReadAtMs;
 
+  /**
+   * Latest local time at which the process of the known incarnation was certainly running; {@link
+   * Long#MIN_VALUE} if it has not reported.
+   */
+  private long aliveAtMs = Long.MIN_VALUE;
+
+  /** Reading of its clock at that time or later. */
+  private long aliveClockMs;
+
   /**
    * Local time after which an incarnation without a clock reading has no runs under a valid lease.
    */
@@ -204,6 +213,11 @@
         .anyMatch(attempt -> attempt.task.isSuspect && !attempt.hasSurvivedStart);
   }
 
+  /** Returns whether ends may be acknowledged whose acknowledgement has not been sent. */
+  boolean hasUnsentAcknowledgement() {
+    return ends.acknowledged() > sentAcknowledgement;
+  }
+
   /** Returns whether another report must show whether a run is over that the last one lacked. */
   boolean needsSecondReport() {
     return attempts.values().stream().anyMatch(Attempt::isAbsenceUnproved);
@@ -227,6 +241,7 @@
       earlierLeasesOverAtMs = unknownIncarnationOverAtMs;
     }
     clockReadingMs = -1;
+    aliveAtMs = Long.MIN_VALUE;
     leaseEndClockMs = -1;
     ends = new ReportedEnds();
     sentAcknowledgement = 0;
@@ -272,6 +287,28 @@
     }
   }
 
+  /**
+   * Records that the process of the known incarnation was running when it read its clock. A report
+   * may have waited at the worker and on its way, so the process may have ended before the report
+   * arrives.
+   */
+  void recordAlive(long workerClockMs, long requestedAtMs) {
+    long readAtMs = requestedAtMs;
+    if (aliveAtMs != Long.MIN_VALUE) {
+      long advanceMs = (long) Math.floor((workerClockMs - aliveClockMs) * SLOWEST_CLOCK);
+      readAtMs = Math.max(readAtMs, aliveAtMs + advanceMs);
+    }
+    if (readAtMs > aliveAtMs) {
+      aliveAtMs = readAtMs;
+      aliveClockMs = workerClockMs;
+    }
+  }
+
+  /** Returns whether the process of the known incarnation was running a limited time ago. */
+  boolean wasAliveWithin(long durationMs, long nowMs) {
+    return aliveAtMs >= nowMs - durationMs;
+  }
+
   /** Returns a lower bound of the worker's clock, apart from clock drift. */
   long clockMs(long nowMs) {
     return clockReadingMs + (nowMs - clockReadAtMs);
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -2,12 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
@@ -25,6 +28,7 @@
   private final SimulatedWorker one = new SimulatedWorker("w1", TestJobs.SERVICE, "r1", START_MS);
   private final SimulatedWorker two = new SimulatedWorker("w2", TestJobs.SERVICE, "r2", START_MS);
   private final Map<String, SimulatedWorker> workers = Map.of(one.id(), one, two.id(), two);
+  private final Map<String, JobProgress> progress = new HashMap<>();
   private long nowMs = START_MS;
   private long term = 1;
   private Scheduler scheduler;
@@ -138,6 +142,123 @@
     }
   }
 
+  /** The response of the ended process is on its way while the worker starts again. */
+  @Nested
+  class WhenAReportArrivesLate {
+
+    private static final long RESTART_MS = 300;
+    private static final long TRANSIT_MS = 340;
+
+    private SimulatedWorker worker;
+
+    /** Ends one of two tasks on one worker, and takes the report of that end. */
+    private WorkerReport reportOfAnEnd() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(2, 1_000)), nowMs);
+      List<Order.Start> starts = starts();
+      worker = workers.get(starts.get(0).workerId());
+      assertThat(starts).allMatch(start -> start.workerId().equals(worker.id()));
+      scheduler.onStartReply(starts.get(0), execute(starts.get(0), 1_000), nowMs);
+      scheduler.onStartReply(starts.get(1), execute(starts.get(1), 60_000), nowMs);
+      passTime(100);
+      nowMs += 900;
+      WorkerReport report = worker.renew(new Renewal(worker.id(), -1, 0, 0), term, nowMs);
+      assertThat(report.ended()).hasSize(1);
+      return report;
+    }
+
+    private void store() {
+      scheduler
+          .takeChanges()
+          .ifPresent(
+              changes -> {
+                scheduler.confirmStored(changes, nowMs);
+                changes.progress().forEach(stored -> progress.put(stored.id(), stored));
+              });
+    }
+
+    private void deliver(WorkerReport report, long requestedAtMs) {
+      scheduler.onReport(worker.id(), report, requestedAtMs, nowMs);
+      store();
+      nowMs += 20;
+    }
+
+    private void restartBeforeTheReportArrives() {
+      long requestedAtMs = nowMs;
+      WorkerReport late = reportOfAnEnd();
+      nowMs += RESTART_MS;
+      worker.crash(nowMs);
+      nowMs += TRANSIT_MS - RESTART_MS;
+      deliver(late, requestedAtMs);
+    }
+
+    @Test
+    void shouldNotAcknowledgeItsEndsToTheNewIncarnation() {
+      restartBeforeTheReportArrives();
+      assertThat(scheduler.renewal(worker.id(), nowMs).orElseThrow().acknowledgedEnd()).isZero();
+    }
+
+    /** Guards against an end that the new incarnation has forgotten before it has listed it. */
+    @Test
+    void shouldNotRestartATaskAfterATakeoverThatTheNewIncarnationHasDone() {
+      restartBeforeTheReportArrives();
+      scheduler.setCordonedWorkers(Set.of((worker == one ? two : one).id()));
+      passTime(0);
+      passTime(20);
+      passTime(20);
+      List<Order.Start> starts = starts();
+      assertThat(starts).extracting(Order.Start::taskName).containsExactly("a.0.0.1");
+      assertThat(starts.get(0).workerId()).isEqualTo(worker.id());
+      scheduler.onStartReply(starts.get(0), execute(starts.get(0), 100), nowMs);
+      nowMs += 100;
+      workers.values().forEach(it -> it.advance(nowMs));
+
+      term++;
+      scheduler = new Scheduler(TestJobs.SETTINGS, term, nowMs, true);
+      scheduler.configure(TestJobs.config(100_000, 2));
+      readRegistry();
+      scheduler.confirmEnrolment(scheduler.workersToEnrol());
+      scheduler.restore(
+          TestJobs.job("a", START_MS, TestJobs.step(2, 1_000)),
+          Optional.of(progress.get("a")),
+          nowMs,
+          nowMs);
+      for (int i = 0; i < 5; i++) {
+        passTime(20);
+        assertThat(starts()).isEmpty();
+      }
+      store();
+      assertThat(scheduler.status("a")).contains(JobStatus.COMPLETED);
+    }
+
+    /** Guards against ends that are never acknowledged after a late report. */
+    @Test
+    void shouldAcknowledgeItsEndsOnceAnotherReportHasShownTheWorkerRunning() {
+      long requestedAtMs = nowMs;
+      WorkerReport late = reportOfAnEnd();
+      nowMs += TRANSIT_MS;
+      deliver(late, requestedAtMs);
+      Renewal renewal = scheduler.renewal(worker.id(), nowMs).orElseThrow();
+      assertThat(renewal.acknowledgedEnd()).isZero();
+      assertThat(renewal.waitMs()).isZero();
+      deliver(worker.renew(renewal, term, nowMs), nowMs);
+      assertThat(scheduler.renewal(worker.id(), nowMs).orElseThrow().acknowledgedEnd())
+          .isEqualTo(1);
+    }
+
+    /**
+     * Guards against a second request for each end, because reports wait for ends at the worker.
+     */
+    @Test
+    void shouldAcknowledgeItsEndsAtOnceIfOnlyTheRequestWaitedAtTheWorker() {
+      long requestedAtMs = nowMs;
+      WorkerReport report = reportOfAnEnd();
+      nowMs += 5;
+      deliver(report, requestedAtMs);
+      assertThat(scheduler.renewal(worker.id(), nowMs).orElseThrow().acknowledgedEnd())
+          .isEqualTo(1);
+    }
+  }
+
   @Nested
   class WhenAnInstanceIsMoved {
 
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -27,6 +27,16 @@
   private static final long STEP_MS = 50;
   private static final long RENEW_EVERY_MS = 500;
 
+  /** Time from the end of a worker's process to the start of the next one under its id. */
+  private static final long RESTART_MS = 300;
+
+  /** Time from the start of that process until the owner reads its entry in the registry. */
+  private static final long REGISTRATION_MS = 200;
+
+  private record OldListing(WorkerListing listing, long untilMs) {}
+
+  private record LateReport(WorkerReport report, long requestedAtMs, long arrivesAtMs) {}
+
   long nowMs = 1_000_000;
   Scheduler scheduler;
   private long term;
@@ -36,6 +46,10 @@
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private final Set<String> departed = new HashSet<>();
   private final Set<String> cutOff = new HashSet<>();
+  private final Map<String, Long> restartsAtMs = new HashMap<>();
+  private final Map<String, OldListing> oldListings = new HashMap<>();
+  private final Map<String, Long> transitsMs = new HashMap<>();
+  private final Map<String, LateReport> lateReports = new HashMap<>();
   private final Map<String, WorkerListing> enrolled = new LinkedHashMap<>();
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
   private final Map<String, JobProgress> progress = new HashMap<>();
@@ -75,6 +89,19 @@
     cutOff.add(id);
   }
 
+  /** Ends a worker's process; the next one under its id starts a little later. */
+  void restart(String id) {
+    SimulatedWorker worker = workers.get(id);
+    oldListings.put(id, new OldListing(worker.listing(), nowMs + RESTART_MS + REGISTRATION_MS));
+    restartsAtMs.put(id, nowMs + RESTART_MS);
+    worker.crash(nowMs);
+  }
+
+  /** Lets the next report of a worker arrive late, even if its process has ended by then. */
+  void delayNextReport(String id, long transitMs) {
+    transitsMs.put(id, transitMs);
+  }
+
   void reconnect(String id) {
     cutOff.remove(id);
   }
@@ -132,6 +159,7 @@
   }
 
   private void begin(Scheduler next) {
+    lateReports.clear();
     scheduler = next;
     scheduler.configure(TestJobs.config(0, 3));
     listWorkers();
@@ -143,11 +171,16 @@
     workers.values().forEach(worker -> worker.advance(nowMs));
   }
 
+  private WorkerListing listing(SimulatedWorker worker) {
+    OldListing old = oldListings.get(worker.id());
+    return old != null && nowMs < old.untilMs() ? old.listing() : worker.listing();
+  }
+
   private void listWorkers() {
     scheduler.updateWorkerListings(
         workers.values().stream()
             .filter(worker -> !departed.contains(worker.id()))
-            .map(SimulatedWorker::listing)
+            .map(this::listing)
             .toList(),
         nowMs);
     List<WorkerListing> known = scheduler.workersToEnrol();
@@ -158,6 +191,7 @@
   /** Lets time pass; orders and reports take none. */
   void advance(long durationMs) {
     for (long untilMs = nowMs + durationMs; nowMs < untilMs; nowMs += STEP_MS) {
+      startRestarted();
       listWorkers();
       List.copyOf(scheduler.workerIds()).forEach(this::report);
       listInstances();
@@ -185,16 +219,42 @@
   }
 
   private boolean isReachable(String id) {
-    return !departed.contains(id) && !cutOff.contains(id);
+    return !departed.contains(id) && !cutOff.contains(id) && !restartsAtMs.containsKey(id);
+  }
+
+  private void startRestarted() {
+    restartsAtMs
+        .entrySet()
+        .removeIf(
+            restart -> {
+              boolean isDue = nowMs >= restart.getValue();
+              if (isDue) {
+                workers.get(restart.getKey()).crash(nowMs);
+              }
+              return isDue;
+            });
   }
 
   private void report(String id) {
+    LateReport late = lateReports.get(id);
+    if (late != null) {
+      if (nowMs >= late.arrivesAtMs()) {
+        lateReports.remove(id);
+        scheduler.onReport(id, late.report(), late.requestedAtMs(), nowMs).forEach(this::deliver);
+      }
+      return;
+    }
     scheduler
         .renewal(id, nowMs)
         .ifPresent(
             renewal -> {
               if (isReachable(id)) {
                 WorkerReport report = workers.get(id).renew(renewal, term, nowMs);
+                Long transitMs = transitsMs.remove(id);
+                if (transitMs != null) {
+                  lateReports.put(id, new LateReport(report, nowMs, nowMs + transitMs));
+                  return;
+                }
                 scheduler.onReport(id, report, nowMs, nowMs).forEach(this::deliver);
               } else {
                 scheduler.onReportMissed(id, ReportFailure.CONNECTION_REFUSED, nowMs, nowMs);
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -276,5 +276,34 @@
       assertThat(series.runningTasks()).as("seed %d", seed).hasSize(4);
       assertThat(series.scheduler.takeoverWaits()).isEmpty();
     }
+
+    /**
+     * Guards against ends of a restarted worker that an acknowledgement to its last one forgets.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void shouldNeverRunATaskTwiceOnWorkersThatRestartWhileTheirReportsAreOnTheWay(long seed) {
+      UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+      for (int i = 0; i < 60; i++) {
+        series.accept(
+            TestJobs.job("j" + i, series.nowMs, TestJobs.step(3, 1_000)), random.nextInt(1_000));
+        String worker = "w" + random.nextInt(6);
+        series.advance(50 + random.nextInt(500));
+        series.delayNextReport(worker, 300 + random.nextInt(300));
+        series.advance(50);
+        series.restart(worker);
+        series.advance(50 + random.nextInt(1_500));
+        if (random.nextInt(4) == 0) {
+          series.takeOver();
+        }
+      }
+      series.advance(16_000);
+      for (int i = 0; i < 60; i++) {
+        // A job fails whose task was on several workers when they crashed.
+        assertThat(series.scheduler.status("j" + i).orElseThrow().isFinal())
+            .as("seed %d", seed)
+            .isTrue();
+      }
+    }
   }
 }
