Write operators' records of a soak again that the store has rejected

Cause: the soak's own. DROP_ALL_ROUTES ended while STORE_DOWN went on, so the store stand-in rejected the eight writes that add the routes again. Their result was ignored, and the checker took the routes as there. In the same way a wave could get lost, and the entry of a worker that was gone stayed in the registry for good (w10, w11, w85 and others were asked at the address of a later worker until the end of the run).

Change: the platform stand-in writes such a record again until the store accepts it; a later version of the configuration takes the place of the one that waits.

Result: DaemonProcessTest#shouldApplyTheChangeAfterTheOutage timed out after 20 s without the change and passes with it; the class passes.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.platform.Json;
@@ -59,6 +60,9 @@
   /** Number of missed heartbeats after which a worker is removed from the registry. */
   private static final int MISSED_HEARTBEATS_UNTIL_REMOVAL = 3;
 
+  /** Pause before a record that the store has rejected is written again. */
+  private static final long WRITE_RETRY_MS = 100;
+
   /** Addresses at which the store, the instance service and the workers listen. */
   public record Addresses(
       InetSocketAddress store, InetSocketAddress instanceService, int firstWorkerPort) {}
@@ -267,7 +271,8 @@
     workerStandIn
         .worker()
         .ifPresent(
-            worker -> store.write(StoreClient.WORKER_REGISTRY_LOG, worker.id(), Optional.empty()));
+            worker ->
+                writeUntilAccepted(StoreClient.WORKER_REGISTRY_LOG, worker.id(), Optional::empty));
     workerStandIn.terminateWorker(clock.nowMs());
   }
 
@@ -322,7 +327,7 @@
     instance.workerStandIn.terminateWorker(clock.nowMs());
     loop.schedule(
         MISSED_HEARTBEATS_UNTIL_REMOVAL * HEARTBEAT_INTERVAL_MS,
-        () -> store.write(StoreClient.WORKER_REGISTRY_LOG, id, Optional.empty()));
+        () -> writeUntilAccepted(StoreClient.WORKER_REGISTRY_LOG, id, Optional::empty));
     return Optional.of(removeWorker(instanceName));
   }
 
@@ -343,7 +348,8 @@
             "machines", instanceNames,
             "completeByS", MAINTENANCE_DUE_S,
             "maxCount", maxCount);
-    store.write(StoreClient.OPERATOR_LOG, "wave/" + wave, Optional.of(Json.encode(order)));
+    byte[] encoded = Json.encode(order);
+    writeUntilAccepted(StoreClient.OPERATOR_LOG, "wave/" + wave, () -> Optional.of(encoded));
   }
 
   /** Restarts a worker under the same id with a new incarnation; its state is lost. */
@@ -406,7 +412,20 @@
   private void writeConfig() {
     configVersion += 1 + random.nextInt(3);
     checker.onConfigWritten(config);
-    store.write(StoreClient.OPERATOR_LOG, "config", Optional.of(config.encode(configVersion)));
+    writeUntilAccepted(
+        StoreClient.OPERATOR_LOG, "config", () -> Optional.of(config.encode(configVersion)));
+  }
+
+  /**
+   * Writes a record of the operators or of the registry, again after a pause if the store rejects
+   * it.
+   *
+   * @param value supplies the newest value of the record
+   */
+  private void writeUntilAccepted(String log, String key, Supplier<Optional<byte[]>> value) {
+    if (!isClosed && !store.write(log, key, value.get())) {
+      loop.schedule(WRITE_RETRY_MS, () -> writeUntilAccepted(log, key, value));
+    }
   }
 
   private void tick() {
--- a/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/DaemonProcessTest.java
@@ -30,6 +30,7 @@
 import org.laburnumarch.internal.platform.StoreClient;
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
 import org.laburnumarch.internal.platform.standin.PlatformStandIn;
+import org.laburnumarch.internal.platform.standin.StoreStandIn;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
 /** Tests daemon processes end to end through the API for callers, with a simulated platform. */
@@ -163,15 +164,34 @@
     }
   }
 
+  private void awaitLog(DaemonProcess daemon, String text) {
+    Path log = directory.resolve(daemon.name() + ".log");
+    await()
+        .atMost(Duration.ofMillis(TIMEOUT_MS))
+        .until(() -> Files.exists(log) && Files.readString(log).contains(text));
+  }
+
   @Nested
-  class WhenADaemonIsToldToStopTwice {
+  class WhenOperatorsChangeTheConfigurationDuringAnOutageOfTheStore {
 
-    private void awaitLog(DaemonProcess daemon, String text) {
-      Path log = directory.resolve(daemon.name() + ".log");
-      await()
-          .atMost(Duration.ofMillis(TIMEOUT_MS))
-          .until(() -> Files.exists(log) && Files.readString(log).contains(text));
+    /** Guards against a soak that judges daemons by a change which the store has never accepted. */
+    @Test
+    void shouldApplyTheChangeAfterTheOutage() throws Exception {
+      DaemonProcess daemon = fleet.daemons().get(0);
+      awaitLog(daemon, "operators: event=config");
+      loop.call(
+          () -> {
+            fleet.platform().store().setFault(StoreStandIn.Fault.REFUSING);
+            fleet.platform().changeConfig(config -> config.withoutQueues(name -> true));
+            fleet.platform().store().setFault(StoreStandIn.Fault.NONE);
+            return null;
+          });
+      awaitLog(daemon, "queues=0");
     }
+  }
+
+  @Nested
+  class WhenADaemonIsToldToStopTwice {
 
     /** Guards against requests that are cut because two plans stop the same daemon. */
     @Test
