--- a/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCallers.java
@@ -53,7 +53,7 @@
   private final Random random;
   private final PlatformLayout layout;
   private final JobSource jobs;
-  private final boolean mustBeAnswered;
+  private boolean mustBeAnswered;
   private final LoopDelays loopDelays;
   private final List<CallerClient> clients = new ArrayList<>();
   private final Map<String, String> teamsByJob = new LinkedHashMap<>();
@@ -105,6 +105,11 @@
     }
   }
 
+  /** Sets whether the end of a connection in place of a response is a breach. */
+  void expectAnswers(boolean mustBeAnswered) {
+    this.mustBeAnswered = mustBeAnswered;
+  }
+
   void start() {
     startedAtMs = clock.nowMs();
     loopDelays.start();
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -42,6 +42,9 @@
     @Parameter(names = "--kind", description = "what happens in each run")
     private SoakKind kind = SoakKind.FAULTS;
 
+    @Parameter(names = "--ending", description = "last event of each run")
+    private SoakEnding ending = SoakEnding.NONE;
+
     @Parameter(names = "--load", description = "platform and jobs of each run")
     private SoakLoad load = SoakLoad.SHORT_TASKS;
 
@@ -103,6 +106,7 @@
         if (options.daemonJar != null) {
           run.useDaemonJar(options.daemonJar);
         }
+        run.endWith(options.ending);
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -75,6 +75,7 @@
   /** Kills the daemons if this process is terminated during a run. */
   private final Thread shutdownHook = new Thread(this::killDaemons, "kill-daemons");
 
+  private SoakEnding ending = SoakEnding.NONE;
   private int activeFaults;
   private boolean isClosed;
 
@@ -130,6 +131,17 @@
     fleet.daemons().forEach(daemon -> daemon.useJar(jar));
   }
 
+  /** Sets the last event of the run; must be called before {@link #run}. */
+  void endWith(SoakEnding ending) {
+    this.ending = ending;
+    callers.expectAnswers(isPlanned());
+  }
+
+  /** Returns whether nothing unplanned happens, so that no request and no start may be lost. */
+  private boolean isPlanned() {
+    return kind.isPlanned() && ending == SoakEnding.NONE;
+  }
+
   private void killDaemons() {
     fleet.daemons().forEach(DaemonProcess::kill);
   }
@@ -141,7 +153,7 @@
           fleet.platform().start();
           fleet.daemons().forEach(fleet::start);
           callers.start();
-          if (kind.isPlanned()) {
+          if (isPlanned()) {
             checkStartDelays(clock.nowMs());
           }
           return null;
@@ -157,13 +169,21 @@
     }
     loop.execute(fleet.restarts()::endSeries);
     awaitEndOfFaults();
+    if (ending != SoakEnding.NONE) {
+      loop.call(
+          () -> {
+            inject(ending);
+            return null;
+          });
+      TimeUnit.MILLISECONDS.sleep(ending.trafficMs(random));
+    }
     loop.call(
         () -> {
           if (!fleet.restarts().isIdle()) {
             checker.recordBreach("LOST", "a daemon is not ready again after its restart");
           }
           callers.stopSubmitting();
-          if (!kind.isPlanned()) {
+          if (!isPlanned()) {
             loop.schedule(FINISH_MS, () -> checkStartDelays(clock.nowMs()));
           }
           return null;
@@ -196,7 +216,10 @@
     if (possibleEvents.isEmpty()) {
       return;
     }
-    SoakEvent fault = possibleEvents.get(random.nextInt(possibleEvents.size()));
+    inject(possibleEvents.get(random.nextInt(possibleEvents.size())));
+  }
+
+  private void inject(SoakEvent fault) {
     long durationMs = fault.durationMs(random);
     injectedFaults.add(clock.epochMs() + " " + fault + " for " + durationMs + " ms");
     Logger.info("soak: seed={} fault={} lastsMs={}", seed, fault, durationMs);
--- a/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
@@ -39,6 +39,23 @@
     }
   }
 
+  @Nested
+  class AtTheEndOfADay {
+
+    @Test
+    void shouldStartAllAcceptedWorkAfterTheLossOfAllDaemons() throws Exception {
+      try (PortBlock ports = PortBlock.reserve(PORT_COUNT);
+          SoakRun run =
+              new SoakRun(SoakKind.CONFIG_CHANGES, 1, 3, 4_000, directory, ports.first())) {
+        run.endWith(SoakEnding.KILL_ALL);
+        SoakRun.Result result = run.run();
+        assertThat(result.breaches()).as("faults: %s", result.faults()).isEmpty();
+        assertThat(result.faults()).last().asString().contains("KILL_ALL");
+        assertThat(result.acceptedJobs()).isPositive();
+      }
+    }
+  }
+
   /** Seeds with which the soak test failed in the past. */
   @Nested
   class WithSeedsThatFailedBefore {
