--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -34,6 +34,7 @@
   private final InetSocketAddress readinessAddress;
   private List<String> program =
       List.of("-cp", System.getProperty("java.class.path"), Laburnumarch.class.getName());
+  private List<String> memory = List.of("-Xmx96m");
   private Process process;
   private boolean isPaused;
 
@@ -69,6 +70,11 @@
     program = List.of("-jar", jar.toString());
   }
 
+  /** Makes the next process run with the heap of a deployment and an archive of its classes. */
+  void useArchive(Path archive) {
+    memory = List.of("-Xmx160m", "-XX:SharedArchiveFile=" + archive);
+  }
+
   /** Starts the process unless it runs already. */
   void start() throws IOException {
     if (process != null && process.isAlive()) {
@@ -78,10 +84,10 @@
         new ArrayList<>(
             List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx96m",
                 "-Xss256k",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1"));
+    command.addAll(memory);
     command.addAll(program);
     command.add("node");
     ProcessBuilder builder = new ProcessBuilder(command);
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -45,6 +45,12 @@
     @Parameter(names = "--ending", description = "last event of each run")
     private SoakEnding ending = SoakEnding.NONE;
 
+    @Parameter(
+        names = "--daemon-archive",
+        description =
+            "class archive of the daemons, which then run with the options of a deployment")
+    private Path daemonArchive;
+
     @Parameter(names = "--load", description = "platform and jobs of each run")
     private SoakLoad load = SoakLoad.SHORT_TASKS;
 
@@ -106,6 +112,9 @@
         if (options.daemonJar != null) {
           run.useDaemonJar(options.daemonJar);
         }
+        if (options.daemonArchive != null) {
+          run.useDaemonArchive(options.daemonArchive);
+        }
         run.endWith(options.ending);
         SoakRun.Result result = run.run();
         out.printf(
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -131,6 +131,11 @@
     fleet.daemons().forEach(daemon -> daemon.useJar(jar));
   }
 
+  /** Runs the daemons with the options of a deployment; must be called before {@link #run}. */
+  void useDaemonArchive(Path archive) {
+    fleet.daemons().forEach(daemon -> daemon.useArchive(archive));
+  }
+
   /** Sets the last event of the run; must be called before {@link #run}. */
   void endWith(SoakEnding ending) {
     this.ending = ending;
