Limit the processor time of daemons in the soak to a quota for each period

A core's share may be a quota on users' machines: full speed until it is used, then nothing until the tenth of a second is over.

--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -35,8 +36,8 @@
   private List<String> program =
       List.of("-cp", System.getProperty("java.class.path"), Laburnumarch.class.getName());
   private List<String> memory = List.of("-Xmx96m");
-  private Process process;
-  private boolean isPaused;
+  private volatile Process process;
+  private volatile boolean isPaused;
 
   DaemonProcess(
       String name,
@@ -97,6 +98,14 @@
     isPaused = false;
   }
 
+  /** Returns the id of the process if it runs and no fault has suspended it. */
+  OptionalLong runningPid() {
+    Process current = process;
+    return current == null || isPaused || !current.isAlive()
+        ? OptionalLong.empty()
+        : OptionalLong.of(current.pid());
+  }
+
   boolean isRunning() {
     return process != null && process.isAlive() && !isPaused;
   }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -51,6 +51,11 @@
             "class archive of the daemons, which then run with the options of a deployment")
     private Path daemonArchive;
 
+    @Parameter(
+        names = "--cpu-quota-ms",
+        description = "processor time of each daemon in a tenth of a second; default: unlimited")
+    private int cpuQuotaMs;
+
     @Parameter(names = "--load", description = "platform and jobs of each run")
     private SoakLoad load = SoakLoad.SHORT_TASKS;
 
@@ -116,6 +121,7 @@
           run.useDaemonArchive(options.daemonArchive);
         }
         run.endWith(options.ending);
+        run.limitCpu(options.cpuQuotaMs);
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -6,9 +6,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
 import org.laburnumarch.internal.platform.standin.StartDelayChecker;
@@ -75,6 +78,7 @@
   /** Kills the daemons if this process is terminated during a run. */
   private final Thread shutdownHook = new Thread(this::killDaemons, "kill-daemons");
 
+  private Optional<CpuQuota> cpuQuota = Optional.empty();
   private SoakEnding ending = SoakEnding.NONE;
   private int activeFaults;
   private boolean isClosed;
@@ -136,6 +140,17 @@
     fleet.daemons().forEach(daemon -> daemon.useArchive(archive));
   }
 
+  /**
+   * Limits the processor time of each daemon in a tenth of a second, unless {@code quotaMs} is 0.
+   */
+  void limitCpu(int quotaMs) {
+    if (quotaMs > 0) {
+      List<Supplier<OptionalLong>> pids = new ArrayList<>();
+      fleet.daemons().forEach(daemon -> pids.add(daemon::runningPid));
+      cpuQuota = Optional.of(new CpuQuota(pids, quotaMs));
+    }
+  }
+
   /** Sets the last event of the run; must be called before {@link #run}. */
   void endWith(SoakEnding ending) {
     this.ending = ending;
@@ -289,6 +304,7 @@
   /** Kills all processes and closes all addresses. */
   @Override
   public void close() {
+    cpuQuota.ifPresent(CpuQuota::close);
     CompletableFuture<Void> closed = new CompletableFuture<>();
     loop.execute(
         () -> {
