--- a/src/main/java/org/laburnumarch/internal/platform/standin/InstanceServiceStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InstanceServiceStandIn.java
@@ -84,6 +84,10 @@
     return true;
   }
 
+  boolean isWorkerLeaving(String instanceName) {
+    return instances.get(instanceName).isWorkerLeaving;
+  }
+
   /** Terminates the worker of an instance whose worker leaves. */
   void removeWorker(String instanceName) {
     lifecycle.terminate(instanceName);
--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.platform.Json;
 import org.laburnumarch.internal.platform.StoreClient;
@@ -318,12 +319,54 @@
     }
     Instance instance = instancesByName.get(instanceName);
     instance.replacement = replacements.remove();
-    String id = instanceService.workerOf(instanceName);
+    unlistLater(instance);
+    return Optional.of(removeWorker(instanceName));
+  }
+
+  private void unlistLater(Instance instance) {
+    String id = instance.workerStandIn.worker().orElseThrow().id();
     instance.workerStandIn.terminateWorker(clock.nowMs());
     loop.schedule(
         MISSED_HEARTBEATS_UNTIL_REMOVAL * HEARTBEAT_INTERVAL_MS,
         () -> store.write(StoreClient.WORKER_REGISTRY_LOG, id, Optional.empty()));
-    return Optional.of(removeWorker(instanceName));
+  }
+
+  /**
+   * Ends a worker of each pool without an announcement; {@link #replaceWorker} starts others at
+   * swapped addresses. Returns the instances; none if a pool has no worker.
+   */
+  public List<String> crashAndSwap(String firstPool, String secondPool) {
+    List<String> ended =
+        Stream.of(firstPool, secondPool)
+            .flatMap(pool -> instancesWithWorkerOf(pool).limit(1))
+            .toList();
+    if (ended.size() < 2) {
+      return List.of();
+    }
+    Instance first = instancesByName.get(ended.get(0));
+    Instance second = instancesByName.get(ended.get(1));
+    first.replacement = second.workerStandIn;
+    second.replacement = first.workerStandIn;
+    for (String instanceName : ended) {
+      instanceService.onWorkerLeaving(instanceName);
+      unlistLater(instancesByName.get(instanceName));
+      instanceService.removeWorker(instanceName);
+    }
+    return ended;
+  }
+
+  private Stream<String> instancesWithWorkerOf(String pool) {
+    return instancesWithWorker().stream()
+        .filter(name -> !instanceService.isWorkerLeaving(name))
+        .filter(
+            name ->
+                instancesByName
+                    .get(name)
+                    .workerStandIn
+                    .worker()
+                    .orElseThrow()
+                    .service()
+                    .equals(pool));
   }
 
   /** Starts a worker under another id and address on an instance whose worker was removed. */
--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -36,6 +36,7 @@
   private List<String> program =
       List.of("-cp", System.getProperty("java.class.path"), Laburnumarch.class.getName());
   private List<String> memory = List.of("-Xmx96m");
+  private boolean isInService = true;
   private volatile Process process;
   private volatile boolean isPaused;
 
@@ -76,9 +77,23 @@
     memory = List.of("-Xmx160m", "-XX:SharedArchiveFile=" + archive);
   }
 
-  /** Starts the process unless it runs already. */
+  /** Sets whether {@link #start} starts the process. */
+  void setInService(boolean isInService) {
+    this.isInService = isInService;
+  }
+
+  boolean isInService() {
+    return isInService;
+  }
+
+  /** Returns whether the daemon is not in service and never was. */
+  boolean isSpare() {
+    return !isInService && process == null;
+  }
+
+  /** Starts the process unless it runs already or the daemon is not in service. */
   void start() throws IOException {
-    if (process != null && process.isAlive()) {
+    if (!isInService || (process != null && process.isAlive())) {
       return;
     }
     List<String> command =
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -45,6 +45,9 @@
   /** Longest time between the end of a worker and the start of its replacement. */
   private static final int MAX_ABSENT_MS = 4_000;
 
+  /** Shortest time until an address is used again. */
+  private static final long MIN_REUSE_MS = 2_000;
+
   private final EventLoopThread loop;
   private final PlatformLayout layout;
   private final int firstPort;
@@ -282,8 +285,32 @@
             });
   }
 
+  /**
+   * Ends a worker of each pool without an announcement, and some time later starts others, each at
+   * the address of the other pool's worker.
+   */
+  void swapWorkers(String firstPool, String secondPool, Random random) {
+    long absentMs = MIN_REUSE_MS + random.nextInt(MAX_ABSENT_MS);
+    platform
+        .crashAndSwap(firstPool, secondPool)
+        .forEach(instance -> after(absentMs, () -> platform.replaceWorker(instance)));
+  }
+
+  /** Takes the last daemons out of service, so that they can replace others. */
+  void setAside(int count) {
+    daemons
+        .subList(daemons.size() - count, daemons.size())
+        .forEach(daemon -> daemon.setInService(false));
+  }
+
+  /** Returns a daemon that was set aside and is unused. */
+  Optional<DaemonProcess> spareDaemon() {
+    return daemons.stream().filter(DaemonProcess::isSpare).findFirst();
+  }
+
   DaemonProcess randomDaemon(Random random) {
-    return daemons.get(random.nextInt(daemons.size()));
+    List<DaemonProcess> candidates = daemons.stream().filter(DaemonProcess::isInService).toList();
+    return candidates.get(random.nextInt(candidates.size()));
   }
 
   /** Returns the daemon that the ownership record in the store names. */
--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -55,6 +55,22 @@
       return events;
     }
   },
+  /** Addresses that go to others, beside workers that leave and changes of the configuration. */
+  REPLACEMENTS(2_000, 4) {
+    @Override
+    List<SoakEvent> events() {
+      List<SoakEvent> events = new ArrayList<>(List.of(Replacement.values()));
+      events.add(ConfigChange.CHANGE_QUEUE);
+      events.add(PlannedWork.REPLACE_WORKERS);
+      events.add(PlannedWork.MAINTAIN_INSTANCES);
+      return events;
+    }
+
+    @Override
+    int spareDaemons() {
+      return 3;
+    }
+  },
   /** Nothing but the load. */
   QUIET(1_000) {
     @Override
@@ -89,6 +105,11 @@
 
   abstract List<SoakEvent> events();
 
+  /** Returns the number of daemons that take the place of others at other addresses. */
+  int spareDaemons() {
+    return 0;
+  }
+
   private boolean isIsolated() {
     return maxSeriesLength != ENDLESS;
   }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -120,7 +120,15 @@
     this.startDelays = new StartDelayChecker(checker);
     this.fleet =
         new SoakFleet(
-            directory, firstPort, daemons, loop, clock, checker, load.layout(), random.nextLong());
+            directory,
+            firstPort,
+            daemons + kind.spareDaemons(),
+            loop,
+            clock,
+            checker,
+            load.layout(),
+            random.nextLong());
+    fleet.setAside(kind.spareDaemons());
     this.callers =
         new SoakCallers(
             fleet.daemons(), loop, clock, checker, load, random.nextLong(), kind.isPlanned());
