Keep a worker for a long-running task only where it will fit

Callers would see short tasks stand for good although a worker has room for them: a long-running task that finds no worker holds back the one with the most free memory in each round, also where other long-running tasks take the room that it lacks. Those don't end, so the worker gets no task any more. In a pool whose tasks take much memory and little processor time that is under half of its capacity in use.

Found by reading; no soak has shown it. KeptWorkerTest showed it in virtual time before the change: the short task was not started. A worker is now held back only if its capacity beside long-running tasks that go on holds the task; the second test keeps the case in which short tasks take the room.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.StepSpec;
 
@@ -152,7 +153,7 @@
 
   /** Holds a worker back until it has no new runs, so that a suspect can start there. */
   void holdWorkerForSuspect(Task task) {
-    findLargestWorkerFor(task).ifPresent(heldForSuspects::add);
+    findLargestWorkerFor(task, worker -> true).ifPresent(heldForSuspects::add);
   }
 
   /** Returns whether any worker could start a task now. */
@@ -236,13 +237,16 @@
 
   /**
    * Holds back the eligible worker with the most free memory: it gets no further tasks in this
-   * round, so that the task fits there in a later round.
+   * round, so that the task fits there in a later round. A worker where long-running tasks leave
+   * too little for it is not held back, because they do not end.
    */
   void holdWorkerFor(Task task) {
-    findLargestWorkerFor(task).ifPresent(heldWorkers::add);
+    Resources need = task.step.spec.reserved();
+    findLargestWorkerFor(task, worker -> worker.capacityBesideLongRunningTasks().holds(need))
+        .ifPresent(heldWorkers::add);
   }
 
-  private Optional<Worker> findLargestWorkerFor(Task task) {
+  private Optional<Worker> findLargestWorkerFor(Task task, Predicate<Worker> isSuitable) {
     Worker largest = null;
     for (Worker worker : pool) {
       boolean isLarger =
@@ -251,7 +255,8 @@
           && !heldWorkers.contains(worker)
           && !heldForSuspects.contains(worker)
           && !worker.health.isBlocked(nowMs)
-          && mayRun(worker, task.step)) {
+          && mayRun(worker, task.step)
+          && isSuitable.test(worker)) {
         largest = worker;
       }
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -213,6 +213,17 @@
     return listing.capacity().minus(reserved);
   }
 
+  /** Returns what long-running tasks leave of the capacity, without those that are to stop. */
+  Resources capacityBesideLongRunningTasks() {
+    Resources remaining = listing.capacity();
+    for (Attempt attempt : attempts.values()) {
+      if (attempt.task.step.spec.isLongRunning() && !attempt.isStopWanted()) {
+        remaining = remaining.minus(attempt.reserved);
+      }
+    }
+    return remaining;
+  }
+
   /**
    * Resets all state that belongs to an earlier incarnation. Runs that remain registered may be
    * going on in the new one.
