--- a/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/SimulatedWorker.java
@@ -345,6 +345,11 @@
     return freeCapacity;
   }
 
+  /** Returns the number of running tasks whose names begin with a prefix. */
+  synchronized long countRuns(String prefix) {
+    return running.keySet().stream().filter(run -> run.task().startsWith(prefix)).count();
+  }
+
   /** Stops a run, or prevents it from starting later. */
   public synchronized OrderReply stop(Order.Stop order, long token, long nowMs) {
     advance(nowMs);
--- a/src/main/java/org/laburnumarch/internal/soak/PeakJobs.java
+++ b/src/main/java/org/laburnumarch/internal/soak/PeakJobs.java
@@ -190,7 +190,7 @@
       for (Queue queue : queues) {
         StepSpec step =
             StepSpec.ofLongRunningTasks(
-                LONG_RUNNING_TASKS, new Resources(2_700, 5_600, 0), "", 0, 1);
+                LONG_RUNNING_TASKS, new Resources(2_700, 5_600, 0), "", 1, 1);
         due.add(job(queue.longRunningQueue(), TaskProgram.USUAL, List.of(step)));
       }
     }
