Evacuate a data centre in the soak

REPLACEMENTS requests it and takes it back in turn, so it may last past the end. Workers there don't count as room for waiting work.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -6,16 +6,19 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.platform.Json;
 import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.platform.StoreRecords;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 import org.tinylog.Logger;
 
@@ -92,6 +95,7 @@
   private final InstanceServiceStandIn instanceService;
   private final InvariantChecker checker;
   private final Map<String, Instance> instancesByName = new LinkedHashMap<>();
+  private final Set<String> evacuatedDataCentres = new HashSet<>();
   private final Deque<WorkerStandIn> replacements = new ArrayDeque<>();
   private int nextWorkerPort;
   private long nextWave = 1;
@@ -277,9 +281,22 @@
     return instancesByName.values().stream()
         .flatMap(instance -> instance.workerStandIn.worker().stream())
         .filter(worker -> !worker.isLeaving())
+        .filter(worker -> !evacuatedDataCentres.contains(worker.dataCentre()))
         .toList();
   }
 
+  /** Requests that nothing more starts in a data centre, or takes the request back. */
+  public void toggleEvacuation(String dataCentre) {
+    boolean isEvacuated = evacuatedDataCentres.add(dataCentre);
+    if (!isEvacuated) {
+      evacuatedDataCentres.remove(dataCentre);
+    }
+    store.write(
+        StoreClient.OPERATOR_LOG,
+        StoreRecords.EVACUATION_PREFIX + dataCentre,
+        isEvacuated ? Optional.of(Json.encode(Map.of())) : Optional.empty());
+  }
+
   /**
    * Makes an instance's worker announce that it leaves in {@code remainingMs} or later; returns
    * false if the instance has none, or if no address for another one is left.
--- a/src/main/java/org/laburnumarch/internal/soak/Replacement.java
+++ b/src/main/java/org/laburnumarch/internal/soak/Replacement.java
@@ -6,7 +6,10 @@
 import java.util.Optional;
 import java.util.Random;
 
-/** Daemons that are replaced at another address, and workers that get the address of others. */
+/**
+ * Daemons that are replaced at another address, workers that get the address of others, and data
+ * centres that workers have to leave.
+ */
 enum Replacement implements SoakEvent {
   /** Ends a daemon for good and starts another one under its own name and address. */
   REPLACE_DAEMON {
@@ -37,5 +40,13 @@
       fleet.swapWorkers(pools.get(0), pools.get(1), random);
       return () -> {};
     }
+  },
+  /** Requests that all work leaves a data centre, or takes that back; it may last past the end. */
+  EVACUATE_DATA_CENTRE {
+    @Override
+    public Runnable inject(SoakFleet fleet, Random random) {
+      fleet.platform().toggleEvacuation(fleet.firstDataCentre());
+      return () -> {};
+    }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -216,6 +216,10 @@
         .toList();
   }
 
+  String firstDataCentre() {
+    return layout.dataCentres().get(0);
+  }
+
   /** Returns the proxies of the workers in a pool. */
   List<LoopbackProxy> workerProxies(String pool) {
     return platform.workerAddresses(pool).stream().map(workerProxies::get).toList();
