--- a/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/PlatformStandIn.java
@@ -6,16 +6,20 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.platform.Json;
 import org.laburnumarch.internal.platform.StoreClient;
+import org.laburnumarch.internal.platform.StoreRecords;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 import org.tinylog.Logger;
 
@@ -95,6 +99,7 @@
   private final InstanceServiceStandIn instanceService;
   private final InvariantChecker checker;
   private final Map<String, Instance> instancesByName = new LinkedHashMap<>();
+  private final Set<String> evacuatedDataCentres = new HashSet<>();
   private final Deque<WorkerStandIn> replacements = new ArrayDeque<>();
   private int nextWorkerPort;
   private long nextWave = 1;
@@ -281,9 +286,24 @@
     return instancesByName.values().stream()
         .flatMap(instance -> instance.workerStandIn.worker().stream())
         .filter(worker -> !worker.isLeaving())
+        .filter(worker -> !evacuatedDataCentres.contains(worker.dataCentre()))
         .toList();
   }
 
+  /** Requests that nothing more starts in a data centre, or takes the request back. */
+  public void toggleEvacuation(String dataCentre) {
+    if (!evacuatedDataCentres.add(dataCentre)) {
+      evacuatedDataCentres.remove(dataCentre);
+    }
+    writeUntilAccepted(
+        StoreClient.OPERATOR_LOG,
+        StoreRecords.EVACUATION_PREFIX + dataCentre,
+        () ->
+            evacuatedDataCentres.contains(dataCentre)
+                ? Optional.of(Json.encode(Map.of()))
+                : Optional.empty());
+  }
+
   /**
    * Makes an instance's worker announce that it leaves in {@code remainingMs} or later; returns
    * false if the instance has none, or if no address for another one is left.
@@ -323,12 +343,54 @@
     }
     Instance instance = instancesByName.get(instanceName);
     instance.replacement = replacements.remove();
-    String id = instanceService.workerOf(instanceName);
+    unlistLater(instance);
+    return Optional.of(removeWorker(instanceName));
+  }
+
+  private void unlistLater(Instance instance) {
+    String id = instance.workerStandIn.worker().orElseThrow().id();
     instance.workerStandIn.terminateWorker(clock.nowMs());
     loop.schedule(
         MISSED_HEARTBEATS_UNTIL_REMOVAL * HEARTBEAT_INTERVAL_MS,
         () -> writeUntilAccepted(StoreClient.WORKER_REGISTRY_LOG, id, Optional::empty));
-    return Optional.of(removeWorker(instanceName));
+  }
+
+  /**
+   * Ends a worker of each pool without an announcement; {@link #replaceWorker} starts others at
+   * swapped addresses. Returns the instances; none if a pool has no worker.
+   */
+  public List<String> crashAndSwap(String firstPool, String secondPool) {
+    List<String> ended =
+        Stream.of(firstPool, secondPool)
+            .flatMap(pool -> instancesWithWorkerOf(pool).limit(1))
+            .toList();
+    if (ended.size() < 2) {
+      return List.of();
+    }
+    Instance first = instancesByName.get(ended.get(0));
+    Instance second = instancesByName.get(ended.get(1));
+    first.replacement = second.workerStandIn;
+    second.replacement = first.workerStandIn;
+    for (String instanceName : ended) {
+      instanceService.onWorkerLeaving(instanceName);
+      unlistLater(instancesByName.get(instanceName));
+      instanceService.removeWorker(instanceName);
+    }
+    return ended;
+  }
+
+  private Stream<String> instancesWithWorkerOf(String pool) {
+    return instancesWithWorker().stream()
+        .filter(name -> !instanceService.isWorkerLeaving(name))
+        .filter(
+            name ->
+                instancesByName
+                    .get(name)
+                    .workerStandIn
+                    .worker()
+                    .orElseThrow()
+                    .service()
+                    .equals(pool));
   }
 
   /** Starts a worker under another id and address on an instance whose worker was removed. */
--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -34,8 +35,10 @@
   private final InetSocketAddress readinessAddress;
   private List<String> program =
       List.of("-cp", System.getProperty("java.class.path"), Laburnumarch.class.getName());
-  private Process process;
-  private boolean isPaused;
+  private List<String> memory = List.of("-Xmx96m");
+  private boolean isInService = true;
+  private volatile Process process;
+  private volatile boolean isPaused;
 
   DaemonProcess(
       String name,
@@ -69,19 +72,38 @@
     program = List.of("-jar", jar.toString());
   }
 
-  /** Starts the process unless it runs already. */
+  /** Makes the next process run with the heap of a deployment and an archive of its classes. */
+  void useArchive(Path archive) {
+    memory = List.of("-Xmx160m", "-XX:SharedArchiveFile=" + archive);
+  }
+
+  /** Sets whether {@link #start} starts the process. */
+  void setInService(boolean isInService) {
+    this.isInService = isInService;
+  }
+
+  boolean isInService() {
+    return isInService;
+  }
+
+  /** Returns whether the daemon is not in service and never was. */
+  boolean isSpare() {
+    return !isInService && process == null;
+  }
+
+  /** Starts the process unless it runs already or the daemon is not in service. */
   void start() throws IOException {
-    if (process != null && process.isAlive()) {
+    if (!isInService || (process != null && process.isAlive())) {
       return;
     }
     List<String> command =
         new ArrayList<>(
             List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx96m",
                 "-Xss256k",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1"));
+    command.addAll(memory);
     command.addAll(program);
     command.add("node");
     ProcessBuilder builder = new ProcessBuilder(command);
@@ -91,6 +113,14 @@
     isPaused = false;
   }
 
+  /** Returns the id of the process if it runs and no fault has suspended it. */
+  OptionalLong runningPid() {
+    Process current = process;
+    return current == null || isPaused || !current.isAlive()
+        ? OptionalLong.empty()
+        : OptionalLong.of(current.pid());
+  }
+
   boolean isRunning() {
     return process != null && process.isAlive() && !isPaused;
   }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakCommand.java
@@ -42,6 +42,20 @@
     @Parameter(names = "--kind", description = "what happens in each run")
     private SoakKind kind = SoakKind.FAULTS;
 
+    @Parameter(names = "--ending", description = "last event of each run")
+    private SoakEnding ending = SoakEnding.NONE;
+
+    @Parameter(
+        names = "--daemon-archive",
+        description =
+            "class archive of the daemons, which then run with the options of a deployment")
+    private Path daemonArchive;
+
+    @Parameter(
+        names = "--cpu-quota-ms",
+        description = "processor time of each daemon in a tenth of a second; default: unlimited")
+    private int cpuQuotaMs;
+
     @Parameter(names = "--load", description = "platform and jobs of each run")
     private SoakLoad load = SoakLoad.SHORT_TASKS;
 
@@ -103,6 +117,11 @@
         if (options.daemonJar != null) {
           run.useDaemonJar(options.daemonJar);
         }
+        if (options.daemonArchive != null) {
+          run.useDaemonArchive(options.daemonArchive);
+        }
+        run.endWith(options.ending);
+        run.limitCpu(options.cpuQuotaMs);
         SoakRun.Result result = run.run();
         out.printf(
             "seed=%d breaches=%d accepted=%d starts=%d answers=%d unanswered=%d"
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -6,9 +6,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.platform.standin.InvariantChecker;
 import org.laburnumarch.internal.platform.standin.StartDelayChecker;
@@ -77,6 +80,8 @@
   /** Kills the daemons if this process is terminated during a run. */
   private final Thread shutdownHook = new Thread(this::killDaemons, "kill-daemons");
 
+  private Optional<CpuQuota> cpuQuota = Optional.empty();
+  private SoakEnding ending = SoakEnding.NONE;
   private int activeFaults;
   private long startChecks;
 
@@ -122,7 +127,15 @@
     this.startDelays = new StartDelayChecker(checker);
     this.fleet =
         new SoakFleet(
-            directory, firstPort, daemons, loop, clock, checker, load.layout(), random.nextLong());
+            directory,
+            firstPort,
+            daemons + kind.spareDaemons(),
+            loop,
+            clock,
+            checker,
+            load.layout(),
+            random.nextLong());
+    fleet.setAside(kind.spareDaemons());
     this.callers =
         new SoakCallers(
             fleet.daemons(), loop, clock, checker, load, random.nextLong(), kind.isPlanned());
@@ -137,6 +150,33 @@
     fleet.daemons().forEach(daemon -> daemon.useJar(jar));
   }
 
+  /** Runs the daemons with the options of a deployment; must be called before {@link #run}. */
+  void useDaemonArchive(Path archive) {
+    fleet.daemons().forEach(daemon -> daemon.useArchive(archive));
+  }
+
+  /**
+   * Limits the processor time of each daemon in a tenth of a second, unless {@code quotaMs} is 0.
+   */
+  void limitCpu(int quotaMs) {
+    if (quotaMs > 0) {
+      List<Supplier<OptionalLong>> pids = new ArrayList<>();
+      fleet.daemons().forEach(daemon -> pids.add(daemon::runningPid));
+      cpuQuota = Optional.of(new CpuQuota(pids, quotaMs));
+    }
+  }
+
+  /** Sets the last event of the run; must be called before {@link #run}. */
+  void endWith(SoakEnding ending) {
+    this.ending = ending;
+    callers.expectAnswers(isPlanned());
+  }
+
+  /** Returns whether nothing unplanned happens, so that no request and no start may be lost. */
+  private boolean isPlanned() {
+    return kind.isPlanned() && ending == SoakEnding.NONE;
+  }
+
   private void killDaemons() {
     fleet.daemons().forEach(DaemonProcess::kill);
   }
@@ -148,7 +188,7 @@
           fleet.platform().start();
           fleet.daemons().forEach(fleet::start);
           callers.start();
-          if (kind.isPlanned()) {
+          if (isPlanned()) {
             checkStartDelays(clock.nowMs());
           }
           return null;
@@ -164,13 +204,21 @@
     }
     loop.execute(fleet.restarts()::endSeries);
     awaitEndOfFaults();
+    if (ending != SoakEnding.NONE) {
+      loop.call(
+          () -> {
+            inject(ending);
+            return null;
+          });
+      TimeUnit.MILLISECONDS.sleep(ending.trafficMs(random));
+    }
     loop.call(
         () -> {
           if (!fleet.restarts().isIdle()) {
             checker.recordBreach("LOST", "a daemon is not ready again after its restart");
           }
           callers.stopSubmitting();
-          if (!kind.isPlanned()) {
+          if (!isPlanned()) {
             loop.schedule(FINISH_MS, () -> checkStartDelays(clock.nowMs()));
           }
           return null;
@@ -203,7 +251,10 @@
     if (possibleEvents.isEmpty()) {
       return;
     }
-    SoakEvent fault = possibleEvents.get(random.nextInt(possibleEvents.size()));
+    inject(possibleEvents.get(random.nextInt(possibleEvents.size())));
+  }
+
+  private void inject(SoakEvent fault) {
     long durationMs = fault.durationMs(random);
     injectedFaults.add(clock.epochMs() + " " + fault + " for " + durationMs + " ms");
     Logger.info("soak: seed={} fault={} lastsMs={}", seed, fault, durationMs);
@@ -272,6 +323,7 @@
   /** Kills all processes and closes all addresses. */
   @Override
   public void close() {
+    cpuQuota.ifPresent(CpuQuota::close);
     CompletableFuture<Void> closed = new CompletableFuture<>();
     loop.execute(
         () -> {
