Play silent connections and cut machines in the fault soak

Users' machines lose packets without a trace: open connections go silent for good while new ones work, and a machine behind a cut neither refuses nor resets. The soak's proxies accepted every connection and held bytes back or reset them, and there was no proxy between daemons.

LoopbackProxy gets silenceConnections, which swallows bytes for the life of the open connections, and the mode UNREACHABLE: a listener whose queue is full makes the kernel drop opening packets, and bytes of open connections arrive with the retransmission after the cut. Each pair of daemons has a proxy; names from a hosts file of each daemon's JVM lead to it, so that the product's code stays as it is. The kinds SILENT_CONNECTIONS and MACHINE_CUTS play these faults in series with calm spans, in which work that waits is judged from 4 s after the last event.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/DaemonSettingsFile.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/DaemonSettingsFile.java
@@ -17,6 +17,7 @@
    *
    * @param name the daemon's name
    * @param ip the loopback IP address that it listens on
+   * @param linkHost name or address under which other daemons find it
    * @param callersPort port for callers
    * @param readinessPort port of the readiness check
    * @param linkPort port for other daemons; metrics are served at the next port
@@ -26,11 +27,26 @@
   public record DaemonAddresses(
       String name,
       String ip,
+      String linkHost,
       int callersPort,
       int readinessPort,
       int linkPort,
       InetSocketAddress storeAddress,
-      InetSocketAddress instanceServiceAddress) {}
+      InetSocketAddress instanceServiceAddress) {
+
+    /** Creates the addresses of a daemon that others find under its IP address. */
+    public DaemonAddresses(
+        String name,
+        String ip,
+        int callersPort,
+        int readinessPort,
+        int linkPort,
+        InetSocketAddress storeAddress,
+        InetSocketAddress instanceServiceAddress) {
+      this(
+          name, ip, ip, callersPort, readinessPort, linkPort, storeAddress, instanceServiceAddress);
+    }
+  }
 
   private DaemonSettingsFile() {}
 
@@ -56,7 +72,7 @@
     Map<String, Object> root = new LinkedHashMap<>();
     root.put("node", addresses.name());
     root.put("zone", dataCentre);
-    root.put("ip", addresses.ip());
+    root.put("ip", addresses.linkHost());
     root.put(
         "listen",
         Map.of(
--- a/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
+++ b/src/main/java/org/laburnumarch/internal/soak/DaemonProcess.java
@@ -2,18 +2,24 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.laburnumarch.Laburnumarch;
 import org.laburnumarch.internal.platform.NodeSettings;
 import org.tinylog.Logger;
@@ -34,6 +40,7 @@
   private final InetSocketAddress readinessAddress;
   private List<String> program =
       List.of("-cp", System.getProperty("java.class.path"), Laburnumarch.class.getName());
+  private Optional<Path> hostsFile = Optional.empty();
   private Process process;
   private boolean isPaused;
 
@@ -69,6 +76,11 @@
     program = List.of("-jar", jar.toString());
   }
 
+  /** Makes the next process look up the names of hosts in a file. */
+  void useHostsFile(Path file) {
+    hostsFile = Optional.of(file);
+  }
+
   /** Starts the process unless it runs already. */
   void start() throws IOException {
     if (process != null && process.isAlive()) {
@@ -82,6 +94,7 @@
                 "-Xss256k",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1"));
+    hostsFile.ifPresent(file -> command.add("-Djdk.net.hosts.file=" + file));
     command.addAll(program);
     command.add("node");
     ProcessBuilder builder = new ProcessBuilder(command);
@@ -114,28 +127,56 @@
 
   /** Returns the local ports of the sockets that the process has open; needs Linux. */
   Set<Integer> localPorts() {
-    Set<Integer> ports = new HashSet<>();
+    return ownersOfLocalPorts(List.of(this)).keySet();
+  }
+
+  /** Returns the local ports of the sockets that processes have open; needs Linux. */
+  static Map<Integer, DaemonProcess> ownersOfLocalPorts(List<DaemonProcess> daemons) {
+    Map<String, DaemonProcess> ownersBySocket = new HashMap<>();
+    daemons.forEach(daemon -> daemon.openFiles().forEach(file -> ownersBySocket.put(file, daemon)));
+    Map<Integer, DaemonProcess> owners = new HashMap<>();
+    for (String table : List.of("tcp", "tcp6")) {
+      try (Stream<String> lines = Files.lines(Path.of("/proc/net", table))) {
+        lines.forEach(
+            line -> {
+              Matcher socket = SOCKET.matcher(line);
+              DaemonProcess owner =
+                  socket.lookingAt()
+                      ? ownersBySocket.get("socket:[" + socket.group(2) + ']')
+                      : null;
+              if (owner != null) {
+                owners.put(Integer.parseInt(socket.group(1), 16), owner);
+              }
+            });
+      } catch (IOException | UncheckedIOException e) {
+        Logger.debug("soak: the sockets cannot be listed: {}", e.getMessage());
+      }
+    }
+    return owners;
+  }
+
+  private Set<String> openFiles() {
+    Set<String> targets = new HashSet<>();
     if (process == null || !process.isAlive()) {
-      return ports;
+      return targets;
     }
-    Path state = Path.of("/proc", Long.toString(process.pid()));
-    try (DirectoryStream<Path> files = Files.newDirectoryStream(state.resolve("fd"))) {
-      Set<String> sockets = new HashSet<>();
+    try (DirectoryStream<Path> files =
+        Files.newDirectoryStream(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
       for (Path file : files) {
-        sockets.add(Files.readSymbolicLink(file).toString());
-      }
-      for (String table : List.of("net/tcp", "net/tcp6")) {
-        for (String line : Files.readAllLines(state.resolve(table))) {
-          Matcher socket = SOCKET.matcher(line);
-          if (socket.lookingAt() && sockets.contains("socket:[" + socket.group(2) + ']')) {
-            ports.add(Integer.parseInt(socket.group(1), 16));
-          }
-        }
+        addTarget(file, targets);
       }
     } catch (IOException | DirectoryIteratorException e) {
-      Logger.debug("soak: the sockets of {} cannot be listed: {}", name, e.getMessage());
+      Logger.debug("soak: the files of {} cannot be listed: {}", name, e.getMessage());
+    }
+    return targets;
+  }
+
+  private static void addTarget(Path file, Set<String> targets) throws IOException {
+    try {
+      targets.add(Files.readSymbolicLink(file).toString());
+    } catch (NoSuchFileException e) {
+      Logger.trace("soak: {} was just closed", file);
     }
-    return ports;
   }
 
   /** Sends SIGKILL. */
--- a/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
+++ b/src/main/java/org/laburnumarch/internal/soak/IsolatedFault.java
@@ -171,7 +171,7 @@
   }
 
   /** Returns the proxies of a share of the workers, or of all workers in one pool. */
-  private static List<LoopbackProxy> someWorkers(SoakFleet fleet, Random random) {
+  static List<LoopbackProxy> someWorkers(SoakFleet fleet, Random random) {
     List<String> pools = fleet.servingPools();
     if (random.nextBoolean()) {
       return fleet.workerProxies(pools.get(random.nextInt(pools.size())));
--- a/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
+++ b/src/main/java/org/laburnumarch/internal/soak/LoopbackProxy.java
@@ -16,10 +16,13 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -48,6 +51,11 @@
     RESET,
     /** Resets open connections and refuses new ones, as the address has no listener. */
     REFUSE,
+    /**
+     * Responds to nothing. Bytes on open connections arrive with the first retransmission after the
+     * mode has changed; opening packets are dropped.
+     */
+    UNREACHABLE,
     /** Holds back what the server sends for the time that {@link #delayAnswers} sets. */
     DELAY_ANSWERS,
     /** Drops what the server sends on every second connection, also after the mode has changed. */
@@ -59,14 +67,20 @@
   /** Time in which a request that consists of several segments reaches the server. */
   private static final long REQUEST_MS = 5;
 
+  /** Time until the first retransmission; each further one takes twice as long. */
+  private static final long FIRST_RETRANSMISSION_MS = 200;
+
   private final InetSocketAddress target;
   private final EventLoopGroup group;
   private final ServerBootstrap bootstrap;
   private final InetSocketAddress address;
   private final Set<ProxiedConnection> connections = new HashSet<>();
   private Channel listener;
+  private Optional<UnresponsiveAddress> unresponsive = Optional.empty();
+  private boolean isListening = true;
   private Mode mode = Mode.FORWARD;
   private Predicate<InetSocketAddress> affectedCallers = caller -> true;
+  private Set<Integer> knownPorts = Set.of();
   private long answerDelayMs;
   private int acceptedConnections;
   private boolean isClosed;
@@ -104,27 +118,82 @@
 
   /** Applies a mode to open and new connections. */
   void setMode(Mode newMode) {
-    setMode(newMode, caller -> true);
+    boolean isUnreachable = newMode == Mode.UNREACHABLE;
+    if (isUnreachable && unresponsive.isPresent()) {
+      return;
+    }
+    setListening(newMode != Mode.REFUSE && !isUnreachable);
+    if (isUnreachable) {
+      try {
+        unresponsive = Optional.of(new UnresponsiveAddress(address));
+      } catch (IOException e) {
+        Logger.error(e, "soak: {} cannot be made unresponsive", address);
+      }
+      knownPorts = Set.of();
+    }
+    applyMode(newMode, caller -> true);
   }
 
   /**
-   * Applies a mode other than {@link Mode#REFUSE}, for which there is one listener, to the
-   * connections of some callers and forwards those of all others.
+   * Applies a mode other than {@link Mode#REFUSE} and {@link Mode#UNREACHABLE}, for which there is
+   * one listener, to the connections of some callers and forwards those of all others.
    *
    * @param callers selects callers by the address of their end of the connection
    */
   void setMode(Mode newMode, Predicate<InetSocketAddress> callers) {
-    if (newMode == Mode.REFUSE) {
-      ignoreResult(listener.close());
-    } else if (mode == Mode.REFUSE) {
-      listen();
+    setListening(true);
+    applyMode(newMode, callers);
+  }
+
+  /**
+   * Cuts the connections of some callers. The listener accepts their new connections and forwards
+   * nothing on them; those from other ports wait until a later call knows them, or another mode.
+   *
+   * @param cutPorts the callers' ports, and whether their connections are cut
+   */
+  void cut(Map<Integer, Boolean> cutPorts) {
+    setListening(true);
+    knownPorts = cutPorts.keySet();
+    applyMode(Mode.UNREACHABLE, caller -> cutPorts.getOrDefault(caller.getPort(), false));
+    for (ProxiedConnection connection : Set.copyOf(connections)) {
+      if (connection.isWaiting && connection.isFrom(knownPorts)) {
+        connection.open();
+      }
     }
+  }
+
+  private void applyMode(Mode newMode, Predicate<InetSocketAddress> callers) {
     mode = newMode;
     affectedCallers = callers;
     for (ProxiedConnection connection : Set.copyOf(connections)) {
       connection.select();
       connection.applyMode();
+      if (connection.isWaiting && newMode != Mode.UNREACHABLE) {
+        connection.open();
+      }
+    }
+  }
+
+  private void setListening(boolean isWanted) {
+    Optional<UnresponsiveAddress> former = unresponsive;
+    unresponsive = Optional.empty();
+    if (!isWanted) {
+      former.ifPresent(UnresponsiveAddress::close);
+      ignoreResult(listener.close());
+    } else if (!isListening) {
+      // The next task of the loop binds the address again; an earlier close would refuse callers.
+      former.ifPresent(held -> group.next().execute(held::close));
+      listen();
     }
+    isListening = isWanted;
+  }
+
+  /**
+   * Forwards nothing more on the connections that are open now, for their life. No end of these
+   * connections learns what the other one does, not even that it closes.
+   */
+  void silenceConnections() {
+    Set.copyOf(connections).forEach(ProxiedConnection::silence);
   }
 
   /** Resets the connections that are open now, each shortly after its next request if wanted. */
@@ -163,32 +232,12 @@
     ProxiedConnection connection = new ProxiedConnection(caller, acceptedConnections++);
     connections.add(connection);
     connection.select();
-    if (connection.mode() == Mode.RESET || connection.mode() == Mode.REFUSE) {
-      connection.reset();
-      return;
+    caller.pipeline().addLast(connection.fromCaller);
+    if (mode == Mode.UNREACHABLE && !connection.isFrom(knownPorts)) {
+      connection.isWaiting = true;
+    } else {
+      connection.open();
     }
-    ignoreResult(
-        new Bootstrap()
-            .group(group)
-            .channel(
-                group instanceof NioEventLoopGroup
-                    ? NioSocketChannel.class
-                    : EpollSocketChannel.class)
-            .option(ChannelOption.AUTO_READ, false)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(new ForwardingHandler(connection, false))
-            .connect(target)
-            .addListener(
-                (ChannelFutureListener)
-                    connected -> {
-                      if (connected.isSuccess()) {
-                        connection.server = connected.channel();
-                        connection.onConnected();
-                      } else {
-                        connection.close();
-                      }
-                    }));
-    caller.pipeline().addLast(new ForwardingHandler(connection, true));
   }
 
   /** Ignores a result, because a failure shows as the end of a connection. */
@@ -210,6 +259,7 @@
   @Override
   public void close() {
     isClosed = true;
+    unresponsive.ifPresent(UnresponsiveAddress::close);
     ignoreResult(listener.close());
     Set.copyOf(connections).forEach(ProxiedConnection::close);
   }
@@ -218,7 +268,11 @@
   private final class ProxiedConnection {
     private final Channel caller;
     private final int number;
+    private final ForwardingHandler fromCaller = new ForwardingHandler(this, true);
+    private final ForwardingHandler fromServer = new ForwardingHandler(this, false);
     private Channel server;
+    private boolean isWaiting;
+    private boolean isSilent;
     private boolean isAffected;
     private boolean isResetAfterRequest;
     private boolean areAnswersDropped;
@@ -236,6 +290,50 @@
               && affectedCallers.test(source);
     }
 
+    boolean isFrom(Set<Integer> ports) {
+      return caller.remoteAddress() instanceof InetSocketAddress source
+          && ports.contains(source.getPort());
+    }
+
+    /** Connects to the server. */
+    void open() {
+      isWaiting = false;
+      if (!caller.isOpen()) {
+        close();
+        return;
+      }
+      if (mode() == Mode.UNREACHABLE) {
+        isSilent = true;
+        caller.config().setAutoRead(true);
+        return;
+      }
+      if (mode() == Mode.RESET || mode() == Mode.REFUSE) {
+        reset();
+        return;
+      }
+      ignoreResult(
+          new Bootstrap()
+              .group(group)
+              .channel(
+                  group instanceof NioEventLoopGroup
+                      ? NioSocketChannel.class
+                      : EpollSocketChannel.class)
+              .option(ChannelOption.AUTO_READ, false)
+              .option(ChannelOption.TCP_NODELAY, true)
+              .handler(fromServer)
+              .connect(target)
+              .addListener(
+                  (ChannelFutureListener)
+                      connected -> {
+                        if (connected.isSuccess()) {
+                          server = connected.channel();
+                          onConnected();
+                        } else {
+                          close();
+                        }
+                      }));
+    }
+
     Mode mode() {
       return isAffected ? mode : Mode.FORWARD;
     }
@@ -248,13 +346,23 @@
       applyMode();
     }
 
+    void silence() {
+      isSilent = true;
+      applyMode();
+    }
+
     void applyMode() {
-      Mode applied = mode();
+      // A connection that is silent stays so, and its ends have to be read to see that they close.
+      Mode applied = isSilent ? Mode.FORWARD : mode();
       if (applied == Mode.RESET || applied == Mode.REFUSE) {
         reset();
         return;
       }
       areAnswersDropped |= applied == Mode.LOSE_ANSWERS && number % 2 == 0;
+      if (applied != Mode.UNREACHABLE) {
+        fromCaller.scheduleRetransmission();
+        fromServer.scheduleRetransmission();
+      }
       if (server != null) {
         caller.config().setAutoRead(applied != Mode.SILENT && applied != Mode.SILENT_TO_SERVER);
         server.config().setAutoRead(applied != Mode.SILENT && applied != Mode.SILENT_TO_CALLER);
@@ -263,6 +371,8 @@
 
     void reset() {
       connections.remove(this);
+      fromCaller.dropUnacknowledged();
+      fromServer.dropUnacknowledged();
       LoopbackProxy.reset(caller);
       if (server != null) {
         LoopbackProxy.reset(server);
@@ -285,8 +395,23 @@
       };
     }
 
+    boolean isHoldingBack() {
+      return !isSilent && mode() == Mode.UNREACHABLE;
+    }
+
+    /** Closes the other end, too, unless it learns of nothing any more. */
+    void onEnd() {
+      if (!isSilent) {
+        close();
+      } else if (!caller.isOpen() && (server == null || !server.isOpen())) {
+        connections.remove(this);
+      }
+    }
+
     void close() {
       connections.remove(this);
+      fromCaller.dropUnacknowledged();
+      fromServer.dropUnacknowledged();
       ignoreResult(caller.close());
       if (server != null) {
         ignoreResult(server.close());
@@ -299,6 +424,9 @@
     private final ProxiedConnection connection;
     private final boolean isFromCaller;
     private final Deque<ByteBuf> delayedMessages = new ArrayDeque<>();
+    private final Deque<ByteBuf> unacknowledgedMessages = new ArrayDeque<>();
+    private long unacknowledgedSinceNanos;
+    private boolean isEnded;
     private long lastDueNanos = System.nanoTime();
 
     ForwardingHandler(ProxiedConnection connection, boolean isFromCaller) {
@@ -308,12 +436,19 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      Channel other = isFromCaller ? connection.server : connection.caller;
+      Channel other = other();
       ByteBuf bytes = (ByteBuf) message;
-      if (!isFromCaller && connection.areAnswersDropped) {
+      if (connection.isSilent || (!isFromCaller && connection.areAnswersDropped)) {
         bytes.release();
         return;
       }
+      if (connection.isHoldingBack() || !unacknowledgedMessages.isEmpty()) {
+        if (unacknowledgedMessages.isEmpty()) {
+          unacknowledgedSinceNanos = System.nanoTime();
+        }
+        unacknowledgedMessages.add(bytes);
+        return;
+      }
       long nowNanos = System.nanoTime();
       long dueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(connection.delayMs(isFromCaller));
       // Later bytes must not overtake delayed ones when the mode changes.
@@ -335,15 +470,60 @@
       }
     }
 
+    private Channel other() {
+      return isFromCaller ? connection.server : connection.caller;
+    }
+
+    void dropUnacknowledged() {
+      unacknowledgedMessages.forEach(ByteBuf::release);
+      unacknowledgedMessages.clear();
+    }
+
+    /** Forwards what was held back once its sender would send it again. */
+    void scheduleRetransmission() {
+      if (unacknowledgedMessages.isEmpty()) {
+        if (isEnded) {
+          connection.onEnd();
+        }
+        return;
+      }
+      long ageMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - unacknowledgedSinceNanos);
+      long dueMs = FIRST_RETRANSMISSION_MS;
+      while (dueMs <= ageMs) {
+        dueMs = 2 * dueMs + FIRST_RETRANSMISSION_MS;
+      }
+      ignoreResult(
+          other().eventLoop().schedule(this::retransmit, dueMs - ageMs, TimeUnit.MILLISECONDS));
+    }
+
+    private void retransmit() {
+      if (connection.isHoldingBack()) {
+        return;
+      }
+      if (connection.isSilent) {
+        dropUnacknowledged();
+      }
+      while (!unacknowledgedMessages.isEmpty()) {
+        ignoreResult(other().writeAndFlush(unacknowledgedMessages.remove()));
+      }
+      if (isEnded) {
+        connection.onEnd();
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      // Delayed bytes may be lost when the connection closes, as on a real network.
-      connection.close();
+      isEnded = true;
+      if (!connection.isHoldingBack() && unacknowledgedMessages.isEmpty()) {
+        // Delayed bytes may be lost when the connection closes, as on a real network.
+        connection.onEnd();
+      }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      connection.close();
+      ignoreResult(context.close());
+      connection.onEnd();
     }
   }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakFleet.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,6 +12,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerRecord;
 import org.laburnumarch.internal.platform.StoreClient;
@@ -45,12 +49,21 @@
   /** Longest time between the end of a worker and the start of its replacement. */
   private static final int MAX_ABSENT_MS = 4_000;
 
+  /**
+   * The path of connections between daemons.
+   *
+   * @param from the daemon that connects
+   * @param to the daemon that accepts
+   */
+  private record Link(DaemonProcess from, DaemonProcess to) {}
+
   private final EventLoopThread loop;
   private final PlatformLayout layout;
   private final int firstPort;
   private final PlatformStandIn platform;
   private final List<DaemonProcess> daemons = new ArrayList<>();
   private final Map<DaemonProcess, LoopbackProxy> storeProxies = new LinkedHashMap<>();
+  private final Map<Link, LoopbackProxy> linkProxies = new LinkedHashMap<>();
   private final Map<InetSocketAddress, InetSocketAddress> proxyAddresses = new HashMap<>();
   private final Map<InetSocketAddress, LoopbackProxy> workerProxies = new LinkedHashMap<>();
   private final RollingRestarts restarts;
@@ -75,6 +88,7 @@
         clock,
         checker,
         SoakLoad.SHORT_TASKS.layout(),
+        false,
         seed);
   }
 
@@ -84,6 +98,8 @@
    *
    * @param directory for settings and logs
    * @param firstPort first of 300 free ports
+   * @param hasLinkProxies whether daemons connect to each other through proxies, which accept
+   *     connections to a daemon that does not run
    * @throws Exception if an address cannot be bound or a file cannot be written
    */
   SoakFleet(
@@ -94,6 +110,7 @@
       SuspendAwareClock clock,
       InvariantChecker checker,
       PlatformLayout layout,
+      boolean hasLinkProxies,
       long seed)
       throws Exception {
     this.loop = loop;
@@ -118,7 +135,10 @@
             layout,
             seed);
     for (int number = 0; number < daemonCount; number++) {
-      addDaemon(directory, firstPort, number, store, instanceService);
+      addDaemon(directory, firstPort, number, store, instanceService, hasLinkProxies);
+    }
+    if (hasLinkProxies) {
+      addLinkProxies(directory);
     }
     this.restarts = new RollingRestarts(daemons, this::start, loop, clock);
   }
@@ -152,10 +172,11 @@
       int firstPort,
       int number,
       InetSocketAddress store,
-      InetSocketAddress instanceService)
+      InetSocketAddress instanceService,
+      boolean hasLinkProxies)
       throws IOException, InterruptedException {
     String name = "daemon-" + number;
-    String ip = "127.0.0." + (FIRST_DAEMON_HOST + number);
+    String ip = ip(0, number);
     InetSocketAddress storeProxyAddress =
         new InetSocketAddress(
             InetAddress.getLoopbackAddress(), firstPort + FIRST_STORE_PROXY_PORT_OFFSET + number);
@@ -165,6 +186,7 @@
         new DaemonSettingsFile.DaemonAddresses(
             name,
             ip,
+            hasLinkProxies ? name : ip,
             firstPort + CALLER_PORT_OFFSET,
             firstPort + READINESS_PORT_OFFSET,
             firstPort + LINK_PORT_OFFSET,
@@ -183,6 +205,54 @@
     storeProxies.put(daemon, new LoopbackProxy(storeProxyAddress, store, loop.group()));
   }
 
+  private static String ip(int network, int daemon) {
+    return "127.0." + network + '.' + (FIRST_DAEMON_HOST + daemon);
+  }
+
+  /** Gives each daemon addresses of its own for all others, which the names in the store hide. */
+  private void addLinkProxies(Path directory) throws IOException, InterruptedException {
+    int port = firstPort + LINK_PORT_OFFSET;
+    for (int from = 0; from < daemons.size(); from++) {
+      List<String> hosts = new ArrayList<>();
+      for (int to = 0; to < daemons.size(); to++) {
+        DaemonProcess daemon = daemons.get(to);
+        String proxyIp = ip(from == to ? 0 : 1 + from, to);
+        hosts.add(proxyIp + ' ' + daemon.name());
+        if (from != to) {
+          linkProxies.put(
+              new Link(daemons.get(from), daemon),
+              new LoopbackProxy(
+                  new InetSocketAddress(proxyIp, port),
+                  new InetSocketAddress(ip(0, to), port),
+                  loop.group()));
+        }
+      }
+      Path hostsFile = directory.resolve(daemons.get(from).name() + ".hosts");
+      Files.write(hostsFile, hosts);
+      daemons.get(from).useHostsFile(hostsFile);
+    }
+  }
+
+  /** Returns the proxies between daemons; empty if the fleet has none. */
+  List<LoopbackProxy> linkProxies() {
+    return List.copyOf(linkProxies.values());
+  }
+
+  /** Returns the proxies on the paths from a daemon to others and back. */
+  List<LoopbackProxy> linkProxies(DaemonProcess daemon, Predicate<DaemonProcess> others) {
+    return linkProxies.entrySet().stream()
+        .filter(
+            link ->
+                (link.getKey().from() == daemon && others.test(link.getKey().to()))
+                    || (link.getKey().to() == daemon && others.test(link.getKey().from())))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
+  List<LoopbackProxy> storeProxies() {
+    return List.copyOf(storeProxies.values());
+  }
+
   PlatformStandIn platform() {
     return platform;
   }
@@ -282,6 +352,13 @@
             });
   }
 
+  /** Finds the local ports of all daemons' connections, on another thread, and passes them on. */
+  void listConnections(Consumer<Map<Integer, DaemonProcess>> listener) {
+    CompletableFuture<Void> unused =
+        CompletableFuture.supplyAsync(() -> DaemonProcess.ownersOfLocalPorts(daemons))
+            .thenAccept(owners -> loop.execute(() -> listener.accept(owners)));
+  }
+
   DaemonProcess randomDaemon(Random random) {
     return daemons.get(random.nextInt(daemons.size()));
   }
@@ -333,6 +410,7 @@
     restarts.close();
     daemons.forEach(DaemonProcess::close);
     storeProxies.values().forEach(LoopbackProxy::close);
+    linkProxies.values().forEach(LoopbackProxy::close);
     workerProxies.values().forEach(LoopbackProxy::close);
     platform.close();
   }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakKind.java
@@ -55,6 +55,20 @@
       return events;
     }
   },
+  /** Open connections that go silent for good, in series with long calm spans. */
+  SILENT_CONNECTIONS(3_000, 3) {
+    @Override
+    List<SoakEvent> events() {
+      return List.copyOf(ConnectionFault.silences());
+    }
+  },
+  /** Machines and paths that are cut and respond to nothing, in series with long calm spans. */
+  MACHINE_CUTS(3_000, 2) {
+    @Override
+    List<SoakEvent> events() {
+      return List.copyOf(ConnectionFault.cuts());
+    }
+  },
   /** Nothing but the load. */
   QUIET(1_000) {
     @Override
@@ -108,9 +122,22 @@
 
   /** Chooses the length of the calm span that follows the end of all events of a series. */
   long calmMs(Random random) {
+    if (isJudgedWhileCalm()) {
+      return 8_000L + random.nextInt(2_000);
+    }
     return isIsolated() ? 3_000L + random.nextInt(3_000) : 0;
   }
 
+  /** Returns whether faults strike connections only, also those between daemons. */
+  boolean isOfConnections() {
+    return this == SILENT_CONNECTIONS || this == MACHINE_CUTS;
+  }
+
+  /** Returns whether calm spans are long enough for the rule on work that waits. */
+  boolean isJudgedWhileCalm() {
+    return isOfConnections();
+  }
+
   /** Returns the longest pause between two events; most events take longer. */
   int maxIntervalMs() {
     return maxIntervalMs;
--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -39,6 +39,9 @@
 
   private static final long START_CHECK_INTERVAL_MS = 100;
 
+  /** Time after the last unplanned event from which waits count. */
+  private static final long UNSETTLED_MS = 4_000;
+
   /** Lag of this process's timer that shows that the machine is short of processor time. */
   private static final long MAX_LAG_MS = 100;
 
@@ -76,6 +79,7 @@
   private final Thread shutdownHook = new Thread(this::killDaemons, "kill-daemons");
 
   private int activeFaults;
+  private long waitsCountFromMs = Long.MIN_VALUE;
   private boolean isClosed;
 
   /** Prepares a run with short tasks. */
@@ -115,7 +119,15 @@
     this.startDelays = new StartDelayChecker(checker);
     this.fleet =
         new SoakFleet(
-            directory, firstPort, daemons, loop, clock, checker, load.layout(), random.nextLong());
+            directory,
+            firstPort,
+            daemons,
+            loop,
+            clock,
+            checker,
+            load.layout(),
+            kind.isOfConnections(),
+            random.nextLong());
     this.callers =
         new SoakCallers(
             fleet.daemons(), loop, clock, checker, load, random.nextLong(), kind.isPlanned());
@@ -141,7 +153,7 @@
           fleet.platform().start();
           fleet.daemons().forEach(fleet::start);
           callers.start();
-          if (kind.isPlanned()) {
+          if (kind.isPlanned() || kind.isJudgedWhileCalm()) {
             checkStartDelays(clock.nowMs());
           }
           return null;
@@ -163,7 +175,7 @@
             checker.recordBreach("LOST", "a daemon is not ready again after its restart");
           }
           callers.stopSubmitting();
-          if (!kind.isPlanned()) {
+          if (!kind.isPlanned() && !kind.isJudgedWhileCalm()) {
             loop.schedule(FINISH_MS, () -> checkStartDelays(clock.nowMs()));
           }
           return null;
@@ -206,6 +218,7 @@
         durationMs,
         () -> {
           activeFaults--;
+          waitsCountFromMs = clock.nowMs() + UNSETTLED_MS;
           end.run();
           // A daemon that received SIGTERM may still be shutting down now, so start it again later.
           loop.schedule(START_DELAY_MS, () -> fleet.daemons().forEach(fleet::start));
@@ -217,7 +230,8 @@
       return;
     }
     long nowMs = clock.nowMs();
-    if (nowMs - expectedAtMs > MAX_LAG_MS) {
+    boolean isUnsettled = !kind.isPlanned() && (activeFaults > 0 || nowMs < waitsCountFromMs);
+    if (isUnsettled || nowMs - expectedAtMs > MAX_LAG_MS) {
       startDelays.restart();
     }
     startDelays.check(fleet.platform().readyWorkers(), nowMs);
--- a/src/test/java/org/laburnumarch/internal/soak/LoopbackProxyTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/LoopbackProxyTest.java
@@ -10,6 +10,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.channels.SocketChannel;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -31,6 +34,7 @@
   void bind() throws Exception {
     ports = PortBlock.reserve(2);
     server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    server.setSoTimeout(5_000);
     proxy =
         new LoopbackProxy(
             new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.first()),
@@ -120,4 +124,86 @@
       assertThat(receive(caller)).isEqualTo(5);
     }
   }
+
+  @Test
+  void shouldForwardNothingOnSilentConnectionsAndShouldNotCloseThem() throws Exception {
+    try (Socket silent = connect();
+        Socket acceptedFirst = server.accept()) {
+      onLoop(proxy::silenceConnections);
+      send(silent, 6);
+      silent.shutdownOutput();
+      try (Socket caller = connect();
+          Socket accepted = server.accept()) {
+        send(caller, 7);
+        assertThat(receive(accepted)).isEqualTo(7);
+        acceptedFirst.setSoTimeout(50);
+        assertThatThrownBy(() -> receive(acceptedFirst)).isInstanceOf(SocketTimeoutException.class);
+      }
+    }
+  }
+
+  @Test
+  void shouldNeitherRefuseNorAcceptConnectionsWhileUnreachable() throws Exception {
+    onLoop(() -> proxy.setMode(Mode.UNREACHABLE));
+    try (SocketChannel waiting = SocketChannel.open()) {
+      waiting.configureBlocking(false);
+      assertThat(
+              waiting.connect(
+                  new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.first())))
+          .isFalse();
+      assertThatThrownBy(
+              () -> {
+                try (Socket caller = new Socket()) {
+                  caller.connect(
+                      new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.first()), 200);
+                }
+              })
+          .isInstanceOf(SocketTimeoutException.class);
+      onLoop(() -> proxy.setMode(Mode.FORWARD));
+      waiting.configureBlocking(true);
+      assertThat(waiting.finishConnect()).isTrue();
+      try (Socket accepted = server.accept()) {
+        send(waiting.socket(), 8);
+        assertThat(receive(accepted)).isEqualTo(8);
+      }
+    }
+  }
+
+  @Test
+  void shouldDeliverBytesOfOpenConnectionsAfterTheCutAlsoIfTheSenderHasClosed() throws Exception {
+    try (Socket caller = connect();
+        Socket accepted = server.accept()) {
+      onLoop(() -> proxy.setMode(Mode.UNREACHABLE));
+      send(caller, 9);
+      caller.shutdownOutput();
+      accepted.setSoTimeout(50);
+      assertThatThrownBy(() -> receive(accepted)).isInstanceOf(SocketTimeoutException.class);
+      accepted.setSoTimeout(0);
+      onLoop(() -> proxy.setMode(Mode.FORWARD));
+      assertThat(receive(accepted)).isEqualTo(9);
+      assertThat(receive(accepted)).isEqualTo(-1);
+    }
+  }
+
+  @Test
+  void shouldCutOnlyTheCallersThatItIsTold() throws Exception {
+    try (Socket cut = connect();
+        Socket acceptedFirst = server.accept();
+        Socket other = connect();
+        Socket accepted = server.accept()) {
+      onLoop(() -> proxy.cut(Map.of(cut.getLocalPort(), true, other.getLocalPort(), false)));
+      send(cut, 10);
+      send(other, 11);
+      assertThat(receive(accepted)).isEqualTo(11);
+      try (Socket unknown = connect()) {
+        send(unknown, 12);
+        onLoop(() -> proxy.cut(Map.of(cut.getLocalPort(), true, unknown.getLocalPort(), false)));
+        try (Socket acceptedLast = server.accept()) {
+          assertThat(receive(acceptedLast)).isEqualTo(12);
+        }
+      }
+      onLoop(() -> proxy.setMode(Mode.FORWARD));
+      assertThat(receive(acceptedFirst)).isEqualTo(10);
+    }
+  }
 }
