Leave the ownership to an owner whose path to one daemon is cut

Callers saw accepted work stand still: with the path between the owner and one other daemon cut, the two took the ownership from each other every 0.6 s for as long as the cut lasted, and each takeover began anew.

LinkClient reported a connect that timed out like a refused one, because Netty's ConnectTimeoutException is a ConnectException. OwnerWatch took it for the end of the owner's process, after which 100 ms without a renewal suffice for a claim; an owner renews every 500 ms. The new owner's link to the former one timed out, too.

The new case of LinkClientTest fails without the change.

Only a refused connection shows that nothing listens at the address. An owner that has lost power or the store is still replaced 1.5 s after its last renewal, which is when the timeout of a connect showed it before (1 s of silence and 0.5 s for the connect).

LinkClientTest, ElectionTest, OwnerWatchTest, NodeStopTest and HandoverTest pass.

--- a/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
+++ b/src/main/java/org/laburnumarch/internal/lead/OwnerWatch.java
@@ -139,8 +139,8 @@
   }
 
   /**
-   * Records that the owner's process has ended or has stepped down: its address refuses connections
-   * or does not respond to them, or the process there reports that it does not own the fleet.
+   * Records that the owner's process has ended or has stepped down: its address refuses
+   * connections, or the process there reports that it does not own the fleet.
    */
   public void onOwnerProcessTerminated() {
     isOwnerProcessTerminated = true;
--- a/src/main/java/org/laburnumarch/internal/link/LinkClient.java
+++ b/src/main/java/org/laburnumarch/internal/link/LinkClient.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.epoll.EpollEventLoopGroup;
@@ -53,10 +54,9 @@
     /**
      * The connection could not be established or has ended.
      *
-     * @param isUnreachable whether it could not be established because the connection was refused
-     *     or timed out
+     * @param isRefused whether it could not be established because nothing listens at the address
      */
-    void onClosed(boolean isUnreachable);
+    void onClosed(boolean isRefused);
   }
 
   /**
@@ -120,11 +120,16 @@
         .addListener(
             future -> {
               if (!future.isSuccess()) {
-                markClosed(future.cause() instanceof ConnectException);
+                markClosed(isRefusal(future.cause()));
               }
             });
   }
 
+  /** A connect that timed out is a {@link ConnectException}, too, but the path may be cut. */
+  private static boolean isRefusal(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
   /** Returns whether calls can be sent. */
   public boolean isConnected() {
     return channel != null && channel.isActive();
@@ -184,7 +189,7 @@
     }
   }
 
-  private void markClosed(boolean isUnreachable) {
+  private void markClosed(boolean isRefused) {
     if (isClosed) {
       return;
     }
@@ -192,7 +197,7 @@
     Map<Long, OpenCall> lost = Map.copyOf(openCalls);
     openCalls.clear();
     lost.values().forEach(call -> call.result().complete(replyAfterClose(call)));
-    listener.onClosed(isUnreachable);
+    listener.onClosed(isRefused);
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/node/Announcer.java
+++ b/src/main/java/org/laburnumarch/internal/node/Announcer.java
@@ -157,7 +157,7 @@
     }
 
     @Override
-    public void onClosed(boolean isUnreachable) {
+    public void onClosed(boolean isRefused) {
       if (!isDone && !isClosed) {
         loop.schedule(RETRY_MS, () -> announce(name, address, attempts + 1));
       }
--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -221,12 +221,11 @@
   /**
    * Records that the link to the owner has ended.
    *
-   * @param isUnreachable whether it could not be established because the connection was refused or
-   *     timed out
+   * @param isRefused whether it could not be established because nothing listens at the address
    */
-  void onLinkClosed(boolean isUnreachable) {
+  void onLinkClosed(boolean isRefused) {
     watch.onLinkClosed();
-    if (isUnreachable) {
+    if (isRefused) {
       watch.onOwnerProcessTerminated();
     }
   }
--- a/src/main/java/org/laburnumarch/internal/node/Node.java
+++ b/src/main/java/org/laburnumarch/internal/node/Node.java
@@ -414,11 +414,11 @@
     }
 
     @Override
-    public void onClosed(boolean isUnreachable) {
+    public void onClosed(boolean isRefused) {
       if (isClosed || link.isEmpty() || link.get() != client) {
         return;
       }
-      election.onLinkClosed(isUnreachable);
+      election.onLinkClosed(isRefused);
       loop.schedule(
           HEARTBEAT_EVERY_MS,
           () -> {
--- a/src/test/java/org/laburnumarch/internal/link/LinkClientTest.java
+++ b/src/test/java/org/laburnumarch/internal/link/LinkClientTest.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -38,7 +39,7 @@
                   new LinkClient(
                       new InetSocketAddress(silent.getInetAddress(), silent.getLocalPort()),
                       loop.group(),
-                      new Connected(connected)));
+                      new Connected(connected, new CompletableFuture<>())));
       assertThat(connected.get(5, TimeUnit.SECONDS)).isTrue();
       List<CompletableFuture<JobReply>> replies = new ArrayList<>();
       loop.call(
@@ -55,8 +56,40 @@
     }
   }
 
-  /** Notes that the connection is established. */
-  private record Connected(CompletableFuture<Boolean> connected) implements LinkClient.Listener {
+  /** Guards against daemons that take the ownership from each other while a path is cut. */
+  @Test
+  void shouldNotTakeAnAddressThatDoesNotRespondForOneWithoutAListener() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Socket first = new Socket(listener.getInetAddress(), listener.getLocalPort());
+        Socket second = new Socket(listener.getInetAddress(), listener.getLocalPort());
+        EventLoopThread loop = new EventLoopThread()) {
+      assertThat(first.isConnected() && second.isConnected()).isTrue();
+      assertThat(isRefused(listener.getLocalPort(), loop)).isFalse();
+    }
+  }
+
+  /** Guards against a takeover from an ended process that begins later than it could. */
+  @Test
+  void shouldReportAnAddressWithoutAListener() throws Exception {
+    try (EventLoopThread loop = new EventLoopThread()) {
+      int port;
+      try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        port = closed.getLocalPort();
+      }
+      assertThat(isRefused(port, loop)).isTrue();
+    }
+  }
+
+  private static boolean isRefused(int port, EventLoopThread loop) throws Exception {
+    Connected listener = new Connected(new CompletableFuture<>(), new CompletableFuture<>());
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    LinkClient unused = loop.call(() -> new LinkClient(address, loop.group(), listener));
+    return listener.refused().get(5, TimeUnit.SECONDS);
+  }
+
+  /** Notes that the connection is established, or why not. */
+  private record Connected(CompletableFuture<Boolean> connected, CompletableFuture<Boolean> refused)
+      implements LinkClient.Listener {
     @Override
     public void onConnected() {
       connected.complete(true);
@@ -69,8 +102,9 @@
     public void onOperatorRecord(OperatorRecord stored) {}
 
     @Override
-    public void onClosed(boolean isUnreachable) {
+    public void onClosed(boolean isRefused) {
       connected.complete(false);
+      refused.complete(isRefused);
     }
   }
 }
