--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -42,6 +42,9 @@
 
   private static final long START_CHECK_INTERVAL_MS = 100;
 
+  /** Time after the last unplanned event from which waits count. */
+  private static final long UNSETTLED_MS = 4_000;
+
   /** Lag of this process's timer that shows that the machine is short of processor time. */
   private static final long MAX_LAG_MS = 100;
 
@@ -83,6 +86,7 @@
   private Optional<CpuQuota> cpuQuota = Optional.empty();
   private SoakEnding ending = SoakEnding.NONE;
   private int activeFaults;
+  private long waitsCountFromMs = Long.MIN_VALUE;
   private long startChecks;
 
   /** Checks that came so late that all waits had to begin anew. */
@@ -134,6 +138,7 @@
             clock,
             checker,
             load.layout(),
+            kind.isOfConnections(),
             random.nextLong());
     fleet.setAside(kind.spareDaemons());
     this.callers =
@@ -188,7 +193,7 @@
           fleet.platform().start();
           fleet.daemons().forEach(fleet::start);
           callers.start();
-          if (isPlanned()) {
+          if (isPlanned() || kind.isJudgedWhileCalm()) {
             checkStartDelays(clock.nowMs());
           }
           return null;
@@ -218,7 +223,7 @@
             checker.recordBreach("LOST", "a daemon is not ready again after its restart");
           }
           callers.stopSubmitting();
-          if (!isPlanned()) {
+          if (!isPlanned() && !kind.isJudgedWhileCalm()) {
             loop.schedule(FINISH_MS, () -> checkStartDelays(clock.nowMs()));
           }
           return null;
@@ -264,6 +269,7 @@
         durationMs,
         () -> {
           activeFaults--;
+          waitsCountFromMs = clock.nowMs() + UNSETTLED_MS;
           end.run();
           // A daemon that received SIGTERM may still be shutting down now, so start it again later.
           loop.schedule(START_DELAY_MS, () -> fleet.daemons().forEach(fleet::start));
@@ -275,9 +281,11 @@
       return;
     }
     long nowMs = clock.nowMs();
+    boolean isUnsettled = !isPlanned() && (activeFaults > 0 || nowMs < waitsCountFromMs);
+    boolean isLate = nowMs - expectedAtMs > MAX_LAG_MS;
     startChecks++;
-    if (nowMs - expectedAtMs > MAX_LAG_MS) {
-      lateStartChecks++;
+    lateStartChecks += isLate ? 1 : 0;
+    if (isUnsettled || isLate) {
       startDelays.restart();
     }
     startDelays.check(fleet.platform().readyWorkers(), nowMs);
