Start long-running tasks again however often their workers crash

Cause: its workers had crashed under tasks of other jobs, and its own tasks, which start again at once, were new on the next worker that crashed. CrashTracker gave the job up after the third crash, as it does with tasks that crash their workers. A long-running task has no limit of attempts, and only runs that end as failed count as attempts. It was not kept apart from other new runs either, so that it met the task that did crash workers again.

Change: the job of a long-running task is never given up for crashes. As a suspect it starts on a worker without other new runs, like other tasks.

--- a/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/CrashTracker.java
@@ -6,7 +6,7 @@
 
 /**
  * Counts how often the processes of workers ended under each task, and gives up a task that crashes
- * the workers which start it.
+ * the workers which start it. A long-running task is started again however often that happens.
  *
  * <p>Most tasks that were on a crashed worker are innocent. One that had just been started may be
  * the cause, and so may one that was there in several crashes. Such a suspect is next started on a
@@ -80,7 +80,8 @@
     task.isolationDeadlineAtMs = Long.MAX_VALUE;
     boolean isProved = isNew && newRuns == 1 && task.crashes >= CRASHES_FOR_PROOF;
     boolean mayBeCause = isNew || newRuns == 0;
-    if (isProved || task.crashes >= (mayBeCause ? MAX_CRASHES : MAX_CRASHES_BESIDE_NEW_RUNS)) {
+    int maxCrashes = mayBeCause ? MAX_CRASHES : MAX_CRASHES_BESIDE_NEW_RUNS;
+    if ((isProved || task.crashes >= maxCrashes) && !spec.isLongRunning()) {
       runTracker.finish(job, JobStatus.FAILED);
     }
     changes.add(job);
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -73,16 +73,15 @@
 
   /**
    * Returns whether the next run must start on a worker without other new runs. Gangs need several
-   * workers at once and long-running tasks stay, so these share workers all the same. So does a
-   * suspect that has waited for long: a crash of many workers leaves more suspects than can start
-   * one by one in time.
+   * workers at once, so these share workers all the same. So does a suspect that has waited for
+   * long: a crash of many workers leaves more suspects than can start one by one in time.
    */
   boolean needsIsolation(long nowMs) {
     return isKeptApart() && nowMs < isolationDeadlineAtMs;
   }
 
   private boolean isKeptApart() {
-    return isSuspect && !step.spec.isGang() && !step.spec.isLongRunning();
+    return isSuspect && !step.spec.isGang();
   }
 
   /** Records that a suspect finds no worker where it would be alone. */
--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -22,6 +22,7 @@
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.JobStatus;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker.Behaviour;
 
@@ -190,6 +191,25 @@
     }
   }
 
+  @Nested
+  class ALongRunningTaskWhoseWorkersCrashWhenItStarts {
+
+    /** Guards against a long-running job that is shown as failed though no run of it has failed. */
+    @Test
+    void shouldBeStartedAgainAfterEachCrash() {
+      runMs = 600_000;
+      crashing.add("lasting.0.0.0");
+      StepSpec step = StepSpec.ofLongRunningTasks(1, new Resources(500, 1_000, 0), "", 0, 0);
+      scheduler.accept(TestJobs.job("lasting", nowMs, step), nowMs);
+      playUntil(nowMs + 20_000);
+      assertThat(scheduler.status("lasting")).contains(JobStatus.RUNNING);
+      assertThat(crashes).isGreaterThan(4);
+      crashing.clear();
+      playUntil(nowMs + MAX_STANDING_MS);
+      assertThat(workerOf("lasting.0.0.0")).isNotEmpty();
+    }
+  }
+
   @Nested
   class ATaskOnWorkersThatAreCutOff {
 
