Do not take an own start as proof that no earlier owner starts the task later

Cause: an owner that takes over from one that may still send orders starts inherited tasks once all workers have reported, since they reject the earlier term then. A worker that restarts forgets the term, and obeys the earlier owner again. From its own start of a task on, the owner took it as proved for all time that no earlier owner has a run of it (Task.knownRunAtMs). So when that run was lost with its worker, and the earlier owner had stopped, the task started again although workers of the pool had not reported.

Evidence: the earlier owner (daemon-3, term 1) was paused from 26.57 to 30.72. daemon-0 (term 2, 28.619) started run 4097 on w77 at 29.515; it was lost at 30.360. w78 had reported to term 2, crashed at 30.367 and came back. daemon-3 started run 1 there at 30.752 and learnt of its loss at 30.774; daemon-0 logged earlier-stopped at 30.778 and started run 4098 at 30.821, with two workers of the pool unreported at 30.700, and found run 1 at 30.831.

Change: an own start proves only that no earlier owner had a run at that time, and reports of own runs prove nothing of earlier owners. A task is held again, while workers of its pool have not reported, if it was started before the earlier owner's last possible order.

--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -40,6 +40,9 @@
   /** Reading of the worker's clock in the reply that confirmed the start; -1 if there is none. */
   long confirmedClockMs = -1;
 
+  /** Whether an earlier owner started the run. */
+  boolean isAdopted;
+
   /** Whether a report of the worker's known incarnation has listed the run as going on. */
   boolean isListed;
 
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -90,7 +90,7 @@
             startDeadlineClockMs);
     attempt.isIsolated = task.needsIsolation(nowMs);
     task.attempt = attempt;
-    task.knownRunAtMs = Long.MAX_VALUE;
+    task.knownRunAtMs = Math.max(task.knownRunAtMs, nowMs);
     task.lastRun = run;
     task.step.job.hasStarted = true;
     register(attempt);
@@ -352,7 +352,9 @@
         return Optional.of(new Order.Stop(worker.id, running.taskName(), running.run()));
       }
     }
-    attempt.task.knownRunAtMs = Math.max(attempt.task.knownRunAtMs, requestedAtMs);
+    if (attempt.isAdopted) {
+      attempt.task.knownRunAtMs = Math.max(attempt.task.knownRunAtMs, requestedAtMs);
+    }
     attempt.isListed = true;
     attempt.isEndUnlisted = false;
     attempt.isOfUnknownIncarnation = false;
@@ -419,6 +421,7 @@
       attempt.stop();
     }
     attempt.phase = Attempt.Phase.RUNNING;
+    attempt.isAdopted = true;
     attempt.isStartUncertain = true;
     attempt.confirmedAtMs = nowMs;
     register(attempt);
--- a/src/main/java/org/laburnumarch/internal/schedule/Task.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Task.java
@@ -19,8 +19,8 @@
   EarlierRun earlierRun;
 
   /**
-   * Latest local time at which a worker is known to have had a run. No earlier owner had started a
-   * later run by then. {@link Long#MAX_VALUE} once this owner has started one; -1 if none is known.
+   * Latest local time at which a worker is known to have had a run of an earlier owner, or this
+   * owner started one. No earlier owner had started a later run by then. -1 if none is known.
    */
   long knownRunAtMs = -1;
 
--- a/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
@@ -57,16 +57,19 @@
         .isEqualTo(OrderReply.Outcome.OBEYED);
   }
 
+  private void report(SimulatedWorker worker) {
+    scheduler
+        .renewal(worker.id(), nowMs)
+        .ifPresent(
+            renewal ->
+                scheduler.onReport(worker.id(), worker.renew(renewal, TERM, nowMs), nowMs, nowMs));
+  }
+
   /** Lets time pass; only one worker reports. Returns the starts. */
   private List<Order> advance(long durationMs) {
     for (long untilMs = nowMs + durationMs; nowMs < untilMs; nowMs += STEP_MS) {
       silent.advance(nowMs);
-      scheduler
-          .renewal(reporting.id(), nowMs)
-          .ifPresent(
-              renewal ->
-                  scheduler.onReport(
-                      reporting.id(), reporting.renew(renewal, TERM, nowMs), nowMs, nowMs));
+      report(reporting);
       if (scheduler.renewal(silent.id(), nowMs).isPresent()) {
         scheduler.onReportMissed(silent.id(), ReportFailure.NO_ANSWER, nowMs, nowMs);
       }
@@ -105,6 +108,44 @@
     assertThat(silent.runningTasks()).isEmpty();
   }
 
+  /** Lets both workers report until the owner starts the task, and ends the run by a crash. */
+  private void startAndLoseARun() {
+    List<Order> orders = List.of();
+    for (int i = 0; orders.isEmpty(); i++) {
+      assertThat(i).isLessThan(10);
+      nowMs += STEP_MS;
+      report(reporting);
+      report(silent);
+      orders = scheduler.decide(nowMs, nowMs).orders();
+    }
+    Order.Start start = (Order.Start) orders.get(0);
+    SimulatedWorker worker = start.workerId().equals(silent.id()) ? silent : reporting;
+    Behaviour behaviour = new Behaviour(nowMs + LONG_RUN_MS, false, Resources.NONE);
+    scheduler.onStartReply(start, worker.start(start, TERM, behaviour, nowMs), nowMs);
+    nowMs += STEP_MS;
+    report(reporting);
+    report(silent);
+    nowMs += STEP_MS;
+    worker.crash(nowMs);
+  }
+
+  private void listWorkers() {
+    scheduler.updateWorkerListings(List.of(reporting.listing(), silent.listing()), nowMs);
+  }
+
+  /** Guards against an own start that counts as proof for the time after it, too. */
+  @Test
+  void shouldNotRunATaskTwiceThatTheEarlierOwnerStartsAfterThisOwner() {
+    takeOver();
+    startAndLoseARun();
+    silent.crash(nowMs + 1);
+    listWorkers();
+    startUnderTheEarlierOwner(silent, 1, LONG_RUN_MS, false);
+    scheduler.onEarlierOwnerStopped(nowMs - 60_000, nowMs);
+    assertThat(advance(20_000)).hasSize(1);
+    assertThat(silent.runningTasks()).isEmpty();
+  }
+
   /** Guards against a wait for leases of a silent worker that cannot have the task. */
   @Test
   void shouldNotWaitForSilentWorkersIfTheRunGoesOnAfterTheLastOrderOfTheEarlierOwner() {
