Renew the ownership over a new connection before others claim it

An owner whose open connections to the store had gone silent lost the ownership, although new connections worked and it was well: a renewal waited 1.2 s for its answer, the next one came 1.7 s after the last that was stored, and other daemons claim after 1.5 s. Work that was due waited for the takeover. Silence of all daemons' connections often hid it, since the others' reads failed first and left the owner a second more.

The new case of LostPacketsTest (three daemon processes, the owner's connections to the store silent) fails without the change.

A renewal times out after 400 ms, so that another one is sent after 1 s. Once renewals are overdue they have 1.2 s again, for a store that is slow. Claims and all other writes keep 1.2 s. A renewal without an answer may have been stored; the next one then fails its condition, and the owner reads what is stored, as before.

LostPacketsTest, ElectionTest, OwnerWatchTest, JobStoreTest and ArchitectureTest pass.

--- a/src/main/java/org/laburnumarch/internal/node/Election.java
+++ b/src/main/java/org/laburnumarch/internal/node/Election.java
@@ -88,6 +88,12 @@
   /** Time between two checks of the owner's heartbeats, or of this daemon's own ownership. */
   private static final long TICK_MS = 100;
 
+  /**
+   * Time limit of a renewal until renewals are overdue. It leaves time for another one, over a new
+   * connection, before other daemons miss three.
+   */
+  private static final long RENEWAL_TIMEOUT_MS = OwnerTenure.RENEW_EVERY_MS - TICK_MS;
+
   private final StoreClient store;
   private final EventLoopThread loop;
   private final SuspendAwareClock clock;
@@ -186,9 +192,11 @@
 
   /** Returns the time between two renewals, which is shorter while they fail. */
   private long renewalIntervalMs(long nowMs) {
-    boolean isFailing =
-        tenure.orElseThrow().renewalAgeMs(nowMs) > OwnerWatch.MAX_OWNER_RENEWAL_AGE_MS;
-    return isFailing ? READ_EVERY_MS : OwnerTenure.RENEW_EVERY_MS;
+    return isRenewalOverdue(nowMs) ? READ_EVERY_MS : OwnerTenure.RENEW_EVERY_MS;
+  }
+
+  private boolean isRenewalOverdue(long nowMs) {
+    return tenure.orElseThrow().renewalAgeMs(nowMs) > OwnerWatch.MAX_OWNER_RENEWAL_AGE_MS;
   }
 
   /** Records a heartbeat that was received over the link. */
@@ -343,6 +351,7 @@
     write(
         renewed,
         endOffset,
+        isRenewalOverdue(nowMs) ? StoreClient.WRITE_TIMEOUT_MS : RENEWAL_TIMEOUT_MS,
         result -> {
           if (result.outcome() == WriteOutcome.STORED) {
             endOffset = result.endOffset();
@@ -503,13 +512,19 @@
   }
 
   private void write(OwnerRecord stored, long expectedEnd, Consumer<WriteResult> onResult) {
+    write(stored, expectedEnd, StoreClient.WRITE_TIMEOUT_MS, onResult);
+  }
+
+  private void write(
+      OwnerRecord stored, long expectedEnd, long timeoutMs, Consumer<WriteResult> onResult) {
     isWriting = true;
     store
         .append(
             StoreClient.OWNERSHIP_LOG,
             List.of(new KeyedValue(OWNER_KEY, Optional.of(stored.encode()))),
             OptionalLong.of(expectedEnd),
-            Optional.empty())
+            Optional.empty(),
+            timeoutMs)
         .whenComplete(
             (result, failure) -> {
               isWriting = false;
--- a/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/StoreClient.java
@@ -157,6 +157,24 @@
       List<KeyedValue> values,
       OptionalLong expectedEnd,
       Optional<WriterPosition> writer) {
+    return append(log, values, expectedEnd, writer, WRITE_TIMEOUT_MS);
+  }
+
+  /**
+   * Appends either all of the records or none, within a time limit.
+   *
+   * @param log the log's name
+   * @param values the records; an empty list only sets the writer's epoch
+   * @param expectedEnd end offset that the log must have; empty for no condition
+   * @param writer position in the writer's sequence; empty for a write outside any sequence
+   * @param timeoutMs time limit of the write, in milliseconds
+   */
+  public CompletionStage<WriteResult> append(
+      String log,
+      List<KeyedValue> values,
+      OptionalLong expectedEnd,
+      Optional<WriterPosition> writer,
+      long timeoutMs) {
     StringBuilder target = new StringBuilder("/v1/log-append?part=0&topic=").append(log);
     expectedEnd.ifPresent(offset -> target.append("&at=").append(offset));
     writer.ifPresent(
@@ -170,7 +188,7 @@
         HttpRequestMethod.POST,
         target.toString(),
         encodeRecords(values),
-        WRITE_TIMEOUT_MS,
+        timeoutMs,
         StoreClient::toWriteResult);
   }
 
--- a/src/test/java/org/laburnumarch/internal/node/ElectionTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/ElectionTest.java
@@ -60,7 +60,7 @@
     when(store.readNewest(any(), any(), anyLong()))
         .thenReturn(
             CompletableFuture.completedStage(new NewestPage(List.of(), 0, Optional.empty())));
-    when(store.append(any(), any(), any(), any()))
+    when(store.append(any(), any(), any(), any(), anyLong()))
         .thenAnswer(
             invocation -> {
               List<KeyedValue> records = invocation.getArgument(1);
--- a/src/test/java/org/laburnumarch/internal/soak/LostPacketsTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/LostPacketsTest.java
@@ -105,4 +105,11 @@
         });
     assertThat(awaitRenewals(10).holder()).isEqualTo(before.holder());
   }
+
+  @Test
+  void shouldKeepTheOwnerWhoseConnectionsToTheStoreGoSilent() throws Exception {
+    OwnerRecord before = owner();
+    onLoop(() -> fleet.storeProxy(fleet.owner().orElseThrow()).silenceConnections());
+    assertThat(awaitRenewals(6).holder()).isEqualTo(before.holder());
+  }
 }
