Tell orders that never left the owner from unanswered ones

A start order to a worker that could not be reached counted as one that may have been executed: an order fails after 400 ms, a connect after 500 ms, so that the order's time limit always came first. The task then waited until its run was resolved, by a worker that did not respond, instead of starting elsewhere at once.

A connect times out after 300 ms. The longer time was meant for one lost opening packet, but the kernel sends that again only after a second.

WorkerClientTest, PlatformHttpClientTest, HttpPlatformLogTest and HttpPoolAdaptersTest pass.

--- a/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
+++ b/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
@@ -40,9 +40,11 @@
 public final class PlatformHttpClient implements AutoCloseable {
 
   /**
-   * Within one region a connect takes 1 to 2 ms; half a second is meant to tolerate one lost SYN.
+   * Shorter than the time limit of an order: a call whose time ends before its connect counts as
+   * one that may take effect. A connect takes 1 to 2 ms within one region, and over a second after
+   * a lost SYN.
    */
-  public static final int CONNECT_TIMEOUT_MS = 500;
+  public static final int CONNECT_TIMEOUT_MS = 300;
 
   private final InetSocketAddress address;
   private final Optional<EventLoopThread> loop;
