Measure inherited arrivals by the workers that are listed later

Cause: a new owner restores the jobs before it has read the registry. The arrivals of the last 2 s were converted into workers by a worker of one thousandth of a core and 1 MB, the fallback for an unknown size, so that they counted up to some thousand times. The pool with the newest arrivals wanted more than the fleet, took what the others did not need at that moment, and the next owner turned it round. Long-running tasks had the same fallback.

Change: arrivals are kept by resource and divided by the size of a worker when they are used. As long as no worker is known, no short task wants any. The log line of the pools shows what waits and what arrives.

--- a/src/main/java/org/laburnumarch/internal/node/MachineController.java
+++ b/src/main/java/org/laburnumarch/internal/node/MachineController.java
@@ -153,8 +153,9 @@
     if (nowMs - poolsLoggedAtMs >= LOG_POOLS_EVERY_MS) {
       poolsLoggedAtMs = nowMs;
       Logger.info(
-          "machines: event=pools {} {}",
+          "machines: event=pools {} {} {}",
           planner.describePools(),
+          scheduler.describeDemands(),
           demandState.forecaster().describe(nowMs));
     }
     demandState.store(nowMs);
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Function;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.QueueConfig;
@@ -26,9 +28,26 @@
   /** Weight of work that can no longer meet its objective. */
   private static final double LATE_WORK_WEIGHT = 0.3;
 
+  /**
+   * The rates at which work arrives, by resource. They are divided by the size of a worker only
+   * when they are used, because the jobs that a new owner inherits precede its list of workers.
+   */
+  private static final class Arrivals {
+    private final ArrivalRate cpu = new ArrivalRate();
+    private final ArrivalRate memory = new ArrivalRate();
+
+    /** Returns the number of workers that the current rate keeps busy. */
+    double workers(Resources workerSize, long nowMs) {
+      return Math.max(
+          cpu.perMs(nowMs) / Math.max(1, workerSize.cpuMillis()),
+          memory.perMs(nowMs) / Math.max(1, workerSize.memoryMb()));
+    }
+  }
+
   private final CandidateRanking ranking;
   private final RunTimes runTimes;
-  private final Map<String, ArrivalRate> arrivalsByService = new HashMap<>();
+  private final Map<String, Arrivals> arrivalsByService = new HashMap<>();
+  private final Map<String, String> descriptions = new TreeMap<>();
 
   DemandEstimator(CandidateRanking ranking, RunTimes runTimes) {
     this.ranking = ranking;
@@ -36,26 +55,20 @@
   }
 
   /** Adds an accepted job to the rate of arrivals. Long-running and timed jobs are left out. */
-  void recordArrival(Job job, QueueConfig queue, Resources workerSize, long nowMs) {
+  void recordArrival(Job job, QueueConfig queue, long nowMs) {
     if (job.spec.isLongRunning() || job.spec.isTimed()) {
       return;
     }
-    double workerTimeMs = 0;
+    double cpuWork = 0;
+    double memoryWork = 0;
     for (var step : job.spec.steps()) {
-      workerTimeMs +=
-          step.count()
-              * runTimes.expectedMs(queue.name(), step)
-              * fractionOfWorker(step.need(), workerSize);
+      double taskTimeMs = step.count() * runTimes.expectedMs(queue.name(), step);
+      cpuWork += taskTimeMs * step.need().cpuMillis();
+      memoryWork += taskTimeMs * step.need().memoryMb();
     }
-    arrivalsByService
-        .computeIfAbsent(queue.service(), service -> new ArrivalRate())
-        .add(workerTimeMs, nowMs);
-  }
-
-  /** Returns the number of workers that the current rate of arrivals keeps busy. */
-  private double arrivalWorkers(String service, long nowMs) {
-    ArrivalRate rate = arrivalsByService.get(service);
-    return rate == null ? 0 : rate.perMs(nowMs);
+    Arrivals arrivals = arrivals(queue.service());
+    arrivals.cpu.add(cpuWork, nowMs);
+    arrivals.memory.add(memoryWork, nowMs);
   }
 
   /**
@@ -96,17 +109,18 @@
     return Math.max(cpu, memory);
   }
 
-  /** Returns the current demand on each pool, by service. */
+  /**
+   * Returns the current demand on each pool, by service.
+   *
+   * @param workerSize returns the capacity of a pool's workers; empty while no worker is known
+   */
   Map<String, PoolDemand> demands(
       Collection<Job> jobs,
       FleetConfig config,
-      Function<String, Resources> workerSize,
+      Function<String, Optional<Resources>> workerSize,
       long nowMs,
       long epochMs) {
-    Map<String, PoolDemand> demands = new HashMap<>();
-    for (String service : config.services().keySet()) {
-      demands.put(service, new PoolDemand(arrivalWorkers(service, nowMs), 0, 0));
-    }
+    Map<String, PoolDemand> longRunning = new HashMap<>();
     Map<String, Double> waiting = new HashMap<>();
     for (Job job : jobs) {
       Optional<QueueConfig> queue = config.queue(job.spec.queue());
@@ -114,34 +128,49 @@
         continue;
       }
       String service = queue.get().service();
-      Resources size = workerSize.apply(service);
+      Optional<Resources> size = workerSize.apply(service);
       for (List<Step> steps : job.occurrences.values()) {
-        waiting.merge(service, workersFor(steps, queue.get(), size, nowMs, epochMs), Double::sum);
+        size.ifPresent(
+            known ->
+                waiting.merge(
+                    service, workersFor(steps, queue.get(), known, nowMs, epochMs), Double::sum));
         for (Step step : steps) {
           if (step.spec.isLongRunning()) {
-            demands.merge(service, longRunningDemand(step, size), DemandEstimator::add);
+            longRunning.merge(service, longRunningDemand(step, size), DemandEstimator::add);
           }
         }
       }
     }
-    waiting.forEach(
-        (service, need) ->
-            demands.merge(
-                service,
-                new PoolDemand(need, 0, 0),
-                (first, second) ->
-                    new PoolDemand(
-                        Math.max(first.batchWorkers(), second.batchWorkers()),
-                        first.longRunningWorkers(),
-                        first.minWorkers())));
+    Map<String, PoolDemand> demands = new HashMap<>();
+    for (String service : config.services().keySet()) {
+      double waitingWorkers = waiting.getOrDefault(service, 0.0);
+      double arrivingWorkers =
+          workerSize.apply(service).map(size -> arrivals(service).workers(size, nowMs)).orElse(0.0);
+      descriptions.put(
+          service,
+          String.format(
+              Locale.ROOT, "waiting:%.1f/arriving:%.1f", waitingWorkers, arrivingWorkers));
+      PoolDemand batch = new PoolDemand(Math.max(waitingWorkers, arrivingWorkers), 0, 0);
+      demands.put(service, add(batch, longRunning.getOrDefault(service, PoolDemand.NONE)));
+    }
     return demands;
   }
 
-  private static PoolDemand longRunningDemand(Step step, Resources size) {
+  /** Returns what the newest demands consist of, in workers, for the log. */
+  String describe() {
+    return "demand=" + descriptions;
+  }
+
+  private Arrivals arrivals(String service) {
+    return arrivalsByService.computeIfAbsent(service, name -> new Arrivals());
+  }
+
+  private static PoolDemand longRunningDemand(Step step, Optional<Resources> workerSize) {
     int limit = step.spec.maxPerWorker();
     int minWorkers = limit == 0 ? 1 : (step.spec.count() + limit - 1) / limit;
-    return new PoolDemand(
-        0, step.spec.count() * fractionOfWorker(step.spec.reserved(), size), minWorkers);
+    double fraction =
+        workerSize.map(size -> fractionOfWorker(step.spec.reserved(), size)).orElse(0.0);
+    return new PoolDemand(0, step.spec.count() * fraction, minWorkers);
   }
 
   private static PoolDemand add(PoolDemand first, PoolDemand second) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -436,10 +436,7 @@
   private void recordArrival(Job job, long arrivedAtMs) {
     config
         .queue(job.spec.queue())
-        .ifPresent(
-            queue ->
-                demandEstimator.recordArrival(
-                    job, queue, workerSize(queue.service()), arrivedAtMs));
+        .ifPresent(queue -> demandEstimator.recordArrival(job, queue, arrivedAtMs));
   }
 
   /** Returns a job's status as reported to callers; empty if the job is unknown. */
@@ -784,14 +781,16 @@
     return demandEstimator.demands(liveJobs.values(), config, this::workerSize, nowMs, epochMs);
   }
 
+  /** Returns what the demands consist of, for the log. */
+  public String describeDemands() {
+    return demandEstimator.describe();
+  }
+
   /** Returns the capacity of a worker of a pool, or of any worker if the pool is empty. */
-  private Resources workerSize(String service) {
+  private Optional<Resources> workerSize(String service) {
     List<Worker> pool = workers.pool(service);
     Collection<Worker> sample = pool.isEmpty() ? workers.all() : pool;
-    return sample.stream()
-        .findFirst()
-        .map(worker -> worker.listing.capacity())
-        .orElse(new Resources(1, 1, 1));
+    return sample.stream().findFirst().map(worker -> worker.listing.capacity());
   }
 
   /** Decides which runs to start and stop now, and which advice to ask for. */
--- a/src/test/java/org/laburnumarch/internal/schedule/LearntRankingTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/LearntRankingTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.FleetConfig;
@@ -40,7 +41,7 @@
   }
 
   private double batchWorkers(String image) {
-    Function<String, Resources> size = service -> WORKER_SIZE;
+    Function<String, Optional<Resources>> size = service -> Optional.of(WORKER_SIZE);
     Map<String, PoolDemand> demands =
         new DemandEstimator(ranking, runTimes).demands(List.of(job(image)), CONFIG, size, 0, 0);
     return demands.get(TestJobs.SERVICE).batchWorkers();
