Bound a pool's demand by the tasks that can run now

Cause: the demand of waiting work counted all unfinished steps of a job against the time that is left, also those whose turn has not come, and was not limited by what the team may run at once. A pool at its team's limit, or with many jobs in their first step, wanted instances on which nothing could run.

Evidence: on the code before, a job of one task followed by 80 wanted 1.5 workers while one task could run; jobs of a team that may use two workers wanted 6 (PoolDemandTest, both tests fail there).

Change: the need of an occurrence is at most what its runnable tasks occupy. The needs of a team over all pools are reduced in proportion to its limit.

--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -44,6 +44,23 @@
     }
   }
 
+  /** What work that is there needs: a number of workers, and the resources of its tasks. */
+  private record Need(double workers, double cpuMillis, double memoryMb) {
+    private static final Need NONE = new Need(0, 0, 0);
+
+    Need plus(Need other) {
+      return new Need(
+          workers + other.workers, cpuMillis + other.cpuMillis, memoryMb + other.memoryMb);
+    }
+
+    /** Returns the part of the need that a limit on resources allows; 0 in it means no limit. */
+    double partWithin(Resources limit) {
+      double cpu = limit.cpuMillis() == 0 ? 1 : limit.cpuMillis() / Math.max(1, cpuMillis);
+      double memory = limit.memoryMb() == 0 ? 1 : limit.memoryMb() / Math.max(1, memoryMb);
+      return Math.min(1, Math.min(cpu, memory));
+    }
+  }
+
   private final CandidateRanking ranking;
   private final RunTimes runTimes;
   private final Map<String, Arrivals> arrivalsByService = new HashMap<>();
@@ -72,24 +89,28 @@
   }
 
   /**
-   * Returns the number of workers that the unfinished steps of an occurrence need to meet its
-   * objective.
+   * Returns what the unfinished steps of an occurrence need to meet its objective, but no more than
+   * the tasks occupy that can run now.
    */
-  private double workersFor(
+  private Need need(
       List<Step> steps, QueueConfig queue, Resources workerSize, long nowMs, long epochMs) {
     double workMs = 0;
+    double runnableWorkers = 0;
+    Resources runnable = Resources.NONE;
     for (Step step : steps) {
       if (step.spec.isLongRunning()) {
         continue;
       }
       int unfinished = step.tasks.size() - step.doneCount;
-      workMs +=
-          unfinished
-              * step.predict(runTimes).expectedMs()
-              * fractionOfWorker(step.spec.need(), workerSize);
+      double workers = unfinished * fractionOfWorker(step.spec.need(), workerSize);
+      workMs += workers * step.predict(runTimes).expectedMs();
+      if (Job.areDependenciesDone(step, steps)) {
+        runnableWorkers += workers;
+        runnable = runnable.plus(step.spec.need().times(unfinished));
+      }
     }
-    if (workMs == 0) {
-      return 0;
+    if (workMs == 0 || runnableWorkers == 0) {
+      return Need.NONE;
     }
     CandidateRanking.Candidate candidate =
         ranking.candidate(steps.get(0), steps, queue, nowMs, epochMs);
@@ -97,7 +118,9 @@
     double plannedMs =
         Math.max(chainMs, PLANNED_TIME_FRACTION * (candidate.deadlineAtMs() - nowMs));
     double weight = candidate.rank() == CandidateRanking.Rank.LATE ? LATE_WORK_WEIGHT : 1;
-    return weight * workMs / plannedMs;
+    double part = weight * Math.min(1, workMs / plannedMs / runnableWorkers);
+    return new Need(
+        part * runnableWorkers, part * runnable.cpuMillis(), part * runnable.memoryMb());
   }
 
   /**
@@ -121,7 +144,7 @@
       long nowMs,
       long epochMs) {
     Map<String, PoolDemand> longRunning = new HashMap<>();
-    Map<String, Double> waiting = new HashMap<>();
+    Map<String, Map<String, Need>> waitingByTeam = new HashMap<>();
     for (Job job : jobs) {
       Optional<QueueConfig> queue = config.queue(job.spec.queue());
       if (job.status.isFinal() || queue.isEmpty()) {
@@ -132,8 +155,9 @@
       for (List<Step> steps : job.occurrences.values()) {
         size.ifPresent(
             known ->
-                waiting.merge(
-                    service, workersFor(steps, queue.get(), known, nowMs, epochMs), Double::sum));
+                waitingByTeam
+                    .computeIfAbsent(job.spec.team(), team -> new HashMap<>())
+                    .merge(service, need(steps, queue.get(), known, nowMs, epochMs), Need::plus));
         for (Step step : steps) {
           if (step.spec.isLongRunning()) {
             longRunning.merge(service, longRunningDemand(step, size), DemandEstimator::add);
@@ -141,6 +165,7 @@
         }
       }
     }
+    Map<String, Double> waiting = workersWithinLimits(waitingByTeam, config);
     Map<String, PoolDemand> demands = new HashMap<>();
     for (String service : config.services().keySet()) {
       double waitingWorkers = waiting.getOrDefault(service, 0.0);
@@ -156,6 +181,20 @@
     return demands;
   }
 
+  /** Returns the workers that waiting work needs by pool, as far as the teams' limits allow. */
+  private static Map<String, Double> workersWithinLimits(
+      Map<String, Map<String, Need>> needsByTeam, FleetConfig config) {
+    Map<String, Double> workers = new HashMap<>();
+    needsByTeam.forEach(
+        (team, needs) -> {
+          Need all = needs.values().stream().reduce(Need.NONE, Need::plus);
+          double part = config.team(team).map(known -> all.partWithin(known.limit())).orElse(1.0);
+          needs.forEach(
+              (service, need) -> workers.merge(service, part * need.workers(), Double::sum));
+        });
+    return workers;
+  }
+
   /** Returns what the newest demands consist of, in workers, for the log. */
   String describe() {
     return "demand=" + descriptions;
--- a/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
 import org.laburnumarch.internal.pool.PoolDemand;
 
@@ -45,4 +46,33 @@
       assertThat(demand(10_200).batchWorkers()).isBetween(0.1, 1.0);
     }
   }
+
+  @Nested
+  class WithABacklog {
+
+    @Test
+    void shouldNotWantWorkersForStepsWhoseTurnHasNotCome() {
+      scheduler.configure(TestJobs.config(0, 9));
+      listWorkers(4, 10_000);
+      StepSpec narrow = TestJobs.step(1, 1_000);
+      StepSpec wide = TestJobs.step(80, 1_000, 0);
+      scheduler.restore(TestJobs.job("j", 0, narrow, wide), Optional.empty(), 10_000, 10_000);
+      scheduler.decide(10_000, 10_000);
+      assertThat(demand(10_000).batchWorkers()).isLessThanOrEqualTo(1.0 / 8);
+    }
+
+    @Test
+    void shouldNotWantMoreWorkersThanTheTeamsLimitOccupies() {
+      scheduler.configure(TestJobs.config(16_000, 9));
+      listWorkers(4, 10_000);
+      for (int i = 0; i < 20; i++) {
+        scheduler.restore(
+            TestJobs.job("j" + i, 7_900, TestJobs.step(8, 1_000)),
+            Optional.empty(),
+            10_000,
+            10_000);
+      }
+      assertThat(demand(10_000).batchWorkers()).isLessThanOrEqualTo(2.0);
+    }
+  }
 }
