Count only usable workers when a pool gives instances away

Cause: a pool gave instances away down to what it wanted, counting those whose workers were starting, unreported or cordoned. After a takeover no worker has reported, yet half of the fleet could be cordoned at once.

Evidence: three new tests of FleetPlannerTest fail on the code before: seven of ten instances are cordoned though no worker has reported, and the surplus includes the only usable worker of a pool with long-running tasks.

Change: an instance leaves only if the pool keeps what it needs both of all its instances and of those with usable workers. The log shows both sizes.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -438,7 +438,9 @@
       return;
     }
     Map<String, Integer> wanted = wantedSizes(config, demands);
-    Map<String, Integer> projected = projectedSizes(outOfServiceDataCentres);
+    PoolSizes sizes =
+        new PoolSizes(
+            projectedSizes(outOfServiceDataCentres), usableSizes(loads, outOfServiceDataCentres));
     Map<String, PoolForecast> forecasts = new TreeMap<>();
     wanted.forEach(
         (pool, size) ->
@@ -448,25 +450,25 @@
                     pool,
                     size,
                     demands.getOrDefault(pool, PoolDemand.NONE).batchWorkers() > 0,
-                    projected.getOrDefault(pool, 0),
+                    sizes.present(pool),
                     nowMs)));
-    poolSizes = "wanted=" + wanted + " present=" + projected;
+    poolSizes = "wanted=" + wanted + " " + sizes;
     // What is wanted now goes before what is expected, which takes nothing that other pools hold.
     for (PoolShortage.Kind kind : PoolShortage.Kind.values()) {
-      Map<String, Integer> missing = kind.missing(forecasts, projected);
+      Map<String, Integer> missing = kind.missing(forecasts, sizes);
       for (String pool : PoolShortage.largestFirst(missing)) {
         for (int i = 0; i < missing.get(pool); i++) {
           Optional<Machine> source =
               chooseSource(
-                  pool, spare.get(), kind, forecasts, projected, loads, outOfServiceDataCentres);
+                  pool, spare.get(), kind, forecasts, sizes, loads, outOfServiceDataCentres);
           if (source.isEmpty()) {
             break;
           }
-          addMove(source.get(), pool, projected, nowMs);
+          addMove(source.get(), pool, sizes, loads, nowMs);
         }
       }
     }
-    returnSurplus(spare.get(), forecasts, projected, loads, nowMs);
+    returnSurplus(spare.get(), forecasts, sizes, loads, nowMs);
   }
 
   private Map<String, Integer> wantedSizes(FleetConfig config, Map<String, PoolDemand> demands) {
@@ -528,12 +530,26 @@
     return sizes;
   }
 
+  /** Counts the instances of each pool on which tasks may start and nothing is planned. */
+  private Map<String, Integer> usableSizes(
+      Map<String, WorkerLoad> loads, Set<String> outOfServiceDataCentres) {
+    Map<String, Integer> usable = new HashMap<>();
+    for (Machine machine : machines.values()) {
+      if (isAvailable(machine)
+          && isUsable(machine, loads)
+          && !outOfServiceDataCentres.contains(machine.dataCentre())) {
+        usable.merge(machine.pool(), 1, Integer::sum);
+      }
+    }
+    return usable;
+  }
+
   private Optional<Machine> chooseSource(
       String pool,
       String spare,
       PoolShortage.Kind kind,
       Map<String, PoolForecast> forecasts,
-      Map<String, Integer> projected,
+      PoolSizes sizes,
       Map<String, WorkerLoad> loads,
       Set<String> outOfServiceDataCentres) {
     Machine best = null;
@@ -547,13 +563,13 @@
       }
       boolean isSpare = machine.pool().equals(spare);
       Optional<PoolForecast> donor = Optional.ofNullable(forecasts.get(machine.pool()));
-      int size = projected.getOrDefault(machine.pool(), 0);
-      if (!isSpare && size <= donor.map(kind::protectedSize).orElse(0)) {
+      int left = sizes.reliableWithout(machine.pool(), isUsable(machine, loads));
+      if (!isSpare && left < donor.map(kind::protectedSize).orElse(0)) {
         continue;
       }
       WorkerLoad load = loads.get(machine.workerId());
       double cost = isSpare || load == null ? 0 : InstanceCosts.drainCost(load);
-      if (!isSpare && size <= donor.map(PoolForecast::soon).orElse(0)) {
+      if (!isSpare && left < donor.map(PoolForecast::soon).orElse(0)) {
         cost += InstanceCosts.NEEDED_SOON;
       }
       if (cost < bestCost) {
@@ -570,21 +586,21 @@
         && !unavailable.containsKey(machine.name());
   }
 
-  private void addMove(Machine machine, String pool, Map<String, Integer> projected, long nowMs) {
+  private void addMove(
+      Machine machine, String pool, PoolSizes sizes, Map<String, WorkerLoad> loads, long nowMs) {
     pendingOperations.put(machine.name(), new PendingOperation(Optional.empty(), pool, nowMs));
-    projected.merge(machine.pool(), -1, Integer::sum);
-    projected.merge(pool, 1, Integer::sum);
+    sizes.move(machine.pool(), isUsable(machine, loads), pool);
   }
 
   private void returnSurplus(
       String spare,
       Map<String, PoolForecast> forecasts,
-      Map<String, Integer> projected,
+      PoolSizes sizes,
       Map<String, WorkerLoad> loads,
       long nowMs) {
     for (Map.Entry<String, PoolForecast> entry : forecasts.entrySet()) {
       String pool = entry.getKey();
-      int surplus = projected.getOrDefault(pool, 0) - entry.getValue().hold();
+      int surplus = sizes.reliable(pool) - entry.getValue().hold();
       if (surplus <= 0) {
         surplusSinceMs.remove(pool);
         continue;
@@ -604,10 +620,10 @@
               .limit(surplus)
               .toList();
       for (Machine machine : leaving) {
-        String next = PoolShortage.nextPool(forecasts, projected).orElse(spare);
+        String next = PoolShortage.nextPool(forecasts, sizes).orElse(spare);
         boolean isImpossible =
             impossibleOrders.contains(orderKey(new MachineOrder.Move(machine.name(), next)));
-        addMove(machine, isImpossible ? spare : next, projected, nowMs);
+        addMove(machine, isImpossible ? spare : next, sizes, loads, nowMs);
       }
     }
   }
--- a/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
@@ -20,10 +20,9 @@
     EXPECTED;
 
     /** Returns how many instances each pool lacks; pools that lack none are left out. */
-    Map<String, Integer> missing(
-        Map<String, PoolForecast> forecasts, Map<String, Integer> present) {
+    Map<String, Integer> missing(Map<String, PoolForecast> forecasts, PoolSizes sizes) {
       return PoolShortage.missing(
-          forecasts, this == WANTED ? PoolForecast::wanted : PoolForecast::ahead, present);
+          forecasts, this == WANTED ? PoolForecast::wanted : PoolForecast::ahead, sizes);
     }
 
     /** Returns the size below which a pool gives no instances to others. */
@@ -35,13 +34,11 @@
   private PoolShortage() {}
 
   private static Map<String, Integer> missing(
-      Map<String, PoolForecast> forecasts,
-      ToIntFunction<PoolForecast> size,
-      Map<String, Integer> present) {
+      Map<String, PoolForecast> forecasts, ToIntFunction<PoolForecast> size, PoolSizes sizes) {
     Map<String, Integer> missing = new HashMap<>();
     forecasts.forEach(
         (pool, forecast) -> {
-          int lacking = size.applyAsInt(forecast) - present.getOrDefault(pool, 0);
+          int lacking = size.applyAsInt(forecast) - sizes.present(pool);
           if (lacking > 0) {
             missing.put(pool, lacking);
           }
@@ -60,8 +57,7 @@
    * Returns the pool to which an instance without use goes directly: the one that lacks most of
    * what it will need before the instance could go there through the spare pool.
    */
-  static Optional<String> nextPool(
-      Map<String, PoolForecast> forecasts, Map<String, Integer> present) {
-    return largestFirst(missing(forecasts, PoolForecast::soon, present)).stream().findFirst();
+  static Optional<String> nextPool(Map<String, PoolForecast> forecasts, PoolSizes sizes) {
+    return largestFirst(missing(forecasts, PoolForecast::soon, sizes)).stream().findFirst();
   }
 }
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -265,4 +265,44 @@
       assertThat(plan(0, 0).cordoned()).isEmpty();
     }
   }
+
+  @Nested
+  class WhenInstancesAreScarce {
+
+    private void addAll(int from, int until, String pool, int shortRuns, boolean isUsable) {
+      for (int i = from; i < until; i++) {
+        add("m" + i, pool, shortRuns, 0, isUsable);
+      }
+    }
+
+    /** Guards against pools that keep only instances whose workers are still starting. */
+    @Test
+    void shouldNotTakeTheUsableWorkersOfAPoolWhoseOtherWorkersAreNotUsable() {
+      addAll(0, 3, "office", 0, true);
+      addAll(3, 9, "office", 0, false);
+      addAll(9, 12, "desk", 0, true);
+      assertThat(plan(6, 3).cordoned()).isEmpty();
+      addAll(3, 9, "office", 0, true);
+      assertThat(plan(6, 3).cordoned()).hasSize(5);
+    }
+
+    @Test
+    void shouldTakeNothingFromPoolsWhoseWorkersHaveNotReportedToANewOwner() {
+      addAll(0, 9, "office", 0, false);
+      addAll(9, 10, "desk", 0, false);
+      assertThat(plan(20, 0).cordoned()).isEmpty();
+    }
+
+    @Test
+    void shouldNotReturnTheOnlyUsableWorkerOfAPoolAsSurplus() {
+      add("m0", "desk", 0, 0, true);
+      addAll(1, 4, "desk", 0, false);
+      addAll(4, 6, "office", 0, true);
+      plan(0.1, 0.1);
+      nowMs += WINDOW_MS + 1;
+      plan(0, 0);
+      nowMs += 2_000;
+      assertThat(plan(0, 0).cordoned()).isEmpty();
+    }
+  }
 }
