Share scarce instances by how well pools are covered

Cause: pools were served in the order of what they lacked, the largest completely first, and a pool that was short itself gave nothing away, however much better it was covered. A pool could want more than the fleet has.

Evidence: three new tests of FleetPlannerTest fail on the code before: the pool that wants 1,000 gets all spare instances; a pool with 2 of 16 gets none of another's 18; one with long-running tasks stays at 1 of 3.

Change: no pool wants more than the fleet. Least sizes come first. Then each instance goes to the pool of which the smallest share is covered. A pool that is short gives instances only to one that is covered half as well, so that pools that are about equally short don't exchange them.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import org.laburnumarch.internal.forecast.PoolForecast;
 import org.laburnumarch.internal.forecast.PoolForecaster;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.ServiceConfig;
@@ -437,54 +436,64 @@
     if (spare.isEmpty() || machines.isEmpty()) {
       return;
     }
-    Map<String, Integer> wanted = wantedSizes(config, demands);
     PoolSizes sizes =
         new PoolSizes(
             projectedSizes(outOfServiceDataCentres), usableSizes(loads, outOfServiceDataCentres));
-    Map<String, PoolForecast> forecasts = new TreeMap<>();
-    wanted.forEach(
-        (pool, size) ->
-            forecasts.put(
-                pool,
+    Map<String, Integer> wanted = new TreeMap<>();
+    Map<String, PoolNeed> needs = new TreeMap<>();
+    for (ServiceConfig service : config.services().values()) {
+      if (!service.isSpare()) {
+        String pool = service.name();
+        PoolDemand demand = demands.getOrDefault(pool, PoolDemand.NONE);
+        int size = Math.min(wantedSize(pool, demand), sizes.total());
+        wanted.put(pool, size);
+        needs.put(
+            pool,
+            new PoolNeed(
+                leastSize(pool, demand),
                 forecaster.update(
-                    pool,
-                    size,
-                    demands.getOrDefault(pool, PoolDemand.NONE).batchWorkers() > 0,
-                    sizes.present(pool),
-                    nowMs)));
+                    pool, size, demand.batchWorkers() > 0, sizes.present(pool), nowMs)));
+      }
+    }
     poolSizes = "wanted=" + wanted + " " + sizes;
     // What is wanted now goes before what is expected, which takes nothing that other pools hold.
     for (PoolShortage.Kind kind : PoolShortage.Kind.values()) {
-      Map<String, Integer> missing = kind.missing(forecasts, sizes);
-      for (String pool : PoolShortage.largestFirst(missing)) {
-        for (int i = 0; i < missing.get(pool); i++) {
-          Optional<Machine> source =
-              chooseSource(
-                  pool, spare.get(), kind, forecasts, sizes, loads, outOfServiceDataCentres);
-          if (source.isEmpty()) {
-            break;
-          }
-          addMove(source.get(), pool, sizes, loads, nowMs);
+      Set<String> withoutSource = new HashSet<>();
+      Optional<String> pool = kind.shortest(needs, sizes, withoutSource);
+      while (pool.isPresent()) {
+        Optional<Machine> source =
+            chooseSource(
+                pool.get(), spare.get(), kind, needs, sizes, loads, outOfServiceDataCentres);
+        if (source.isPresent()) {
+          addMove(source.get(), pool.get(), sizes, loads, nowMs);
+        } else {
+          withoutSource.add(pool.get());
         }
+        pool = kind.shortest(needs, sizes, withoutSource);
       }
     }
-    returnSurplus(spare.get(), forecasts, sizes, loads, nowMs);
+    returnSurplus(spare.get(), needs, sizes, loads, nowMs);
   }
 
-  private Map<String, Integer> wantedSizes(FleetConfig config, Map<String, PoolDemand> demands) {
-    Map<String, Integer> wanted = new HashMap<>();
-    for (ServiceConfig service : config.services().values()) {
-      if (!service.isSpare()) {
-        PoolDemand demand = demands.getOrDefault(service.name(), PoolDemand.NONE);
-        double workers = demand.batchWorkers() * HEADROOM_FACTOR + demand.longRunningWorkers();
-        int size = Math.max(demand.minWorkers() + 1, (int) Math.ceil(workers));
-        // Long-running tasks need a substitute for an instance in maintenance; short tasks can
-        // wait.
-        int unusable = demand.minWorkers() > 0 ? countInMaintenance(service.name()) : 0;
-        wanted.put(service.name(), size + unusable);
-      }
+  private int wantedSize(String pool, PoolDemand demand) {
+    double workers = demand.batchWorkers() * HEADROOM_FACTOR + demand.longRunningWorkers();
+    int size = Math.max(demand.minWorkers() + 1, (int) Math.ceil(workers));
+    return size + substitutes(pool, demand);
+  }
+
+  private int leastSize(String pool, PoolDemand demand) {
+    if (demand.minWorkers() > 0) {
+      return demand.minWorkers() + 1 + substitutes(pool, demand);
     }
-    return wanted;
+    return demand.batchWorkers() > 0 ? 1 : 0;
+  }
+
+  /**
+   * Counts the instances for which a pool needs a substitute during their maintenance: long-running
+   * tasks do, short tasks can wait.
+   */
+  private int substitutes(String pool, PoolDemand demand) {
+    return demand.minWorkers() > 0 ? countInMaintenance(pool) : 0;
   }
 
   /** Counts a pool's instances that are in maintenance or are drained for it. */
@@ -548,10 +557,11 @@
       String pool,
       String spare,
       PoolShortage.Kind kind,
-      Map<String, PoolForecast> forecasts,
+      Map<String, PoolNeed> needs,
       PoolSizes sizes,
       Map<String, WorkerLoad> loads,
       Set<String> outOfServiceDataCentres) {
+    double coverage = kind.coverageWithOneMore(needs.get(pool), sizes.present(pool));
     Machine best = null;
     double bestCost = Double.MAX_VALUE;
     for (Machine machine : machines.values()) {
@@ -562,14 +572,16 @@
         continue;
       }
       boolean isSpare = machine.pool().equals(spare);
-      Optional<PoolForecast> donor = Optional.ofNullable(forecasts.get(machine.pool()));
+      Optional<PoolNeed> donor = Optional.ofNullable(needs.get(machine.pool()));
       int left = sizes.reliableWithout(machine.pool(), isUsable(machine, loads));
-      if (!isSpare && left < donor.map(kind::protectedSize).orElse(0)) {
+      if (!isSpare
+          && donor.isPresent()
+          && (left < 0 || !kind.mayGive(donor.get(), left, coverage))) {
         continue;
       }
       WorkerLoad load = loads.get(machine.workerId());
       double cost = isSpare || load == null ? 0 : InstanceCosts.drainCost(load);
-      if (!isSpare && left < donor.map(PoolForecast::soon).orElse(0)) {
+      if (!isSpare && left < donor.map(need -> need.forecast().soon()).orElse(0)) {
         cost += InstanceCosts.NEEDED_SOON;
       }
       if (cost < bestCost) {
@@ -594,13 +606,13 @@
 
   private void returnSurplus(
       String spare,
-      Map<String, PoolForecast> forecasts,
+      Map<String, PoolNeed> needs,
       PoolSizes sizes,
       Map<String, WorkerLoad> loads,
       long nowMs) {
-    for (Map.Entry<String, PoolForecast> entry : forecasts.entrySet()) {
+    for (Map.Entry<String, PoolNeed> entry : needs.entrySet()) {
       String pool = entry.getKey();
-      int surplus = sizes.reliable(pool) - entry.getValue().hold();
+      int surplus = sizes.reliable(pool) - entry.getValue().forecast().hold();
       if (surplus <= 0) {
         surplusSinceMs.remove(pool);
         continue;
@@ -620,7 +632,7 @@
               .limit(surplus)
               .toList();
       for (Machine machine : leaving) {
-        String next = PoolShortage.nextPool(forecasts, sizes).orElse(spare);
+        String next = PoolShortage.nextPool(needs, sizes).orElse(spare);
         boolean isImpossible =
             impossibleOrders.contains(orderKey(new MachineOrder.Move(machine.name(), next)));
         addMove(machine, isImpossible ? spare : next, sizes, loads, nowMs);
--- a/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
@@ -1,63 +1,110 @@
 package org.laburnumarch.internal.pool;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToIntFunction;
-import org.laburnumarch.internal.forecast.PoolForecast;
 
 /** Compares the sizes of pools with what they want or will want. Pure functions. */
 final class PoolShortage {
 
+  /**
+   * By what factor another pool must be better covered for a pool that is short itself to give it
+   * an instance. Moves between pools that are about equally short only cost their time.
+   */
+  private static final double GIVING_COVERAGE_RATIO = 2;
+
   /** What a pool lacks instances for, the most urgent first. */
   enum Kind {
-    /** Work that is there. A pool that is sure to need its instances in time keeps them. */
-    WANTED,
+    /** Long-running tasks that must always run, and any work at all. */
+    LEAST {
+      @Override
+      int target(PoolNeed need) {
+        return need.least();
+      }
+
+      @Override
+      boolean mayGive(PoolNeed donor, int left, double coverage) {
+        return left >= donor.least();
+      }
+    },
+    /**
+     * Work that is there. A pool that is sure to need its instances in time keeps them, unless the
+     * other pool is covered much worse.
+     */
+    WANTED {
+      @Override
+      int target(PoolNeed need) {
+        return need.forecast().wanted();
+      }
+
+      @Override
+      boolean mayGive(PoolNeed donor, int left, double coverage) {
+        int ahead = donor.forecast().ahead();
+        return left >= ahead
+            || (left >= donor.least()
+                && PoolNeed.coverage(left, ahead) >= GIVING_COVERAGE_RATIO * coverage);
+      }
+    },
     /** Work that is expected. Other pools keep all that they hold. */
-    EXPECTED;
+    EXPECTED {
+      @Override
+      int target(PoolNeed need) {
+        return need.forecast().ahead();
+      }
 
-    /** Returns how many instances each pool lacks; pools that lack none are left out. */
-    Map<String, Integer> missing(Map<String, PoolForecast> forecasts, PoolSizes sizes) {
-      return PoolShortage.missing(
-          forecasts, this == WANTED ? PoolForecast::wanted : PoolForecast::ahead, sizes);
+      @Override
+      boolean mayGive(PoolNeed donor, int left, double coverage) {
+        return left >= donor.forecast().hold();
+      }
+    };
+
+    /** Returns how many instances a pool should get. */
+    abstract int target(PoolNeed need);
+
+    /**
+     * Returns whether a pool gives an instance to one that lacks it.
+     *
+     * @param left how many instances it can rely on afterwards
+     * @param coverage the other pool's coverage afterwards
+     */
+    abstract boolean mayGive(PoolNeed donor, int left, double coverage);
+
+    /** Returns the share of its wanted instances that a pool has with one more. */
+    double coverageWithOneMore(PoolNeed need, int present) {
+      return PoolNeed.coverage(present + 1, target(need));
     }
 
-    /** Returns the size below which a pool gives no instances to others. */
-    int protectedSize(PoolForecast donor) {
-      return this == WANTED ? donor.ahead() : donor.hold();
+    /** Returns the pool that lacks the largest share of its instances, apart from some. */
+    Optional<String> shortest(
+        Map<String, PoolNeed> needs, PoolSizes sizes, Set<String> exceptions) {
+      return needs.keySet().stream()
+          .filter(pool -> !exceptions.contains(pool))
+          .filter(pool -> missing(needs, this::target, sizes, pool) > 0)
+          .min(
+              Comparator.comparingDouble(
+                      (String pool) ->
+                          PoolNeed.coverage(sizes.present(pool), target(needs.get(pool))))
+                  .thenComparingInt(pool -> -missing(needs, this::target, sizes, pool)));
     }
   }
 
   private PoolShortage() {}
 
-  private static Map<String, Integer> missing(
-      Map<String, PoolForecast> forecasts, ToIntFunction<PoolForecast> size, PoolSizes sizes) {
-    Map<String, Integer> missing = new HashMap<>();
-    forecasts.forEach(
-        (pool, forecast) -> {
-          int lacking = size.applyAsInt(forecast) - sizes.present(pool);
-          if (lacking > 0) {
-            missing.put(pool, lacking);
-          }
-        });
-    return missing;
-  }
-
-  /** Returns the pools that lack instances, the one that lacks most first. */
-  static List<String> largestFirst(Map<String, Integer> missing) {
-    List<String> pools = new ArrayList<>(missing.keySet());
-    pools.sort(Comparator.comparing(missing::get, Comparator.reverseOrder()));
-    return pools;
+  private static int missing(
+      Map<String, PoolNeed> needs, ToIntFunction<PoolNeed> target, PoolSizes sizes, String pool) {
+    return target.applyAsInt(needs.get(pool)) - sizes.present(pool);
   }
 
   /**
    * Returns the pool to which an instance without use goes directly: the one that lacks most of
    * what it will need before the instance could go there through the spare pool.
    */
-  static Optional<String> nextPool(Map<String, PoolForecast> forecasts, PoolSizes sizes) {
-    return largestFirst(missing(forecasts, PoolForecast::soon, sizes)).stream().findFirst();
+  static Optional<String> nextPool(Map<String, PoolNeed> needs, PoolSizes sizes) {
+    ToIntFunction<PoolNeed> soon = need -> need.forecast().soon();
+    return needs.keySet().stream()
+        .filter(pool -> missing(needs, soon, sizes, pool) > 0)
+        .max(Comparator.comparingInt(pool -> missing(needs, soon, sizes, pool)));
   }
 }
--- a/src/main/java/org/laburnumarch/internal/pool/PoolSizes.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolSizes.java
@@ -29,6 +29,11 @@
     return present.getOrDefault(pool, 0);
   }
 
+  /** Returns the number of instances of all pools. */
+  int total() {
+    return present.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
   /** Returns the number of instances that a pool can rely on now. */
   int reliable(String pool) {
     return Math.min(present(pool), usable.getOrDefault(pool, 0));
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -275,6 +275,10 @@
       }
     }
 
+    private List<String> targets(FleetPlan plan) {
+      return plan.orders().stream().map(order -> ((MachineOrder.Move) order).pool()).toList();
+    }
+
     /** Guards against pools that keep only instances whose workers are still starting. */
     @Test
     void shouldNotTakeTheUsableWorkersOfAPoolWhoseOtherWorkersAreNotUsable() {
@@ -304,5 +308,45 @@
       nowMs += 2_000;
       assertThat(plan(0, 0).cordoned()).isEmpty();
     }
+
+    /** Guards against a pool that gets all instances because it lacks most. */
+    @Test
+    void shouldShareSpareInstancesInProportionToWhatPoolsWant() {
+      addAll(0, 1, "desk", 0, true);
+      addAll(1, 2, "office", 0, true);
+      addAll(2, 14, "reserve", 0, true);
+      assertThat(targets(plan(1_000, 5))).filteredOn("office"::equals).hasSizeBetween(3, 5);
+    }
+
+    @Test
+    void shouldGiveAStarvedPoolInstancesOfOneThatIsLessShort() {
+      addAll(0, 18, "desk", 0, true);
+      addAll(18, 20, "office", 0, true);
+      assertThat(targets(plan(30, 16))).isNotEmpty().containsOnly("office").hasSizeBetween(1, 5);
+    }
+
+    @Test
+    void shouldNotMoveInstancesBetweenPoolsThatAreAboutEquallyShort() {
+      addAll(0, 10, "desk", 0, true);
+      addAll(10, 17, "office", 0, true);
+      assertThat(plan(12, 14).cordoned()).isEmpty();
+    }
+
+    /** Guards against long-running tasks that wait for an instance behind a backlog. */
+    @Test
+    void shouldBringAPoolWithLongRunningTasksToItsLeastSizeBeforeABacklog() {
+      add("m0", "office", 0, 2, true);
+      addAll(1, 6, "desk", 1, true);
+      planner.onList(machines.values(), nowMs);
+      FleetPlan plan =
+          planner.plan(
+              CONFIG,
+              Map.of("desk", new PoolDemand(22, 0, 0), "office", new PoolDemand(0, 0.5, 2)),
+              new ArrayList<>(loads.values()),
+              Set.of(),
+              true,
+              nowMs);
+      assertThat(plan.cordoned()).hasSize(2).doesNotContain("wm0");
+    }
   }
 }
