Cancel moves of draining instances that their pool needs again

Cause: a planned move was kept until the instance had drained, up to 2.5 s, also when the demand of both pools had changed meanwhile. Its pool then ordered other instances, which take a drain, a move and a start.

Evidence: the new test fails on the code before: four instances stay cordoned though their pool wants all six and the other one wants two.

Change: a move that has not been ordered is cancelled if its instance's pool is short and worse covered than the other one. An order without a response may have been carried out, so that its instance stays cordoned.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -455,6 +456,7 @@
                     pool, size, demand.batchWorkers() > 0, sizes.present(pool), nowMs)));
       }
     }
+    cancelMovesOfNeededInstances(needs, sizes, loads);
     poolSizes = "wanted=" + wanted + " " + sizes;
     // What is wanted now goes before what is expected, which takes nothing that other pools hold.
     for (PoolShortage.Kind kind : PoolShortage.Kind.values()) {
@@ -475,6 +477,30 @@
     returnSurplus(spare.get(), needs, sizes, loads, nowMs);
   }
 
+  /**
+   * Cancels moves of instances that are still drained while their own pool has come to need them
+   * more than the one that they would go to. An instance that stays runs tasks at once.
+   */
+  private void cancelMovesOfNeededInstances(
+      Map<String, PoolNeed> needs, PoolSizes sizes, Map<String, WorkerLoad> loads) {
+    Iterator<Map.Entry<String, PendingOperation>> operations =
+        pendingOperations.entrySet().iterator();
+    while (operations.hasNext()) {
+      Map.Entry<String, PendingOperation> entry = operations.next();
+      PendingOperation operation = entry.getValue();
+      Machine machine = machines.get(entry.getKey());
+      // An order without a response may have been carried out.
+      boolean wasOrdered = operation.isOrdered || operation.notBeforeMs > 0;
+      if (machine != null
+          && !operation.isMaintenance()
+          && !wasOrdered
+          && PoolShortage.isNeededMore(machine.pool(), operation.pool, needs, sizes)) {
+        operations.remove();
+        sizes.cancelMove(machine.pool(), isUsable(machine, loads), operation.pool);
+      }
+    }
+  }
+
   private int wantedSize(String pool, PoolDemand demand) {
     double workers = demand.batchWorkers() * HEADROOM_FACTOR + demand.longRunningWorkers();
     int size = Math.max(demand.minWorkers() + 1, (int) Math.ceil(workers));
--- a/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
@@ -97,6 +97,26 @@
     return target.applyAsInt(needs.get(pool)) - sizes.present(pool);
   }
 
+  /**
+   * Returns whether an instance that is planned to move is needed more where it is.
+   *
+   * @param from the pool that it would leave
+   * @param to the pool that it would go to
+   */
+  static boolean isNeededMore(
+      String from, String to, Map<String, PoolNeed> needs, PoolSizes sizes) {
+    PoolNeed source = needs.get(from);
+    if (source == null || sizes.present(from) >= source.forecast().wanted()) {
+      return false;
+    }
+    PoolNeed target = needs.get(to);
+    int left = sizes.present(to) - 1;
+    return target == null
+        || (left >= target.least()
+            && PoolNeed.coverage(left, target.forecast().wanted())
+                >= Kind.WANTED.coverageWithOneMore(source, sizes.present(from)));
+  }
+
   /**
    * Returns the pool to which an instance without use goes directly: the one that lacks most of
    * what it will need before the instance could go there through the spare pool.
--- a/src/main/java/org/laburnumarch/internal/pool/PoolSizes.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolSizes.java
@@ -61,6 +61,15 @@
     }
   }
 
+  /** Records that a planned move does not take place. */
+  void cancelMove(String from, boolean isUsable, String to) {
+    present.merge(to, -1, Integer::sum);
+    present.merge(from, 1, Integer::sum);
+    if (isUsable) {
+      usable.merge(from, 1, Integer::sum);
+    }
+  }
+
   @Override
   public String toString() {
     return "present=" + present + " usable=" + usable;
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -348,5 +348,26 @@
               nowMs);
       assertThat(plan.cordoned()).hasSize(2).doesNotContain("wm0");
     }
+
+    /** Guards against work that stands beside its own pool's draining instances. */
+    @Test
+    void shouldCancelAMoveIfItsInstanceIsStillDrainedAndItsPoolNeedsItAgain() {
+      addAll(0, 6, "office", 1, true);
+      addAll(6, 8, "desk", 0, true);
+      assertThat(plan(6, 1).cordoned()).hasSize(4);
+      nowMs += 100;
+      assertThat(plan(1, 5).cordoned()).isEmpty();
+    }
+
+    @Test
+    void shouldNotCancelAMoveThatWasOrdered() {
+      addAll(0, 6, "office", 0, true);
+      addAll(6, 8, "desk", 0, true);
+      FleetPlan plan = plan(6, 1);
+      assertThat(plan.orders()).hasSize(4);
+      plan.orders().forEach(order -> planner.onOutcome(order, MachineOrderOutcome.UNKNOWN, nowMs));
+      nowMs += 100;
+      assertThat(plan(1, 5).cordoned()).hasSize(4);
+    }
   }
 }
