--- a/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
@@ -5,10 +5,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.laburnumarch.internal.forecast.DemandForecaster;
+import org.laburnumarch.internal.forecast.MoveTimes;
+import org.laburnumarch.internal.job.FleetConfig;
+import org.laburnumarch.internal.job.FleetConfig.CallerLimits;
+import org.laburnumarch.internal.job.ServiceConfig;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
+import org.laburnumarch.internal.pool.FleetPlan;
+import org.laburnumarch.internal.pool.FleetPlanner;
+import org.laburnumarch.internal.pool.Machine;
 import org.laburnumarch.internal.pool.PoolDemand;
 
 /** Tests how many workers the scheduler wants for its jobs. */
@@ -45,6 +54,46 @@
       // Four tasks of 500 ms on an eighth of a worker each.
       assertThat(demand(10_200).batchWorkers()).isBetween(0.1, 1.0);
     }
+
+    /** Guards against a new owner that empties the other pools in its first round of planning. */
+    @Test
+    void shouldNotTakeInstancesOfOtherPoolsForInheritedArrivals() {
+      scheduler.configure(twoPools());
+      for (int i = 0; i < 4; i++) {
+        scheduler.restore(
+            TestJobs.job("j" + i, 10_000 + i, TestJobs.step(1, 1_000)),
+            Optional.empty(),
+            10_100,
+            10_100);
+      }
+      listWorkers(4, 10_200);
+      List<Machine> machines = new ArrayList<>();
+      List<WorkerLoad> loads = new ArrayList<>();
+      for (int i = 0; i < 12; i++) {
+        String pool = i < 4 ? TestJobs.SERVICE : "office";
+        machines.add(new Machine("m" + i, pool, Machine.State.UP, "dc", List.of("r1"), "w" + i));
+        loads.add(new WorkerLoad("w" + i, pool, true, 0, 0, 0));
+      }
+      FleetPlanner planner =
+          new FleetPlanner(1_500, 2_000, new DemandForecaster(new MoveTimes(1_500, 1_500)));
+      planner.onList(machines, 10_200);
+      FleetPlan plan =
+          planner.plan(
+              twoPools(), scheduler.demands(10_200, 10_200), loads, Set.of(), true, 10_200);
+      assertThat(plan.cordoned()).isEmpty();
+    }
+
+    private FleetConfig twoPools() {
+      FleetConfig config = TestJobs.config(0, 9);
+      List<ServiceConfig> services = new ArrayList<>(config.services().values());
+      services.add(new ServiceConfig("office", true, false, "/health"));
+      return new FleetConfig(
+          1,
+          List.copyOf(config.queues().values()),
+          services,
+          List.copyOf(config.teams().values()),
+          CallerLimits.DEFAULT);
+    }
   }
 
   @Nested
