--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import org.laburnumarch.internal.forecast.PoolForecast;
 import org.laburnumarch.internal.forecast.PoolForecaster;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.ServiceConfig;
@@ -437,52 +437,89 @@
     if (spare.isEmpty() || machines.isEmpty()) {
       return;
     }
-    Map<String, Integer> wanted = wantedSizes(config, demands);
-    Map<String, Integer> projected = projectedSizes(outOfServiceDataCentres);
-    Map<String, PoolForecast> forecasts = new TreeMap<>();
-    wanted.forEach(
-        (pool, size) ->
-            forecasts.put(
-                pool,
+    PoolSizes sizes =
+        new PoolSizes(
+            projectedSizes(outOfServiceDataCentres), usableSizes(loads, outOfServiceDataCentres));
+    Map<String, Integer> wanted = new TreeMap<>();
+    Map<String, PoolNeed> needs = new TreeMap<>();
+    for (ServiceConfig service : config.services().values()) {
+      if (!service.isSpare()) {
+        String pool = service.name();
+        PoolDemand demand = demands.getOrDefault(pool, PoolDemand.NONE);
+        int size = Math.min(wantedSize(pool, demand), sizes.total());
+        wanted.put(pool, size);
+        needs.put(
+            pool,
+            new PoolNeed(
+                leastSize(pool, demand),
                 forecaster.update(
-                    pool,
-                    size,
-                    demands.getOrDefault(pool, PoolDemand.NONE).batchWorkers() > 0,
-                    projected.getOrDefault(pool, 0),
-                    nowMs)));
-    poolSizes = "wanted=" + wanted + " present=" + projected;
+                    pool, size, demand.batchWorkers() > 0, sizes.present(pool), nowMs)));
+      }
+    }
+    cancelMovesOfNeededInstances(needs, sizes, loads);
+    poolSizes = "wanted=" + wanted + " " + sizes;
     // What is wanted now goes before what is expected, which takes nothing that other pools hold.
     for (PoolShortage.Kind kind : PoolShortage.Kind.values()) {
-      Map<String, Integer> missing = kind.missing(forecasts, projected);
-      for (String pool : PoolShortage.largestFirst(missing)) {
-        for (int i = 0; i < missing.get(pool); i++) {
-          Optional<Machine> source =
-              chooseSource(
-                  pool, spare.get(), kind, forecasts, projected, loads, outOfServiceDataCentres);
-          if (source.isEmpty()) {
-            break;
-          }
-          addMove(source.get(), pool, projected, nowMs);
+      Set<String> withoutSource = new HashSet<>();
+      Optional<String> pool = kind.shortest(needs, sizes, withoutSource);
+      while (pool.isPresent()) {
+        Optional<Machine> source =
+            chooseSource(
+                pool.get(), spare.get(), kind, needs, sizes, loads, outOfServiceDataCentres);
+        if (source.isPresent()) {
+          addMove(source.get(), pool.get(), sizes, loads, nowMs);
+        } else {
+          withoutSource.add(pool.get());
         }
+        pool = kind.shortest(needs, sizes, withoutSource);
       }
     }
-    returnSurplus(spare.get(), forecasts, projected, loads, nowMs);
+    returnSurplus(spare.get(), needs, sizes, loads, nowMs);
   }
 
-  private Map<String, Integer> wantedSizes(FleetConfig config, Map<String, PoolDemand> demands) {
-    Map<String, Integer> wanted = new HashMap<>();
-    for (ServiceConfig service : config.services().values()) {
-      if (!service.isSpare()) {
-        PoolDemand demand = demands.getOrDefault(service.name(), PoolDemand.NONE);
-        double workers = demand.batchWorkers() * HEADROOM_FACTOR + demand.longRunningWorkers();
-        int size = Math.max(demand.minWorkers() + 1, (int) Math.ceil(workers));
-        // Long-running tasks need a substitute for an instance in maintenance; short tasks can
-        // wait.
-        int unusable = demand.minWorkers() > 0 ? countInMaintenance(service.name()) : 0;
-        wanted.put(service.name(), size + unusable);
+  /**
+   * Cancels moves of instances that are still drained while their own pool has come to need them
+   * more than the one that they would go to. An instance that stays runs tasks at once.
+   */
+  private void cancelMovesOfNeededInstances(
+      Map<String, PoolNeed> needs, PoolSizes sizes, Map<String, WorkerLoad> loads) {
+    Iterator<Map.Entry<String, PendingOperation>> operations =
+        pendingOperations.entrySet().iterator();
+    while (operations.hasNext()) {
+      Map.Entry<String, PendingOperation> entry = operations.next();
+      PendingOperation operation = entry.getValue();
+      Machine machine = machines.get(entry.getKey());
+      // An order without a response may have been carried out.
+      boolean wasOrdered = operation.isOrdered || operation.notBeforeMs > 0;
+      if (machine != null
+          && !operation.isMaintenance()
+          && !wasOrdered
+          && PoolShortage.isNeededMore(machine.pool(), operation.pool, needs, sizes)) {
+        operations.remove();
+        sizes.cancelMove(machine.pool(), isUsable(machine, loads), operation.pool);
       }
     }
-    return wanted;
+  }
+
+  private int wantedSize(String pool, PoolDemand demand) {
+    double workers = demand.batchWorkers() * HEADROOM_FACTOR + demand.longRunningWorkers();
+    int size = Math.max(demand.minWorkers() + 1, (int) Math.ceil(workers));
+    return size + substitutes(pool, demand);
+  }
+
+  private int leastSize(String pool, PoolDemand demand) {
+    if (demand.minWorkers() > 0) {
+      return demand.minWorkers() + 1 + substitutes(pool, demand);
+    }
+    return demand.batchWorkers() > 0 ? 1 : 0;
+  }
+
+  /**
+   * Counts the instances for which a pool needs a substitute during their maintenance: long-running
+   * tasks do, short tasks can wait.
+   */
+  private int substitutes(String pool, PoolDemand demand) {
+    return demand.minWorkers() > 0 ? countInMaintenance(pool) : 0;
   }
 
   /** Counts a pool's instances that are in maintenance or are drained for it. */
@@ -528,14 +565,29 @@
     return sizes;
   }
 
+  /** Counts the instances of each pool on which tasks may start and nothing is planned. */
+  private Map<String, Integer> usableSizes(
+      Map<String, WorkerLoad> loads, Set<String> outOfServiceDataCentres) {
+    Map<String, Integer> usable = new HashMap<>();
+    for (Machine machine : machines.values()) {
+      if (isAvailable(machine)
+          && isUsable(machine, loads)
+          && !outOfServiceDataCentres.contains(machine.dataCentre())) {
+        usable.merge(machine.pool(), 1, Integer::sum);
+      }
+    }
+    return usable;
+  }
+
   private Optional<Machine> chooseSource(
       String pool,
       String spare,
       PoolShortage.Kind kind,
-      Map<String, PoolForecast> forecasts,
-      Map<String, Integer> projected,
+      Map<String, PoolNeed> needs,
+      PoolSizes sizes,
       Map<String, WorkerLoad> loads,
       Set<String> outOfServiceDataCentres) {
+    double coverage = kind.coverageWithOneMore(needs.get(pool), sizes.present(pool));
     Machine best = null;
     double bestCost = Double.MAX_VALUE;
     for (Machine machine : machines.values()) {
@@ -546,14 +598,16 @@
         continue;
       }
       boolean isSpare = machine.pool().equals(spare);
-      Optional<PoolForecast> donor = Optional.ofNullable(forecasts.get(machine.pool()));
-      int size = projected.getOrDefault(machine.pool(), 0);
-      if (!isSpare && size <= donor.map(kind::protectedSize).orElse(0)) {
+      Optional<PoolNeed> donor = Optional.ofNullable(needs.get(machine.pool()));
+      int left = sizes.reliableWithout(machine.pool(), isUsable(machine, loads));
+      if (!isSpare
+          && donor.isPresent()
+          && (left < 0 || !kind.mayGive(donor.get(), left, coverage))) {
         continue;
       }
       WorkerLoad load = loads.get(machine.workerId());
       double cost = isSpare || load == null ? 0 : InstanceCosts.drainCost(load);
-      if (!isSpare && size <= donor.map(PoolForecast::soon).orElse(0)) {
+      if (!isSpare && left < donor.map(need -> need.forecast().soon()).orElse(0)) {
         cost += InstanceCosts.NEEDED_SOON;
       }
       if (cost < bestCost) {
@@ -570,21 +624,21 @@
         && !unavailable.containsKey(machine.name());
   }
 
-  private void addMove(Machine machine, String pool, Map<String, Integer> projected, long nowMs) {
+  private void addMove(
+      Machine machine, String pool, PoolSizes sizes, Map<String, WorkerLoad> loads, long nowMs) {
     pendingOperations.put(machine.name(), new PendingOperation(Optional.empty(), pool, nowMs));
-    projected.merge(machine.pool(), -1, Integer::sum);
-    projected.merge(pool, 1, Integer::sum);
+    sizes.move(machine.pool(), isUsable(machine, loads), pool);
   }
 
   private void returnSurplus(
       String spare,
-      Map<String, PoolForecast> forecasts,
-      Map<String, Integer> projected,
+      Map<String, PoolNeed> needs,
+      PoolSizes sizes,
       Map<String, WorkerLoad> loads,
       long nowMs) {
-    for (Map.Entry<String, PoolForecast> entry : forecasts.entrySet()) {
+    for (Map.Entry<String, PoolNeed> entry : needs.entrySet()) {
       String pool = entry.getKey();
-      int surplus = projected.getOrDefault(pool, 0) - entry.getValue().hold();
+      int surplus = sizes.reliable(pool) - entry.getValue().forecast().hold();
       if (surplus <= 0) {
         surplusSinceMs.remove(pool);
         continue;
@@ -604,10 +658,10 @@
               .limit(surplus)
               .toList();
       for (Machine machine : leaving) {
-        String next = PoolShortage.nextPool(forecasts, projected).orElse(spare);
+        String next = PoolShortage.nextPool(needs, sizes).orElse(spare);
         boolean isImpossible =
             impossibleOrders.contains(orderKey(new MachineOrder.Move(machine.name(), next)));
-        addMove(machine, isImpossible ? spare : next, projected, nowMs);
+        addMove(machine, isImpossible ? spare : next, sizes, loads, nowMs);
       }
     }
   }
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -265,4 +265,109 @@
       assertThat(plan(0, 0).cordoned()).isEmpty();
     }
   }
+
+  @Nested
+  class WhenInstancesAreScarce {
+
+    private void addAll(int from, int until, String pool, int shortRuns, boolean isUsable) {
+      for (int i = from; i < until; i++) {
+        add("m" + i, pool, shortRuns, 0, isUsable);
+      }
+    }
+
+    private List<String> targets(FleetPlan plan) {
+      return plan.orders().stream().map(order -> ((MachineOrder.Move) order).pool()).toList();
+    }
+
+    /** Guards against pools that keep only instances whose workers are still starting. */
+    @Test
+    void shouldNotTakeTheUsableWorkersOfAPoolWhoseOtherWorkersAreNotUsable() {
+      addAll(0, 3, "office", 0, true);
+      addAll(3, 9, "office", 0, false);
+      addAll(9, 12, "desk", 0, true);
+      assertThat(plan(6, 3).cordoned()).isEmpty();
+      addAll(3, 9, "office", 0, true);
+      assertThat(plan(6, 3).cordoned()).hasSize(5);
+    }
+
+    @Test
+    void shouldTakeNothingFromPoolsWhoseWorkersHaveNotReportedToANewOwner() {
+      addAll(0, 9, "office", 0, false);
+      addAll(9, 10, "desk", 0, false);
+      assertThat(plan(20, 0).cordoned()).isEmpty();
+    }
+
+    @Test
+    void shouldNotReturnTheOnlyUsableWorkerOfAPoolAsSurplus() {
+      add("m0", "desk", 0, 0, true);
+      addAll(1, 4, "desk", 0, false);
+      addAll(4, 6, "office", 0, true);
+      plan(0.1, 0.1);
+      nowMs += WINDOW_MS + 1;
+      plan(0, 0);
+      nowMs += 2_000;
+      assertThat(plan(0, 0).cordoned()).isEmpty();
+    }
+
+    /** Guards against a pool that gets all instances because it lacks most. */
+    @Test
+    void shouldShareSpareInstancesInProportionToWhatPoolsWant() {
+      addAll(0, 1, "desk", 0, true);
+      addAll(1, 2, "office", 0, true);
+      addAll(2, 14, "reserve", 0, true);
+      assertThat(targets(plan(1_000, 5))).filteredOn("office"::equals).hasSizeBetween(3, 5);
+    }
+
+    @Test
+    void shouldGiveAStarvedPoolInstancesOfOneThatIsLessShort() {
+      addAll(0, 18, "desk", 0, true);
+      addAll(18, 20, "office", 0, true);
+      assertThat(targets(plan(30, 16))).isNotEmpty().containsOnly("office").hasSizeBetween(1, 5);
+    }
+
+    @Test
+    void shouldNotMoveInstancesBetweenPoolsThatAreAboutEquallyShort() {
+      addAll(0, 10, "desk", 0, true);
+      addAll(10, 17, "office", 0, true);
+      assertThat(plan(12, 14).cordoned()).isEmpty();
+    }
+
+    /** Guards against long-running tasks that wait for an instance behind a backlog. */
+    @Test
+    void shouldBringAPoolWithLongRunningTasksToItsLeastSizeBeforeABacklog() {
+      add("m0", "office", 0, 2, true);
+      addAll(1, 6, "desk", 1, true);
+      planner.onList(machines.values(), nowMs);
+      FleetPlan plan =
+          planner.plan(
+              CONFIG,
+              Map.of("desk", new PoolDemand(22, 0, 0), "office", new PoolDemand(0, 0.5, 2)),
+              new ArrayList<>(loads.values()),
+              Set.of(),
+              true,
+              nowMs);
+      assertThat(plan.cordoned()).hasSize(2).doesNotContain("wm0");
+    }
+
+    /** Guards against work that stands beside its own pool's draining instances. */
+    @Test
+    void shouldCancelAMoveIfItsInstanceIsStillDrainedAndItsPoolNeedsItAgain() {
+      addAll(0, 6, "office", 1, true);
+      addAll(6, 8, "desk", 0, true);
+      assertThat(plan(6, 1).cordoned()).hasSize(4);
+      nowMs += 100;
+      assertThat(plan(1, 5).cordoned()).isEmpty();
+    }
+
+    @Test
+    void shouldNotCancelAMoveThatWasOrdered() {
+      addAll(0, 6, "office", 0, true);
+      addAll(6, 8, "desk", 0, true);
+      FleetPlan plan = plan(6, 1);
+      assertThat(plan.orders()).hasSize(4);
+      plan.orders().forEach(order -> planner.onOutcome(order, MachineOrderOutcome.UNKNOWN, nowMs));
+      nowMs += 100;
+      assertThat(plan(1, 5).cordoned()).hasSize(4);
+    }
+  }
 }
