Count a silent worker as unreported that may have forgotten the new term

What callers could see: a task that runs twice (TWICE) after a takeover from an owner that still sends orders.

Cause: a worker that has listed all its runs to the new owner counted as reported until its next incarnation became known, although that one has not seen the new term.

Change: a worker that is silent counts as unreported if its newest report was requested before the earlier owner's last possible order. It is waited for like any other that has not reported. After an owner that is known to have stopped, or a handover, nothing changes.

Cost: a worker that goes silent within the earlier owner's authority holds the inherited tasks of its pool.

What remains: a restart between two reports that this owner has not noticed at all when it starts a task.

--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -83,7 +83,8 @@
     // A process that has ended has no runs, unless a later one gets orders of an earlier owner.
     boolean hasEnded =
         worker.process.hasEndedAsShownSince(ordersOverAtMs) && nowMs >= ordersOverAtMs;
-    if (worker.hasListedAllRuns || worker.isTerminated || hasEnded) {
+    boolean isKnown = worker.hasListedAllRuns && !mayHaveForgottenTerm(worker);
+    if (isKnown || worker.isTerminated || hasEnded) {
       return false;
     }
     return worker.isFenced
@@ -91,6 +92,14 @@
         : nowMs < worker.earlierRunsOverAtMs;
   }
 
+  /**
+   * Returns whether a silent worker may have restarted since its last report and obey an earlier
+   * owner again.
+   */
+  private boolean mayHaveForgottenTerm(Worker worker) {
+    return worker.missedReports > 0 && worker.reportRequestedAtMs < ordersOverAtMs;
+  }
+
   /** Returns whether runs of earlier owners may be going on unreported in a pool. */
   boolean isBlocked(WorkerTable workers, String service, long nowMs) {
     return !isOver(workers, nowMs) && !unreported(workers, service, nowMs).isEmpty();
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -45,6 +45,9 @@
    */
   private long firstReportAtMs = -1;
 
+  /** Local time at which the newest report was requested; -1 if there is none. */
+  long reportRequestedAtMs = -1;
+
   /** Whether a report of its known incarnation has listed all ends under this owner's term. */
   boolean hasListedAllEnds;
 
@@ -272,6 +275,7 @@
    */
   void recordReport(boolean listsAllEnds, long requestedAtMs, long nowMs) {
     isFenced = true;
+    reportRequestedAtMs = Math.max(reportRequestedAtMs, requestedAtMs);
     boolean isAfterFirst = firstReportAtMs >= 0 && requestedAtMs > firstReportAtMs;
     hasListedAllEnds |= listsAllEnds;
     hasListedAllRuns |= listsAllEnds && isAfterFirst;
--- a/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
@@ -146,6 +146,19 @@
     assertThat(silent.runningTasks()).isEmpty();
   }
 
+  /** Guards against a report that counts for an incarnation which has not seen the new term. */
+  @Test
+  void shouldNotRunATaskTwiceOnAReportedWorkerThatHasRestartedSince() {
+    takeOver();
+    startAndLoseARun();
+    silent.crash(nowMs + 1);
+    scheduler.onReportMissed(silent.id(), ReportFailure.NO_ANSWER, nowMs, nowMs);
+    startUnderTheEarlierOwner(silent, 1, LONG_RUN_MS, false);
+    scheduler.onEarlierOwnerStopped(nowMs - 60_000, nowMs);
+    assertThat(advance(20_000)).hasSize(1);
+    assertThat(silent.runningTasks()).isEmpty();
+  }
+
   /** Guards against a wait for leases of a silent worker that cannot have the task. */
   @Test
   void shouldNotWaitForSilentWorkersIfTheRunGoesOnAfterTheLastOrderOfTheEarlierOwner() {
