--- a/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakRun.java
@@ -208,7 +208,6 @@
       }
     }
     loop.execute(fleet.restarts()::endSeries);
-    awaitEndOfFaults();
     if (ending != SoakEnding.NONE) {
       loop.call(
           () -> {
@@ -217,6 +216,7 @@
           });
       TimeUnit.MILLISECONDS.sleep(ending.trafficMs(random));
     }
+    awaitEndOfFaults();
     loop.call(
         () -> {
           if (!fleet.restarts().isIdle()) {
