Add failing tests of a queue that goes to another pool during a takeover

A fix that names the pools of all configured queues in the enrolment passed them, but at 1,600 workers and some thousand routes that record would exceed the store's limit, and nothing would start any more.

--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongUnaryOperator;
+import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.JobProgress;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.Resources;
@@ -60,6 +61,7 @@
   private final Map<String, JobProgress> progress = new HashMap<>();
   private final Map<String, LongUnaryOperator> runEnds = new HashMap<>();
   private final DoneTasks doneTasks = new DoneTasks();
+  private FleetConfig config = TestJobs.config(0, 3);
   private boolean isStoreDown;
 
   TakeoverSeries(int workerCount) {
@@ -78,6 +80,17 @@
     workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r", nowMs, clockRate, doneTasks));
   }
 
+  /** Adds a worker to the pool of another service. */
+  void addWorkerOf(String service, String id) {
+    workers.put(id, new SimulatedWorker(id, service, "r", nowMs, 1, doneTasks));
+  }
+
+  /** Sends the queue to the pool of another service. */
+  void route(String service) {
+    config = TestJobs.config(0, 3, service);
+    scheduler.configure(config);
+  }
+
   /** Keeps progress from being stored, so that a later owner does not find it. */
   void setStoreDown(boolean isDown) {
     isStoreDown = isDown;
@@ -156,6 +169,12 @@
     scheduler.onEarlierOwnerStopped(earlierClaimedAtMs, nowMs);
   }
 
+  /** Lets the owner's process end and the next one take over with another route of the queue. */
+  void takeOverWith(String service) {
+    config = TestJobs.config(0, 3, service);
+    takeOver();
+  }
+
   /** Lets the next owner take over without knowing whether the earlier one has stopped. */
   void takeOverFromRunningOwner() {
     Scheduler next = new Scheduler(TestJobs.SETTINGS, ++term, nowMs, true);
@@ -181,7 +200,7 @@
   private void begin(Scheduler next) {
     lateReports.clear();
     scheduler = next;
-    scheduler.configure(TestJobs.config(0, 3));
+    scheduler.configure(config);
     listWorkers();
   }
 
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -204,6 +204,62 @@
     }
   }
 
+  /** Guards against a second run in the new pool beside one that goes on in the old pool. */
+  @Nested
+  class WhenTheQueueGoesToAnotherPool {
+
+    private static final String TASK = "a.0.0.0";
+
+    @BeforeEach
+    void addAnotherPool() {
+      series.addWorkerOf("reserve", "r0");
+      series.addWorkerOf("reserve", "r1");
+      series.advance(20_000);
+      series.cutOff(series.workerOf(TASK).orElseThrow());
+    }
+
+    private void assertThatTheTaskStartsAfterTheLeases() {
+      series.advance(TestJobs.SETTINGS.maxLeaseMs() - 500);
+      assertThat(series.runningTasks()).doesNotContain(TASK);
+      series.advance(1_000);
+      assertThat(series.runningTasks()).contains(TASK);
+    }
+
+    @Test
+    void shouldWaitForWorkersOfTheOldPoolIfTheNewOwnerKnowsOnlyTheNewRoute() {
+      series.advance(100);
+      series.takeOverWith("reserve");
+      assertThatTheTaskStartsAfterTheLeases();
+    }
+
+    @Test
+    void shouldWaitForWorkersOfTheOldPoolIfItMovesBeforeTheTakeover() {
+      series.route("reserve");
+      series.advance(100);
+      series.takeOver();
+      assertThatTheTaskStartsAfterTheLeases();
+    }
+
+    @Test
+    void shouldWaitForWorkersOfTheOldPoolIfItMovesAfterTheTakeover() {
+      series.advance(100);
+      series.takeOver();
+      series.advance(100);
+      series.route("reserve");
+      assertThatTheTaskStartsAfterTheLeases();
+    }
+
+    @Test
+    void shouldStillWaitForWorkersOfTheOldPoolAfterASecondTakeover() {
+      series.route("reserve");
+      series.advance(100);
+      series.takeOver();
+      series.advance(1_000);
+      series.takeOver();
+      assertThatTheTaskStartsAfterTheLeases();
+    }
+  }
+
   @Nested
   class WhenAWorkerRestartsUnderItsId {
 
--- a/src/test/java/org/laburnumarch/internal/schedule/TestJobs.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TestJobs.java
@@ -24,6 +24,10 @@
   private TestJobs() {}
 
   static FleetConfig config(long teamCpuMillis, int maxAttempts) {
+    return config(teamCpuMillis, maxAttempts, SERVICE);
+  }
+
+  static FleetConfig config(long teamCpuMillis, int maxAttempts, String service) {
     return new FleetConfig(
         1,
         List.of(
@@ -31,7 +35,7 @@
                 QUEUE,
                 "host",
                 "/batch/",
-                SERVICE,
+                service,
                 0,
                 maxAttempts,
                 1.6,
