Acknowledge ends also while reports take long

The time at which the process was certainly running advanced by 0.98 of the progress of the worker's clock and fell behind by 20 ms a second, until it was always over 200 ms old.

Workers' clocks may be slow and not fast, so at least as much time has passed as the clock has advanced; the factor is not needed.

Result: RestartedWorkerTest .shouldAcknowledgeItsEndsAlthoughEachReportTakesLong, 113 ms each way, got no acknowledgement in 30 s before and passes now; the other tests of late reports pass. Where the response alone takes 200 ms or more, ends are still not acknowledged for as long as that lasts.

--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -308,13 +308,13 @@
   /**
    * Records that the process of the known incarnation was running when it read its clock. A report
    * may have waited at the worker and on its way, so the process may have ended before the report
-   * arrives.
+   * arrives. At least as much time has passed as the worker's clock has advanced, since that clock
+   * may only be slow.
    */
   void recordAlive(long workerClockMs, long requestedAtMs) {
     long readAtMs = requestedAtMs;
     if (aliveAtMs != Long.MIN_VALUE) {
-      long advanceMs = (long) Math.floor((workerClockMs - aliveClockMs) * SLOWEST_CLOCK);
-      readAtMs = Math.max(readAtMs, aliveAtMs + advanceMs);
+      readAtMs = Math.max(readAtMs, aliveAtMs + workerClockMs - aliveClockMs);
     }
     if (readAtMs > aliveAtMs) {
       aliveAtMs = readAtMs;
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -245,6 +245,31 @@
           .isEqualTo(1);
     }
 
+    /** Guards against ends that are never acknowledged while reports take long. */
+    @Test
+    void shouldAcknowledgeItsEndsAlthoughEachReportTakesLong() {
+      scheduler.accept(TestJobs.job("a", nowMs, TestJobs.step(2, 1_000)), nowMs);
+      List<Order.Start> starts = starts();
+      worker = workers.get(starts.get(0).workerId());
+      scheduler.onStartReply(starts.get(0), execute(starts.get(0), 8_000), nowMs);
+      scheduler.onStartReply(starts.get(1), execute(starts.get(1), 60_000), nowMs);
+      long acknowledged = 0;
+      for (long endMs = nowMs + 30_000; acknowledged == 0 && nowMs < endMs; ) {
+        Optional<Renewal> renewal = scheduler.renewal(worker.id(), nowMs);
+        if (renewal.isEmpty()) {
+          nowMs += 10;
+          continue;
+        }
+        acknowledged = renewal.get().acknowledgedEnd();
+        long sentAtMs = nowMs;
+        nowMs += TRANSIT_MS / 3;
+        WorkerReport report = worker.renew(renewal.get(), term, nowMs);
+        nowMs += TRANSIT_MS / 3;
+        deliver(report, sentAtMs);
+      }
+      assertThat(acknowledged).isEqualTo(1);
+    }
+
     /**
      * Guards against a second request for each end, because reports wait for ends at the worker.
      */
