Add failing tests of calls that restarted workers execute late

Found in the review of: a call that a restarted worker whose restart the owner doesn't know yet executes seconds late gets the longest lease from then on, and the wait counts from earlier moments. Waits that cover them grow to 18 s, which is not taken without a way to tell the process that executes a call.

--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -573,6 +573,42 @@
       goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
     }
 
+    /** Guards against a wait that counts a renewal from its request and not from its end. */
+    @Test
+    void shouldNotRunATaskTwiceWhoseLeaseALateRenewalExtends() {
+      passTime(100_000);
+      nowMs += 50;
+      acceptJobWithOneTask();
+      Order.Start start = starts().get(0);
+      SimulatedWorker worker = workers.get(start.workerId());
+      long requestedAtMs = nowMs;
+      Renewal renewal = scheduler.renewal(worker.id(), nowMs).orElseThrow();
+      assertThat(renewal.leaseEndClockMs()).isPositive();
+      worker.crash(nowMs);
+      nowMs += 10;
+      scheduler.onStartReply(start, execute(start, LONG_RUN_MS), nowMs);
+      nowMs += 1_500;
+      worker.renew(renewal, term, nowMs);
+      nowMs += 190;
+      scheduler.onReportMissed(worker.id(), ReportFailure.NO_ANSWER, requestedAtMs, nowMs);
+      goSilentAndAssertThatTheTaskStartsAfterItsRun(worker);
+    }
+
+    /** Guards against a wait that counts an unanswered start from when it was given up. */
+    @Test
+    void shouldNotRunATaskTwiceThatAnUnknownIncarnationStartsLate() {
+      Order.Start start = orderToARestartedWorker();
+      nowMs += 400;
+      scheduler.onStartReply(start, new OrderReply(Outcome.UNKNOWN, -1), nowMs);
+      long requestedAtMs = nowMs;
+      assertThat(scheduler.renewal(start.workerId(), nowMs)).isNotEmpty();
+      nowMs += 700;
+      scheduler.onReportMissed(start.workerId(), ReportFailure.NO_ANSWER, requestedAtMs, nowMs);
+      nowMs += 400;
+      execute(start, LONG_RUN_MS);
+      goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
+    }
+
     @Test
     void shouldNotRunATaskTwiceThatAnEarlierOwnerStarted() {
       Order.Start start = orderToARestartedWorker();
--- a/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RunningEarlierOwnerTest.java
@@ -108,6 +108,20 @@
     assertThat(silent.runningTasks()).isEmpty();
   }
 
+  /** Guards against a wait that counts an order of the earlier owner from when that stopped. */
+  @Test
+  void shouldNotRunATaskTwiceThatARestartedWorkerStartsAfterTheEarlierOwnerHasStopped() {
+    long outdatedClockMs = silent.clockMs(nowMs);
+    takeOver();
+    silent.crash(nowMs);
+    scheduler.onEarlierOwnerStopped(nowMs - 60_000, nowMs);
+    assertThat(advance(1_000)).isEmpty();
+    long leaseEndClockMs = outdatedClockMs + TestJobs.SETTINGS.leaseMs();
+    startUnderTheEarlierOwner(silent, 1, LONG_RUN_MS, false, leaseEndClockMs);
+    assertThat(advance(20_000)).hasSize(1);
+    assertThat(silent.runningTasks()).isEmpty();
+  }
+
   /** Lets both workers report until the owner starts the task, and ends the run by a crash. */
   private void startAndLoseARun() {
     List<Order> orders = List.of();
