--- a/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
+++ b/src/test/java/org/laburnumarch/internal/soak/SoakRunTest.java
@@ -19,10 +19,14 @@
   @TempDir private Path directory;
 
   private void shouldKeepAllInvariants(long seed, int daemons, int seconds) throws Exception {
+    shouldKeepAllInvariants(SoakKind.FAULTS, seed, daemons, seconds);
+  }
+
+  private void shouldKeepAllInvariants(SoakKind kind, long seed, int daemons, int seconds)
+      throws Exception {
     try (PortBlock ports = PortBlock.reserve(PORT_COUNT);
         SoakRun run =
-            new SoakRun(
-                SoakKind.FAULTS, seed, daemons, seconds * 1_000L, directory, ports.first())) {
+            new SoakRun(kind, seed, daemons, seconds * 1_000L, directory, ports.first())) {
       SoakRun.Result result = run.run();
       assertThat(result.breaches()).as("seed %d, faults: %s", seed, result.faults()).isEmpty();
       assertThat(result.acceptedJobs()).isPositive();
@@ -37,6 +41,16 @@
     void shouldKeepAllInvariantsInAShortRun() throws Exception {
       shouldKeepAllInvariants(1, 3, 8);
     }
+
+    @Test
+    void shouldKeepAllInvariantsWhenConnectionsGoSilent() throws Exception {
+      shouldKeepAllInvariants(SoakKind.SILENT_CONNECTIONS, 2, 3, 12);
+    }
+
+    @Test
+    void shouldKeepAllInvariantsWhenMachinesAreCut() throws Exception {
+      shouldKeepAllInvariants(SoakKind.MACHINE_CUTS, 3, 3, 12);
+    }
   }
 
   @Nested
