Keep the instances of pools whose late work can run

What callers saw: work stood in pools that had just lost instances.

Cause: late work counts for a fraction when a pool is sized, so that work in time goes first. The same figure decided what a pool keeps. After a takeover most work is late, so that the pool gave instances away while its tasks waited.

Change: a pool keeps what the tasks occupy that run or can run now, late or not, within the limits of their teams, unless another pool is covered half as well. It does not return these instances to the spare pool either.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -452,6 +452,7 @@
             pool,
             new PoolNeed(
                 leastSize(pool, demand),
+                (int) Math.ceil(demand.runnableWorkers() + demand.longRunningWorkers()),
                 forecaster.update(
                     pool, size, demand.batchWorkers() > 0, sizes.present(pool), nowMs)));
       }
@@ -638,7 +639,7 @@
       long nowMs) {
     for (Map.Entry<String, PoolNeed> entry : needs.entrySet()) {
       String pool = entry.getKey();
-      int surplus = sizes.reliable(pool) - entry.getValue().forecast().hold();
+      int surplus = sizes.reliable(pool) - entry.getValue().held();
       if (surplus <= 0) {
         surplusSinceMs.remove(pool);
         continue;
--- a/src/main/java/org/laburnumarch/internal/pool/PoolDemand.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolDemand.java
@@ -5,12 +5,19 @@
  *
  * @param batchWorkers workers for short tasks, that is, tasks that end by themselves, so that they
  *     meet their deadlines
+ * @param runnableWorkers workers that short tasks occupy if all run that can run now
  * @param longRunningWorkers workers for the resources that long-running tasks occupy
  * @param minWorkers smallest number of workers on which no step exceeds its limit of tasks per
  *     worker
  */
-public record PoolDemand(double batchWorkers, double longRunningWorkers, int minWorkers) {
+public record PoolDemand(
+    double batchWorkers, double runnableWorkers, double longRunningWorkers, int minWorkers) {
 
   /** The demand for a pool without tasks. */
   public static final PoolDemand NONE = new PoolDemand(0, 0, 0);
+
+  /** Creates a demand of work that must all run at once. */
+  public PoolDemand(double batchWorkers, double longRunningWorkers, int minWorkers) {
+    this(batchWorkers, batchWorkers, longRunningWorkers, minWorkers);
+  }
 }
--- a/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolShortage.java
@@ -30,8 +30,8 @@
       }
     },
     /**
-     * Work that is there. A pool that is sure to need its instances in time keeps them, unless the
-     * other pool is covered much worse.
+     * Work that is there. A pool with work for its instances, or one that is sure to need them in
+     * time, keeps them, unless the other pool is covered much worse.
      */
     WANTED {
       @Override
@@ -41,10 +41,10 @@
 
       @Override
       boolean mayGive(PoolNeed donor, int left, double coverage) {
-        int ahead = donor.forecast().ahead();
-        return left >= ahead
+        int kept = donor.kept();
+        return left >= kept
             || (left >= donor.least()
-                && PoolNeed.coverage(left, ahead) >= GIVING_COVERAGE_RATIO * coverage);
+                && PoolNeed.coverage(left, kept) >= GIVING_COVERAGE_RATIO * coverage);
       }
     },
     /** Work that is expected. Other pools keep all that they hold. */
@@ -56,7 +56,7 @@
 
       @Override
       boolean mayGive(PoolNeed donor, int left, double coverage) {
-        return left >= donor.forecast().hold();
+        return left >= donor.held();
       }
     };
 
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -53,6 +53,10 @@
           workers + other.workers, cpuMillis + other.cpuMillis, memoryMb + other.memoryMb);
     }
 
+    Need times(double factor) {
+      return new Need(factor * workers, factor * cpuMillis, factor * memoryMb);
+    }
+
     /** Returns the part of the need that a limit on resources allows; 0 in it means no limit. */
     double partWithin(Resources limit) {
       double cpu = limit.cpuMillis() == 0 ? 1 : limit.cpuMillis() / Math.max(1, cpuMillis);
@@ -88,28 +92,41 @@
     arrivals.memory.add(memoryWork, nowMs);
   }
 
+  /** Returns what the unfinished tasks of an occurrence occupy that run or can run now. */
+  private static Need runnable(List<Step> steps, Resources workerSize) {
+    Need runnable = Need.NONE;
+    for (Step step : steps) {
+      if (!step.spec.isLongRunning() && Job.areDependenciesDone(step, steps)) {
+        Resources task = step.spec.need();
+        Need ofTask =
+            new Need(fractionOfWorker(task, workerSize), task.cpuMillis(), task.memoryMb());
+        runnable = runnable.plus(ofTask.times(step.tasks.size() - step.doneCount));
+      }
+    }
+    return runnable;
+  }
+
   /**
    * Returns what the unfinished steps of an occurrence need to meet its objective, but no more than
    * the tasks occupy that can run now.
    */
   private Need need(
-      List<Step> steps, QueueConfig queue, Resources workerSize, long nowMs, long epochMs) {
+      List<Step> steps,
+      Need runnable,
+      QueueConfig queue,
+      Resources workerSize,
+      long nowMs,
+      long epochMs) {
     double workMs = 0;
-    double runnableWorkers = 0;
-    Resources runnable = Resources.NONE;
     for (Step step : steps) {
-      if (step.spec.isLongRunning()) {
-        continue;
-      }
-      int unfinished = step.tasks.size() - step.doneCount;
-      double workers = unfinished * fractionOfWorker(step.spec.need(), workerSize);
-      workMs += workers * step.predict(runTimes).expectedMs();
-      if (Job.areDependenciesDone(step, steps)) {
-        runnableWorkers += workers;
-        runnable = runnable.plus(step.spec.need().times(unfinished));
+      if (!step.spec.isLongRunning()) {
+        workMs +=
+            (step.tasks.size() - step.doneCount)
+                * step.predict(runTimes).expectedMs()
+                * fractionOfWorker(step.spec.need(), workerSize);
       }
     }
-    if (workMs == 0 || runnableWorkers == 0) {
+    if (workMs == 0 || runnable.workers() == 0) {
       return Need.NONE;
     }
     CandidateRanking.Candidate candidate =
@@ -118,9 +135,7 @@
     double plannedMs =
         Math.max(chainMs, PLANNED_TIME_FRACTION * (candidate.deadlineAtMs() - nowMs));
     double weight = candidate.rank() == CandidateRanking.Rank.LATE ? LATE_WORK_WEIGHT : 1;
-    double part = weight * Math.min(1, workMs / plannedMs / runnableWorkers);
-    return new Need(
-        part * runnableWorkers, part * runnable.cpuMillis(), part * runnable.memoryMb());
+    return runnable.times(weight * Math.min(1, workMs / plannedMs / runnable.workers()));
   }
 
   /**
@@ -144,7 +159,8 @@
       long nowMs,
       long epochMs) {
     Map<String, PoolDemand> longRunning = new HashMap<>();
-    Map<String, Map<String, Need>> waitingByTeam = new HashMap<>();
+    Map<String, Map<String, Need>> neededByTeam = new HashMap<>();
+    Map<String, Map<String, Need>> runnableByTeam = new HashMap<>();
     for (Job job : jobs) {
       Optional<QueueConfig> queue = config.queue(job.spec.queue());
       if (job.status.isFinal() || queue.isEmpty()) {
@@ -154,10 +170,12 @@
       Optional<Resources> size = workerSize.apply(service);
       for (List<Step> steps : job.occurrences.values()) {
         size.ifPresent(
-            known ->
-                waitingByTeam
-                    .computeIfAbsent(job.spec.team(), team -> new HashMap<>())
-                    .merge(service, need(steps, queue.get(), known, nowMs, epochMs), Need::plus));
+            known -> {
+              Need runnable = runnable(steps, known);
+              add(runnableByTeam, job.spec.team(), service, runnable);
+              Need needed = need(steps, runnable, queue.get(), known, nowMs, epochMs);
+              add(neededByTeam, job.spec.team(), service, needed);
+            });
         for (Step step : steps) {
           if (step.spec.isLongRunning()) {
             longRunning.merge(service, longRunningDemand(step, size), DemandEstimator::add);
@@ -165,22 +183,29 @@
         }
       }
     }
-    Map<String, Double> waiting = workersWithinLimits(waitingByTeam, config);
+    Map<String, Double> neededWorkers = workersWithinLimits(neededByTeam, config);
+    Map<String, Double> runnableWorkers = workersWithinLimits(runnableByTeam, config);
     Map<String, PoolDemand> demands = new HashMap<>();
     for (String service : config.services().keySet()) {
-      double waitingWorkers = waiting.getOrDefault(service, 0.0);
-      double arrivingWorkers =
+      double needed = neededWorkers.getOrDefault(service, 0.0);
+      double runnable = runnableWorkers.getOrDefault(service, 0.0);
+      double arriving =
           workerSize.apply(service).map(size -> arrivals(service).workers(size, nowMs)).orElse(0.0);
       descriptions.put(
           service,
           String.format(
-              Locale.ROOT, "waiting:%.1f/arriving:%.1f", waitingWorkers, arrivingWorkers));
-      PoolDemand batch = new PoolDemand(Math.max(waitingWorkers, arrivingWorkers), 0, 0);
+              Locale.ROOT, "needed:%.1f/arriving:%.1f/runnable:%.1f", needed, arriving, runnable));
+      PoolDemand batch = new PoolDemand(Math.max(needed, arriving), runnable, 0, 0);
       demands.put(service, add(batch, longRunning.getOrDefault(service, PoolDemand.NONE)));
     }
     return demands;
   }
 
+  private static void add(
+      Map<String, Map<String, Need>> needsByTeam, String team, String service, Need added) {
+    needsByTeam.computeIfAbsent(team, name -> new HashMap<>()).merge(service, added, Need::plus);
+  }
+
   /** Returns the workers that waiting work needs by pool, as far as the teams' limits allow. */
   private static Map<String, Double> workersWithinLimits(
       Map<String, Map<String, Need>> needsByTeam, FleetConfig config) {
@@ -215,6 +240,7 @@
   private static PoolDemand add(PoolDemand first, PoolDemand second) {
     return new PoolDemand(
         first.batchWorkers() + second.batchWorkers(),
+        first.runnableWorkers() + second.runnableWorkers(),
         first.longRunningWorkers() + second.longRunningWorkers(),
         Math.max(first.minWorkers(), second.minWorkers()));
   }
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -369,5 +369,24 @@
       nowMs += 100;
       assertThat(plan(1, 5).cordoned()).hasSize(4);
     }
+
+    /** Guards against late work that stands because its pool gives its instances away. */
+    @Test
+    void shouldKeepInstancesForLateWorkThatCanRun() {
+      addAll(0, 6, "office", 1, true);
+      addAll(6, 8, "desk", 1, true);
+      planner.onList(machines.values(), nowMs);
+      FleetPlan plan =
+          planner.plan(
+              CONFIG,
+              Map.of(
+                  "desk", new PoolDemand(20, 0, 0),
+                  "office", new PoolDemand(1.2, 4.2, 0, 0)),
+              new ArrayList<>(loads.values()),
+              Set.of(),
+              true,
+              nowMs);
+      assertThat(plan.cordoned()).hasSizeLessThanOrEqualTo(1);
+    }
   }
 }
