Format the parts of the pools' demand only for the log

Change: a round keeps the figures, and the text is made when it is logged. The line is the same. Two tests of PoolDemandTest that restored the same jobs share a method; their assertions are unchanged.

Result: PoolDemandTest, ArchitectureTest and the tests of pools pass; the cost was not measured.

--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -65,10 +65,19 @@
     }
   }
 
+  /** What the demand of a pool consists of, in workers. */
+  private record Parts(double needed, double arriving, double runnable) {
+    @Override
+    public String toString() {
+      return String.format(
+          Locale.ROOT, "needed:%.1f/arriving:%.1f/runnable:%.1f", needed, arriving, runnable);
+    }
+  }
+
   private final CandidateRanking ranking;
   private final RunTimes runTimes;
   private final Map<String, Arrivals> arrivalsByService = new HashMap<>();
-  private final Map<String, String> descriptions = new TreeMap<>();
+  private final Map<String, Parts> partsByService = new TreeMap<>();
 
   DemandEstimator(CandidateRanking ranking, RunTimes runTimes) {
     this.ranking = ranking;
@@ -191,10 +200,7 @@
       double runnable = runnableWorkers.getOrDefault(service, 0.0);
       double arriving =
           workerSize.apply(service).map(size -> arrivals(service).workers(size, nowMs)).orElse(0.0);
-      descriptions.put(
-          service,
-          String.format(
-              Locale.ROOT, "needed:%.1f/arriving:%.1f/runnable:%.1f", needed, arriving, runnable));
+      partsByService.put(service, new Parts(needed, arriving, runnable));
       PoolDemand batch = new PoolDemand(Math.max(needed, arriving), runnable, 0, 0);
       demands.put(service, add(batch, longRunning.getOrDefault(service, PoolDemand.NONE)));
     }
@@ -222,7 +228,7 @@
 
   /** Returns what the newest demands consist of, in workers, for the log. */
   String describe() {
-    return "demand=" + descriptions;
+    return "demand=" + partsByService;
   }
 
   private Arrivals arrivals(String service) {
--- a/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
@@ -40,9 +40,8 @@
   @Nested
   class AfterATakeover {
 
-    @Test
-    void shouldNotMeasureArrivalsBeforeTheTakeoverByWorkersOfUnknownSize() {
-      scheduler.configure(TestJobs.config(0, 9));
+    /** Restores jobs that have just arrived, before the list of workers is read. */
+    private void inheritFourJobs() {
       for (int i = 0; i < 4; i++) {
         scheduler.restore(
             TestJobs.job("j" + i, 10_000 + i, TestJobs.step(1, 1_000)),
@@ -51,6 +50,12 @@
             10_100);
       }
       listWorkers(4, 10_200);
+    }
+
+    @Test
+    void shouldNotMeasureArrivalsBeforeTheTakeoverByWorkersOfUnknownSize() {
+      scheduler.configure(TestJobs.config(0, 9));
+      inheritFourJobs();
       // Four tasks of 500 ms on an eighth of a worker each.
       assertThat(demand(10_200).batchWorkers()).isBetween(0.1, 1.0);
     }
@@ -59,14 +64,7 @@
     @Test
     void shouldNotTakeInstancesOfOtherPoolsForInheritedArrivals() {
       scheduler.configure(twoPools());
-      for (int i = 0; i < 4; i++) {
-        scheduler.restore(
-            TestJobs.job("j" + i, 10_000 + i, TestJobs.step(1, 1_000)),
-            Optional.empty(),
-            10_100,
-            10_100);
-      }
-      listWorkers(4, 10_200);
+      inheritFourJobs();
       List<Machine> machines = new ArrayList<>();
       List<WorkerLoad> loads = new ArrayList<>();
       for (int i = 0; i < 12; i++) {
