Read both clocks of the kernel through one class

Found by reading the change again: CpuQuota, which this work added, repeated the binding of clock_gettime and the conversion of its reading from BootTimeClock.

Change: KernelClock reads a clock by its number; both use it. A missing clock and a missing C library are handled where they were.

Result: CpuQuotaTest, ArchitectureTest and the tests of the clocks pass.

--- a/src/main/java/org/laburnumarch/internal/soak/CpuQuota.java
+++ b/src/main/java/org/laburnumarch/internal/soak/CpuQuota.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
+import org.laburnumarch.internal.time.KernelClock;
 
 /**
  * Stops each process that has used its processor time until the period ends, like a bandwidth limit
@@ -74,8 +75,8 @@
   /** The limit of one process. */
   private final class Limit {
     private final Supplier<OptionalLong> current;
-    private final long[] reading = new long[2];
     private long pid;
+    private KernelClock cpuClock;
 
     /** Processor time of the process at which it is stopped. */
     private long stopAtCpuNs;
@@ -93,17 +94,17 @@
       }
       if (running.getAsLong() != pid) {
         pid = running.getAsLong();
+        cpuClock = new KernelClock((int) (~pid << CLOCK_TYPE_BITS) | PROCESS_CPU_CLOCK);
         stopAtCpuNs = quotaNs;
         isStopped = false;
       }
       if (isStopped && !isPeriodOver) {
         return;
       }
-      int clock = (int) (~pid << CLOCK_TYPE_BITS) | PROCESS_CPU_CLOCK;
-      if (LibC.clock_gettime(clock, reading) != 0) {
+      long cpuNs = cpuClock.readNs();
+      if (cpuNs < 0) {
         return;
       }
-      long cpuNs = TimeUnit.SECONDS.toNanos(reading[0]) + reading[1];
       if (isPeriodOver) {
         stopAtCpuNs = Math.min(cpuNs, stopAtCpuNs) + quotaNs;
       }
@@ -120,7 +121,7 @@
     }
   }
 
-  /** Functions of the C library. */
+  /** The function of the C library. */
   private static final class LibC {
 
     static {
@@ -129,9 +130,6 @@
 
     private LibC() {}
 
-    @SuppressWarnings("MemberName")
-    static native int clock_gettime(int clock, long[] time);
-
     static native int kill(int pid, int signal);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/time/BootTimeClock.java
+++ b/src/main/java/org/laburnumarch/internal/time/BootTimeClock.java
@@ -1,7 +1,5 @@
 package org.laburnumarch.internal.time;
 
-import com.sun.jna.Native;
-import com.sun.jna.NativeLibrary;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -14,8 +12,7 @@
   /** Number of {@code CLOCK_BOOTTIME} in the kernel's interface. */
   private static final int CLOCK_BOOTTIME = 7;
 
-  /** The kernel's reading: seconds, and nanoseconds beyond them. */
-  private final long[] reading = new long[2];
+  private final KernelClock clock = new KernelClock(CLOCK_BOOTTIME);
 
   private BootTimeClock() {}
 
@@ -25,9 +22,9 @@
    */
   static MonotonicClock openOrMonotonic() {
     try {
-      BootTimeClock clock = new BootTimeClock();
-      if (LibC.clock_gettime(CLOCK_BOOTTIME, clock.reading) == 0) {
-        return clock;
+      BootTimeClock opened = new BootTimeClock();
+      if (opened.clock.readNs() >= 0) {
+        return opened;
       }
     } catch (LinkageError e) {
       Logger.debug(e);
@@ -38,22 +35,10 @@
 
   @Override
   public long nowMs() {
-    if (LibC.clock_gettime(CLOCK_BOOTTIME, reading) != 0) {
+    long readNs = clock.readNs();
+    if (readNs < 0) {
       throw new IllegalStateException("the boot time clock cannot be read");
     }
-    return TimeUnit.SECONDS.toMillis(reading[0]) + TimeUnit.NANOSECONDS.toMillis(reading[1]);
-  }
-
-  /** The function of the C library. */
-  private static final class LibC {
-
-    static {
-      Native.register(LibC.class, NativeLibrary.getProcess());
-    }
-
-    private LibC() {}
-
-    @SuppressWarnings("MemberName")
-    static native int clock_gettime(int clock, long[] time);
+    return TimeUnit.NANOSECONDS.toMillis(readNs);
   }
 }
