Log which steps a round leaves waiting, and what workers are kept for

The owner said reason=pool-full: 24 other steps had found no worker before. Which steps these were, and why they found none, no line told, since a line names the oldest job of each reason only and leaves out jobs of which anything runs.

Cause: none of the fault.

Change: once a second, the owner counts all steps that the last round left waiting, by pool and reason, in the log (jobs: event=unplaced) and the metrics, and names the tasks for which workers are kept. A step that each worker runs as often as the step allows has the reason worker-limit instead of no-worker, and one whose workers with room are all kept has worker-kept before pool-full. No decision depends on it.

Result: two new tests in StandingWorkTest; that class, KeptWorkerTest, SchedulerTest and ArchitectureTest pass.

--- a/src/main/java/org/laburnumarch/internal/node/WaitReporter.java
+++ b/src/main/java/org/laburnumarch/internal/node/WaitReporter.java
@@ -8,6 +8,7 @@
 import org.laburnumarch.internal.schedule.Scheduler;
 import org.laburnumarch.internal.schedule.StandingWork;
 import org.laburnumarch.internal.schedule.TakeoverWait;
+import org.laburnumarch.internal.schedule.UnplacedSteps;
 import org.laburnumarch.internal.schedule.WaitReason;
 import org.tinylog.Logger;
 
@@ -22,6 +23,8 @@
   private final Scheduler scheduler;
   private final AtomicInteger takeoverHeldTasks = new AtomicInteger();
   private final Map<WaitReason, AtomicInteger> standingJobs = new EnumMap<>(WaitReason.class);
+  private final Map<WaitReason, AtomicInteger> unplacedSteps = new EnumMap<>(WaitReason.class);
+  private final AtomicInteger keptWorkers = new AtomicInteger();
   private long reportAtMs;
 
   WaitReporter(Scheduler scheduler, long nowMs) {
@@ -29,6 +32,7 @@
     this.reportAtMs = nowMs + REPORT_EVERY_MS;
     for (WaitReason reason : WaitReason.values()) {
       standingJobs.put(reason, new AtomicInteger());
+      unplacedSteps.put(reason, new AtomicInteger());
     }
   }
 
@@ -37,6 +41,10 @@
     standingJobs.forEach(
         (reason, jobs) ->
             meters.registerGauge("standing_jobs{reason=\"" + reason.label() + "\"}", jobs::get));
+    unplacedSteps.forEach(
+        (reason, steps) ->
+            meters.registerGauge("unplaced_steps{reason=\"" + reason.label() + "\"}", steps::get));
+    meters.registerGauge("kept_workers", keptWorkers::get);
   }
 
   /** Reports if it is time for it. Must be called right after a round of decisions. */
@@ -47,6 +55,7 @@
     reportAtMs = nowMs + REPORT_EVERY_MS;
     reportTakeoverWaits(nowMs);
     reportStandingWork(scheduler.standingWork(nowMs, epochMs));
+    reportUnplacedSteps(scheduler.unplacedSteps(nowMs, epochMs));
   }
 
   private void reportTakeoverWaits(long nowMs) {
@@ -76,4 +85,13 @@
       Logger.info("jobs: event=waiting {}", work.fields());
     }
   }
+
+  private void reportUnplacedSteps(List<UnplacedSteps> unplaced) {
+    unplacedSteps.values().forEach(steps -> steps.set(0));
+    keptWorkers.set(unplaced.stream().mapToInt(steps -> steps.keptFor().size()).sum());
+    for (UnplacedSteps steps : unplaced) {
+      steps.stepsByReason().forEach((reason, count) -> unplacedSteps.get(reason).addAndGet(count));
+      Logger.info("jobs: event=unplaced {}", steps.fields());
+    }
+  }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -1,8 +1,10 @@
 package org.laburnumarch.internal.schedule;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -46,8 +48,11 @@
   private final boolean hasBlockedWorker;
   private final boolean isMostlyIdle;
 
-  /** Workers that get no further tasks in this round, so that a large task will fit there. */
-  private final Set<Worker> heldWorkers = new HashSet<>();
+  /**
+   * Workers that get no further tasks in this round, so that a large task will fit there, and that
+   * task.
+   */
+  private final Map<Worker, Task> heldWorkers = new LinkedHashMap<>();
 
   /** Workers that get no further tasks in this round, so that a suspect can start there alone. */
   private final Set<Worker> heldForSuspects = new HashSet<>();
@@ -107,7 +112,7 @@
     Worker best = null;
     double bestCost = Double.MAX_VALUE;
     for (Worker worker : pool) {
-      if (heldWorkers.contains(worker)
+      if (heldWorkers.containsKey(worker)
           || worker.ordersInFlight >= worker.maxOrdersInFlight
           || (needsIsolation && worker.newRunCount() > 0)
           || (needsSeparation && worker.hasNewSuspect())
@@ -177,16 +182,26 @@
     return worker.hasIsolatedRun() || heldForSuspects.contains(worker);
   }
 
-  /** Returns whether a worker accepts tasks of a step, regardless of its load. */
+  /** Returns whether a worker accepts another task of a step, regardless of its free capacity. */
   boolean isEligible(Worker worker, Step step) {
+    return accepts(worker, step) && mayAdd(worker, step);
+  }
+
+  /** Returns whether a worker accepts tasks of a step, regardless of what it runs. */
+  boolean accepts(Worker worker, Step step) {
     StepSpec spec = step.spec;
     return worker.acceptsTasks()
         && worker.blockedUntilMs <= nowMs
         && !outOfServiceDataCentres.contains(worker.listing.dataCentre())
         && worker.listing.capacity().holds(spec.need())
         && (spec.requiredLabel().isEmpty()
-            || worker.listing.labels().contains(spec.requiredLabel()))
-        && (spec.maxPerWorker() == 0 || countTasks(step, worker) < spec.maxPerWorker());
+            || worker.listing.labels().contains(spec.requiredLabel()));
+  }
+
+  /** Returns whether the limit of a step for each worker allows one more of its tasks there. */
+  boolean mayAdd(Worker worker, Step step) {
+    int limit = step.spec.maxPerWorker();
+    return limit == 0 || countTasks(step, worker) < limit;
   }
 
   private static int countTasks(Step step, Worker worker) {
@@ -243,7 +258,12 @@
   void holdWorkerFor(Task task) {
     Resources need = task.step.spec.reserved();
     findLargestWorkerFor(task, worker -> worker.capacityBesideLongRunningTasks().holds(need))
-        .ifPresent(heldWorkers::add);
+        .ifPresent(worker -> heldWorkers.put(worker, task));
+  }
+
+  /** Returns the workers that are held back for tasks which fit nowhere yet, with these tasks. */
+  Map<Worker, Task> heldWorkers() {
+    return Collections.unmodifiableMap(heldWorkers);
   }
 
   private Optional<Worker> findLargestWorkerFor(Task task, Predicate<Worker> isSuitable) {
@@ -252,7 +272,7 @@
       boolean isLarger =
           largest == null || worker.freeCapacity().memoryMb() > largest.freeCapacity().memoryMb();
       if (isLarger
-          && !heldWorkers.contains(worker)
+          && !heldWorkers.containsKey(worker)
           && !heldForSuspects.contains(worker)
           && !worker.health.isBlocked(nowMs)
           && mayRun(worker, task.step)
@@ -289,7 +309,7 @@
         Resources remaining = freeByWorker.getOrDefault(worker, worker.freeCapacity());
         int count = counts.getOrDefault(worker, 0);
         int limit = task.step.spec.maxPerWorker();
-        if (heldWorkers.contains(worker)
+        if (heldWorkers.containsKey(worker)
             || heldForSuspects.contains(worker)
             || (worker.health.isBlocked(nowMs) && !(mayProbe && isProbeDue(worker)))
             || !remaining.holds(task.step.spec.reserved())
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -67,6 +67,9 @@
   private long storedBatchNumber;
   private final long ownedSinceMs;
 
+  /** The choices of workers in the last round, by service. */
+  private Map<String, Placement> placements = Map.of();
+
   /** The most that each team may have running on workers that have not reported yet. */
   private Map<String, Resources> unreportedByTeam = Map.of();
 
@@ -237,21 +240,33 @@
 
   /** Returns the work that stands and why. Must be called right after a round of decisions. */
   public List<StandingWork> standingWork(long nowMs, long epochMs) {
+    return survey(nowMs, epochMs).standingWork();
+  }
+
+  /**
+   * Returns the steps that the last round left waiting, for each pool that has any. Must be called
+   * right after a round of decisions.
+   */
+  public List<UnplacedSteps> unplacedSteps(long nowMs, long epochMs) {
+    return survey(nowMs, epochMs).unplacedSteps();
+  }
+
+  private WaitSurvey survey(long nowMs, long epochMs) {
     return new WaitSurvey(
-            new WaitSurvey.State(
-                liveJobs.values(),
-                config,
-                settings,
-                workers,
-                takeoverGuard,
-                teamUsage,
-                unreportedByTeam,
-                outOfServiceDataCentres,
-                ownedSinceMs,
-                ownershipProvenAtMs,
-                nowMs,
-                epochMs))
-        .take();
+        new WaitSurvey.State(
+            liveJobs.values(),
+            config,
+            settings,
+            workers,
+            placements,
+            takeoverGuard,
+            teamUsage,
+            unreportedByTeam,
+            outOfServiceDataCentres,
+            ownedSinceMs,
+            ownershipProvenAtMs,
+            nowMs,
+            epochMs));
   }
 
   /**
@@ -870,12 +885,14 @@
             budget,
             nowMs);
     StartSequence sequence = new StartSequence();
+    placements = new HashMap<>();
     byService.forEach(
         (service, candidates) -> {
           candidates.sort(CandidateRanking.BY_URGENCY);
           List<Worker> pool = workers.pool(service);
           Placement placement =
               new Placement(pool, outOfServiceDataCentres, settings.remoteSlowdownFactor(), nowMs);
+          placements.put(service, placement);
           sequence.add(
               new StartRound(context, placement),
               pool,
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitReason.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitReason.java
@@ -18,6 +18,8 @@
   TEAM_LIMIT,
   /** No worker of the pool accepts such tasks. */
   NO_WORKER,
+  /** All workers that accept such tasks run as many of the step as it allows on one worker. */
+  WORKER_LIMIT,
   /** The workers that accept such tasks have too little free capacity. */
   NO_CAPACITY,
   /** The workers with free capacity have as many starts in flight as they are sent. */
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
   /**
    * The scheduler's state.
    *
+   * @param roundPlacements the choices of workers in the last round, by service
    * @param unreportedByTeam the most that each team may have running on workers that have not
    *     reported yet
    * @param ownedSinceMs local time of the takeover
@@ -38,6 +40,7 @@
       FleetConfig config,
       SchedulerSettings settings,
       WorkerTable workers,
+      Map<String, Placement> roundPlacements,
       TakeoverGuard takeoverGuard,
       TeamUsage teamUsage,
       Map<String, Resources> unreportedByTeam,
@@ -83,7 +86,8 @@
   }
 
   /** The workers that accept a step's tasks. */
-  private record Choice(List<Worker> eligible, List<Worker> fitting, boolean areAllIsolated) {}
+  private record Choice(
+      List<Worker> eligible, List<Worker> fitting, boolean isAnyIsolated, boolean isAnyAtLimit) {}
 
   private final State state;
   private final long nowMs;
@@ -99,8 +103,46 @@
     this.nowMs = state.nowMs();
   }
 
+  /** Returns the steps with tasks that may start and have not, by pool. */
+  List<UnplacedSteps> unplacedSteps() {
+    Map<String, Map<WaitReason, Integer>> stepsByService = new TreeMap<>();
+    for (Job job : state.jobs()) {
+      Optional<QueueConfig> queue = state.config().queue(job.spec.queue());
+      if (queue.isPresent() && !job.status.isFinal()) {
+        Map<WaitReason, Integer> steps =
+            stepsByService.computeIfAbsent(
+                queue.get().service(), service -> new EnumMap<>(WaitReason.class));
+        job.occurrences.values().stream()
+            .flatMap(siblings -> siblings.stream().filter(it -> isDue(it, siblings)))
+            .flatMap(step -> step.tasks.stream().filter(it -> it.isStartable(nowMs)).limit(1))
+            .forEach(task -> steps.merge(reason(task, queue), 1, Integer::sum));
+      }
+    }
+    List<UnplacedSteps> unplaced = new ArrayList<>();
+    stepsByService.forEach(
+        (service, steps) -> {
+          if (!steps.isEmpty()) {
+            Placement placement = state.roundPlacements().get(service);
+            unplaced.add(
+                new UnplacedSteps(
+                    service,
+                    steps,
+                    placement == null
+                        ? List.of()
+                        : placement.heldWorkers().values().stream()
+                            .map(task -> task.key.wireName())
+                            .toList()));
+          }
+        });
+    return unplaced;
+  }
+
+  private static boolean isDue(Step step, List<Step> siblings) {
+    return !step.isDone() && Job.areDependenciesDone(step, siblings);
+  }
+
   /** Returns the work that stands, by pool and reason. */
-  List<StandingWork> take() {
+  List<StandingWork> standingWork() {
     for (Job job : state.jobs()) {
       if (!job.status.isFinal()) {
         add(job);
@@ -134,7 +176,7 @@
     }
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
-        if (!step.isDone() && Job.areDependenciesDone(step, steps)) {
+        if (isDue(step, steps)) {
           add(step, queue, Math.max(jobSinceMs, beginMs(job, step.occurrence)));
         }
       }
@@ -211,7 +253,10 @@
     WaitReason refusal = step.lastRefusal;
     Choice choice = choice(step, queue.service());
     if (choice.eligible().isEmpty()) {
-      return choice.areAllIsolated() ? WaitReason.ISOLATION : WaitReason.NO_WORKER;
+      if (choice.isAnyIsolated()) {
+        return WaitReason.ISOLATION;
+      }
+      return choice.isAnyAtLimit() ? WaitReason.WORKER_LIMIT : WaitReason.NO_WORKER;
     } else if (refusal == WaitReason.NO_TICKET || refusal == WaitReason.GANG_DOES_NOT_FIT) {
       return refusal;
     } else if (choice.fitting().isEmpty()) {
@@ -220,6 +265,8 @@
       return WaitReason.WORKERS_BLOCKED;
     } else if (choice.fitting().stream().allMatch(WaitSurvey::hasMostStartsInFlight)) {
       return WaitReason.STARTS_IN_FLIGHT;
+    } else if (isEachKept(choice.fitting(), queue.service())) {
+      return WaitReason.WORKER_KEPT;
     } else if (refusal == WaitReason.POOL_FULL) {
       return refusal;
     } else {
@@ -227,6 +274,11 @@
     }
   }
 
+  private boolean isEachKept(List<Worker> fitting, String service) {
+    Placement placement = state.roundPlacements().get(service);
+    return placement != null && placement.heldWorkers().keySet().containsAll(fitting);
+  }
+
   private static boolean hasMostStartsInFlight(Worker worker) {
     return worker.ordersInFlight >= worker.maxOrdersInFlight;
   }
@@ -247,6 +299,7 @@
           List<Worker> eligible = new ArrayList<>();
           List<Worker> fitting = new ArrayList<>();
           boolean isAnyIsolated = false;
+          boolean isAnyAtLimit = false;
           for (Worker worker : state.workers().pool(service)) {
             if (placement.mayRun(worker, step)) {
               eligible.add(worker);
@@ -255,9 +308,10 @@
               }
             } else {
               isAnyIsolated |= worker.hasIsolatedRun() && placement.isEligible(worker, step);
+              isAnyAtLimit |= placement.accepts(worker, step) && !placement.mayAdd(worker, step);
             }
           }
-          return new Choice(eligible, fitting, isAnyIsolated);
+          return new Choice(eligible, fitting, isAnyIsolated, isAnyAtLimit);
         });
   }
 
@@ -266,7 +320,7 @@
     Task task = group.oldest.task();
     Choice choice =
         task == null || key.service().isEmpty()
-            ? new Choice(List.of(), List.of(), false)
+            ? new Choice(List.of(), List.of(), false, false)
             : choice(task.step, key.service());
     return new StandingWork(
         key.service(),
@@ -306,7 +360,7 @@
                           .takeoverGuard()
                           .unresolvedWorkers(
                               held, key.service(), state.workers(), state.provenAtMs()));
-      case NO_WORKER -> pool.stream().filter(worker -> !isAvailable(worker));
+      case NO_WORKER, WORKER_LIMIT -> pool.stream().filter(worker -> !isAvailable(worker));
       case NO_CAPACITY, GANG_DOES_NOT_FIT ->
           pool.stream()
               .filter(worker -> worker.attempts.values().stream().anyMatch(Attempt::isDoubtful));
@@ -346,6 +400,7 @@
       case STARTS_IN_FLIGHT ->
           "starts_allowed="
               + choice.fitting().stream().mapToInt(worker -> worker.maxOrdersInFlight).sum();
+      case WORKER_LIMIT -> "max_per_worker=" + task.step.spec.maxPerWorker();
       case NO_CAPACITY, NO_WORKER, WORKERS_BLOCKED, WORKER_KEPT, GANG_DOES_NOT_FIT, POOL_FULL ->
           "reserved=" + PoolState.text(task.step.spec.reserved());
       case QUEUE_NOT_CONFIGURED,
--- a/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/StandingWorkTest.java
@@ -291,6 +291,38 @@
       assertThat(onlyStanding(WaitReason.START_BUDGET).fitting()).isOne();
     }
 
+    /** Guards against steps whose limit for each worker keeps them waiting, shown as no worker. */
+    @Test
+    void shouldShowALimitForEachWorkerThatThePoolIsTooSmallFor() {
+      begin(TestJobs.config(0, 9));
+      accept("a", TestJobs.longRunningStep(3, 1, 0));
+      startAll(9_000);
+      nowMs += 1_000;
+      report();
+      StandingWork work = onlyStanding(WaitReason.WORKER_LIMIT);
+      assertThat(work.tasks()).isEqualTo(2);
+      assertThat(work.details()).isEqualTo("max_per_worker=1");
+    }
+
+    /** Guards against a round that leaves steps waiting without a trace of which came before. */
+    @Test
+    void shouldCountTheStepsThatARoundLeftWaitingAndNameWhatWorkersAreKeptFor() {
+      begin(TestJobs.config(0, 9));
+      accept("short", TestJobs.step(1, 1_000));
+      startAll(9_000);
+      accept("spread", TestJobs.longRunningStep(2, 1, 0));
+      startAll(9_000);
+      accept("large", StepSpec.ofLongRunningTasks(1, new Resources(7_200, 1_000, 0), "", 0, 0));
+      accept("small", TestJobs.step(1, 100));
+      decide();
+      assertThat(scheduler.unplacedSteps(nowMs, nowMs))
+          .singleElement()
+          .returns(
+              "pool=compute steps=3 reasons=worker-limit:1,no-capacity:1,worker-kept:1"
+                  + " kept_workers=1 kept_for=large.0.0.0",
+              UnplacedSteps::fields);
+    }
+
     /** Guards against room that stays free because other gangs found none, without a trace. */
     @Test
     void shouldShowAPoolThatCountsAsFullForGangsAlthoughAWorkerHasRoom() {
