Try every waiting step in each round

Cause: a round tried the steps of a pool in a fixed order until 24 gangs, long- running steps, steps with a limit for each worker or steps of a queue with advice had found no worker, and left out the others of these kinds. As long as the 24 waited, the same others were left out of each round. The limit bounded the cost of a round, since each such step looked at all workers of its pool.

Change: no step is left out. What bounds the cost is that a round never looks twice at a worker that has no room for a size of task: workers only lose room during a round, so NarrowingChoice drops them for that size, and a size that no worker has room for answers for all larger ones. A step at its limit on some workers looks at these and no others; runs of a step are counted as they begin and end instead of at each look. Gangs are tried only if the free capacities hold all of their tasks. Workers are held back for long-running tasks by the same kind of choice. The reason pool-full is gone.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -48,6 +48,12 @@
   private final boolean hasBlockedWorker;
   private final boolean isMostlyIdle;
 
+  /** The workers that may start a task of a size now. */
+  private final NarrowingChoice withRoom;
+
+  /** The workers on which a task of a size will fit once short tasks have ended. */
+  private final NarrowingChoice holdable;
+
   /**
    * Workers that get no further tasks in this round, so that a large task will fit there, and that
    * task.
@@ -68,6 +74,8 @@
     this.nowMs = nowMs;
     this.hasBlockedWorker = pool.stream().anyMatch(worker -> worker.health.isBlocked(nowMs));
     this.isMostlyIdle = hasBlockedWorker && isMostlyIdle();
+    this.withRoom = new NarrowingChoice(pool, this::hasRoom);
+    this.holdable = new NarrowingChoice(pool, this::isHoldable);
   }
 
   /**
@@ -87,6 +95,27 @@
     return DemandEstimator.fractionOfWorker(reserved, capacity) < IDLE_FRACTION;
   }
 
+  /**
+   * Returns whether any worker may start a task of a step now. If none does, only a suspect that
+   * need not be kept apart any more may find one.
+   */
+  boolean hasRoomFor(Step step, Map<String, String> tickets, boolean needsTicket) {
+    return withRoom
+        .findAny(
+            step.size,
+            worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id)))
+        .isPresent();
+  }
+
+  private boolean hasRoom(Worker worker, TaskSize size) {
+    return !heldWorkers.containsKey(worker)
+        && worker.ordersInFlight < worker.maxOrdersInFlight
+        && !isIsolated(worker)
+        && (!worker.health.isBlocked(nowMs) || isProbeDue(worker))
+        && worker.freeCapacity().holds(size.reserved())
+        && accepts(worker, size);
+  }
+
   /** Returns the best worker that has the capacity for a task now; empty if there is none. */
   Optional<Worker> choose(Task task, Map<String, String> tickets, boolean needsTicket) {
     if (task.needsIsolation(nowMs) && !mayIsolateAnother()) {
@@ -189,29 +218,22 @@
 
   /** Returns whether a worker accepts tasks of a step, regardless of what it runs. */
   boolean accepts(Worker worker, Step step) {
-    StepSpec spec = step.spec;
+    return accepts(worker, step.size);
+  }
+
+  private boolean accepts(Worker worker, TaskSize size) {
     return worker.acceptsTasks()
         && worker.blockedUntilMs <= nowMs
         && !outOfServiceDataCentres.contains(worker.listing.dataCentre())
-        && worker.listing.capacity().holds(spec.need())
-        && (spec.requiredLabel().isEmpty()
-            || worker.listing.labels().contains(spec.requiredLabel()));
+        && worker.listing.capacity().holds(size.need())
+        && (size.requiredLabel().isEmpty()
+            || worker.listing.labels().contains(size.requiredLabel()));
   }
 
   /** Returns whether the limit of a step for each worker allows one more of its tasks there. */
   boolean mayAdd(Worker worker, Step step) {
     int limit = step.spec.maxPerWorker();
-    return limit == 0 || countTasks(step, worker) < limit;
-  }
-
-  private static int countTasks(Step step, Worker worker) {
-    int count = 0;
-    for (Attempt attempt : worker.attempts.values()) {
-      if (attempt.task.step == step) {
-        count++;
-      }
-    }
-    return count;
+    return limit == 0 || worker.countRuns(step) < limit;
   }
 
   private double cost(Worker worker, Task task) {
@@ -256,9 +278,20 @@
    * too little for it is not held back, because they do not end.
    */
   void holdWorkerFor(Task task) {
-    Resources need = task.step.spec.reserved();
-    findLargestWorkerFor(task, worker -> worker.capacityBesideLongRunningTasks().holds(need))
-        .ifPresent(worker -> heldWorkers.put(worker, task));
+    Step step = task.step;
+    if (holdable.findAny(step.size, worker -> mayAdd(worker, step)).isPresent()) {
+      findLargestWorkerFor(
+              task, worker -> worker.capacityBesideLongRunningTasks().holds(step.spec.reserved()))
+          .ifPresent(worker -> heldWorkers.put(worker, task));
+    }
+  }
+
+  private boolean isHoldable(Worker worker, TaskSize size) {
+    return !heldWorkers.containsKey(worker)
+        && !isIsolated(worker)
+        && !worker.health.isBlocked(nowMs)
+        && accepts(worker, size)
+        && worker.capacityBesideLongRunningTasks().holds(size.reserved());
   }
 
   /** Returns the workers that are held back for tasks which fit nowhere yet, with these tasks. */
@@ -299,6 +332,9 @@
 
   private Optional<Map<Task, Worker>> chooseForGang(
       Collection<Task> tasks, Map<String, String> tickets, boolean needsTicket, boolean mayProbe) {
+    if (!hasRoomForAll(tasks)) {
+      return Optional.empty();
+    }
     Map<Worker, Resources> freeByWorker = new HashMap<>();
     Map<Worker, Integer> counts = new HashMap<>();
     Map<Task, Worker> chosen = new HashMap<>();
@@ -314,7 +350,7 @@
             || (worker.health.isBlocked(nowMs) && !(mayProbe && isProbeDue(worker)))
             || !remaining.holds(task.step.spec.reserved())
             || !mayRun(worker, task.step)
-            || (limit > 0 && countTasks(task.step, worker) + count >= limit)
+            || (limit > 0 && worker.countRuns(task.step) + count >= limit)
             || (needsTicket && !tickets.containsKey(worker.id))) {
           continue;
         }
@@ -337,6 +373,29 @@
     return Optional.of(chosen);
   }
 
+  /** Returns whether the free capacity of the pool holds all tasks of a gang, worker by worker. */
+  private boolean hasRoomForAll(Collection<Task> tasks) {
+    Step step = tasks.iterator().next().step;
+    int rooms = 0;
+    for (Worker worker : pool) {
+      if (mayRun(worker, step)) {
+        Resources free = worker.freeCapacity();
+        int allowed =
+            step.spec.maxPerWorker() == 0
+                ? tasks.size()
+                : step.spec.maxPerWorker() - worker.countRuns(step);
+        for (; allowed > 0 && free.holds(step.spec.reserved()); allowed--) {
+          free = free.minus(step.spec.reserved());
+          rooms++;
+          if (rooms >= tasks.size()) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
   private double rackSpanCost(Worker worker, Map<Task, Worker> chosen, StepSpec spec) {
     boolean isOtherRack =
         spec.isRackSensitive()
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -1,12 +1,10 @@
 package org.laburnumarch.internal.schedule;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.Resources;
-import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
 
 /** Starts waiting tasks on the workers of one pool, in the order in which candidates are passed. */
@@ -17,35 +15,6 @@
    */
   private static final int RUN_BITS_PER_TERM = 12;
 
-  /**
-   * Number of gangs, long-running steps and steps with limits for each worker that may find no
-   * worker in one round; the others of these kinds are then left out of it.
-   */
-  private static final int MAX_MISSES = 24;
-
-  /** What a step needs of a worker, if nothing but free capacity decides where it may run. */
-  private record Shape(Resources reserved, Resources need, String requiredLabel) {
-
-    static Optional<Shape> of(Candidate candidate) {
-      StepSpec spec = candidate.step().spec;
-      boolean isPlain =
-          !spec.isGang()
-              && !spec.isLongRunning()
-              && spec.maxPerWorker() == 0
-              && candidate.queue().advice().isEmpty();
-      return isPlain
-          ? Optional.of(new Shape(spec.reserved(), spec.need(), spec.requiredLabel()))
-          : Optional.empty();
-    }
-
-    /** Returns whether every worker that could run this could also run the other. */
-    boolean isAtLeast(Shape other) {
-      return reserved.holds(other.reserved)
-          && need.holds(other.need)
-          && (other.requiredLabel.isEmpty() || other.requiredLabel.equals(requiredLabel));
-    }
-  }
-
   /**
    * State shared by all rounds of one decision.
    *
@@ -72,11 +41,6 @@
   private final Placement placement;
   private final long nowMs;
 
-  /** The least needs of steps that found no worker; none of them is at least another. */
-  private final List<Shape> missed = new ArrayList<>();
-
-  private int misses;
-
   StartRound(Context context, Placement placement) {
     this.context = context;
     this.placement = placement;
@@ -86,16 +50,7 @@
   void startCandidate(Candidate candidate, List<Worker> pool) {
     Step step = candidate.step();
     step.lastRefusal = WaitReason.NO_CAPACITY;
-    Optional<Shape> shape = Shape.of(candidate);
-    int together = step.spec.isGang() ? step.tasks.size() : 1;
-    boolean isMissed =
-        shape.map(own -> missed.stream().anyMatch(own::isAtLeast)).orElse(misses >= MAX_MISSES);
-    if (isMissed && !mayEndIsolation(step)) {
-      step.lastRefusal = shape.isPresent() ? WaitReason.NO_CAPACITY : WaitReason.POOL_FULL;
-      step.tasks.forEach(task -> task.limitIsolationWait(nowMs));
-      return;
-    }
-    if (!isWithinTeamLimit(step, together)) {
+    if (!isWithinTeamLimit(step, step.spec.isGang() ? step.tasks.size() : 1)) {
       return;
     }
     boolean needsTicket = candidate.queue().advice().isPresent();
@@ -103,25 +58,11 @@
     if (needsTicket && stepTickets.isEmpty()) {
       step.lastRefusal = WaitReason.NO_TICKET;
       requestTickets(candidate, pool);
-      return;
+    } else if (step.spec.isGang()) {
+      startGang(step, stepTickets, needsTicket);
+    } else {
+      startTasks(candidate, stepTickets, needsTicket);
     }
-    boolean isPlaced =
-        step.spec.isGang()
-            ? startGang(step, stepTickets, needsTicket)
-            : startTasks(candidate, stepTickets, needsTicket);
-    if (!isPlaced) {
-      shape.ifPresentOrElse(this::addMissed, () -> misses++);
-    }
-  }
-
-  private void addMissed(Shape shape) {
-    missed.removeIf(other -> other.isAtLeast(shape));
-    missed.add(shape);
-  }
-
-  private boolean mayEndIsolation(Step step) {
-    return step.tasks.stream()
-        .anyMatch(task -> task.isStartable(nowMs) && task.hasWaitedForSeparation(nowMs));
   }
 
   private void requestTickets(Candidate candidate, List<Worker> pool) {
@@ -136,63 +77,74 @@
         .ifPresent(context.queries()::add);
   }
 
-  /** Starts tasks of a step; returns false if one found no worker. */
-  private boolean startTasks(
+  private void startTasks(
       Candidate candidate, Map<String, String> stepTickets, boolean needsTicket) {
+    Step step = candidate.step();
+    boolean mayFindWorker = placement.hasRoomFor(step, stepTickets, needsTicket);
     boolean isPlaced = true;
-    for (Task task : candidate.step().tasks) {
+    for (Task task : step.tasks) {
       if (!task.isStartable(nowMs) || (!isPlaced && !task.hasWaitedForSeparation(nowMs))) {
         continue;
       }
-      if (!isWithinTeamLimit(candidate.step(), 1)) {
-        return isPlaced;
-      }
-      Optional<Worker> worker = placement.choose(task, stepTickets, needsTicket);
-      if (worker.isEmpty() && task.needsIsolation(nowMs)) {
-        task.limitIsolationWait(nowMs);
-        if (placement.mayIsolateAnother()) {
-          placement.holdWorkerForSuspect(task);
-        }
-        continue;
-      }
-      if (worker.isEmpty() && task.needsSeparation(nowMs)) {
-        continue;
+      if (!isWithinTeamLimit(step, 1)) {
+        return;
       }
+      Optional<Worker> worker =
+          mayFindWorker || task.hasWaitedForSeparation(nowMs)
+              ? placement.choose(task, stepTickets, needsTicket)
+              : Optional.empty();
       if (worker.isEmpty()) {
-        if (candidate.rank() == CandidateRanking.Rank.LONG_RUNNING) {
-          placement.holdWorkerFor(task);
-        }
-        isPlaced = false;
+        isPlaced &= onNoWorker(task, candidate.rank());
         continue;
       }
       if (!context.budget().tryTake(1)) {
-        candidate.step().lastRefusal = WaitReason.START_BUDGET;
-        return false;
+        step.lastRefusal = WaitReason.START_BUDGET;
+        return;
       }
       start(task, worker.get(), nextRun(task), stepTickets);
     }
-    return isPlaced;
   }
 
-  private boolean startGang(Step step, Map<String, String> stepTickets, boolean needsTicket) {
+  /**
+   * Holds a worker back for a task that has found none, if that is due. Returns whether other tasks
+   * of its step may find one all the same, because this one has to be kept apart.
+   */
+  private boolean onNoWorker(Task task, CandidateRanking.Rank rank) {
+    if (task.needsIsolation(nowMs)) {
+      task.limitIsolationWait(nowMs);
+      if (placement.mayIsolateAnother()) {
+        placement.holdWorkerForSuspect(task);
+      }
+      return true;
+    }
+    if (task.needsSeparation(nowMs)) {
+      return true;
+    }
+    if (rank == CandidateRanking.Rank.LONG_RUNNING) {
+      placement.holdWorkerFor(task);
+    }
+    return false;
+  }
+
+  private void startGang(Step step, Map<String, String> stepTickets, boolean needsTicket) {
     for (Task task : step.tasks) {
       if (!task.isStartable(nowMs)) {
         step.lastRefusal = WaitReason.GANG_INCOMPLETE;
-        return false;
+        return;
       }
     }
     if (!isWithinTeamLimit(step, step.tasks.size())) {
-      return false;
+      return;
     }
     Optional<Map<Task, Worker>> chosen =
         placement.chooseForGang(step.tasks, stepTickets, needsTicket);
     if (chosen.isEmpty()) {
       step.lastRefusal = WaitReason.GANG_DOES_NOT_FIT;
-      return false;
+      return;
     }
     if (!context.budget().tryTake(step.tasks.size())) {
       step.lastRefusal = WaitReason.START_BUDGET;
-      return false;
+      return;
     }
     long run = step.tasks.stream().mapToLong(this::nextRun).max().orElse(1);
     String checkpoint =
@@ -205,7 +157,6 @@
       task.checkpoint = checkpoint;
       start(task, chosen.get().get(task), run, stepTickets);
     }
-    return true;
   }
 
   private boolean isWithinTeamLimit(Step step, int tasks) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Step.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Step.java
@@ -14,6 +14,10 @@
   final int occurrence;
   final int number;
   final StepSpec spec;
+
+  /** What each task needs of a worker. */
+  final TaskSize size;
+
   final List<Task> tasks;
   int doneCount;
 
@@ -28,6 +32,7 @@
     this.occurrence = occurrence;
     this.number = number;
     this.spec = spec;
+    this.size = TaskSize.of(spec);
     List<Task> list = new ArrayList<>(spec.count());
     for (int i = 0; i < spec.count(); i++) {
       list.add(new Task(new TaskKey(job.spec.id(), occurrence, number, i), this));
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitReason.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitReason.java
@@ -34,8 +34,6 @@
   NO_TICKET,
   /** The link takes no more starts. */
   START_BUDGET,
-  /** A worker has room, but the step was left out because too many of its kind found none. */
-  POOL_FULL,
   /** No set of workers takes the whole gang at once. */
   GANG_DOES_NOT_FIT,
   /** Another task of the gang cannot start yet. */
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -233,7 +233,7 @@
       return WaitReason.REFUSAL_PAUSE;
     }
     return switch (task.step.lastRefusal) {
-      case NO_CAPACITY, NO_TICKET, POOL_FULL, GANG_DOES_NOT_FIT -> refine(task, queue.get());
+      case NO_CAPACITY, NO_TICKET, GANG_DOES_NOT_FIT -> refine(task, queue.get());
       default -> task.step.lastRefusal;
     };
   }
@@ -267,8 +267,6 @@
       return WaitReason.STARTS_IN_FLIGHT;
     } else if (isEachKept(choice.fitting(), queue.service())) {
       return WaitReason.WORKER_KEPT;
-    } else if (refusal == WaitReason.POOL_FULL) {
-      return refusal;
     } else {
       return queue.advice().isPresent() ? WaitReason.NO_TICKET : WaitReason.WORKER_KEPT;
     }
@@ -365,7 +363,7 @@
           pool.stream()
               .filter(worker -> worker.attempts.values().stream().anyMatch(Attempt::isDoubtful));
       case ISOLATION -> pool.stream().filter(Worker::hasIsolatedRun);
-      case STARTS_IN_FLIGHT, WORKERS_BLOCKED, WORKER_KEPT, POOL_FULL -> choice.fitting().stream();
+      case STARTS_IN_FLIGHT, WORKERS_BLOCKED, WORKER_KEPT -> choice.fitting().stream();
       case QUEUE_NOT_CONFIGURED,
           REFUSAL_PAUSE,
           TEAM_LIMIT,
@@ -401,7 +399,7 @@
           "starts_allowed="
               + choice.fitting().stream().mapToInt(worker -> worker.maxOrdersInFlight).sum();
       case WORKER_LIMIT -> "max_per_worker=" + task.step.spec.maxPerWorker();
-      case NO_CAPACITY, NO_WORKER, WORKERS_BLOCKED, WORKER_KEPT, GANG_DOES_NOT_FIT, POOL_FULL ->
+      case NO_CAPACITY, NO_WORKER, WORKERS_BLOCKED, WORKER_KEPT, GANG_DOES_NOT_FIT ->
           "reserved=" + PoolState.text(task.step.spec.reserved());
       case QUEUE_NOT_CONFIGURED,
           START_UNANSWERED,
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -1,5 +1,6 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.laburnumarch.internal.job.Resources;
@@ -122,6 +123,8 @@
   /** All runs that may be going on there, by task name and run number. */
   final Map<String, Attempt> attempts = new LinkedHashMap<>();
 
+  private final Map<Step, Integer> runsByStep = new HashMap<>();
+
   Resources reserved = Resources.NONE;
   private int isolatedRuns;
   int ordersInFlight;
@@ -159,6 +162,7 @@
 
   void add(Attempt attempt) {
     attempts.put(attemptKey(attempt.task.key.wireName(), attempt.run), attempt);
+    runsByStep.merge(attempt.task.step, 1, Integer::sum);
     reserved = reserved.plus(attempt.reserved);
     isolatedRuns += attempt.isIsolated ? 1 : 0;
   }
@@ -167,6 +171,8 @@
     boolean isRemoved =
         attempts.remove(attemptKey(attempt.task.key.wireName(), attempt.run), attempt);
     if (isRemoved) {
+      runsByStep.computeIfPresent(
+          attempt.task.step, (step, count) -> count == 1 ? null : count - 1);
       reserved = reserved.minus(attempt.reserved);
       isolatedRuns -= attempt.isIsolated ? 1 : 0;
     }
@@ -183,6 +189,11 @@
         && missedReports == 0;
   }
 
+  /** Returns the number of runs of a step's tasks that may be going on there. */
+  int countRuns(Step step) {
+    return runsByStep.getOrDefault(step, 0);
+  }
+
   int longRunningCount() {
     int count = 0;
     for (Attempt attempt : attempts.values()) {
