Answer for larger gangs by the least one that a pool has no room for

Change: a gang with at least as many tasks of at least the size of one without room is not tried in the same round. Gangs with a limit for each worker are still tried one by one, because their own runs count.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -1,10 +1,12 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -41,6 +43,13 @@
    */
   private static final double FREE_CAPACITY_WEIGHT = 0.3;
 
+  /** The number and the size of tasks that must start at once. */
+  private record Gang(int tasks, TaskSize size) {
+    boolean isAtLeast(Gang other) {
+      return tasks >= other.tasks && size.isAtLeast(other.size);
+    }
+  }
+
   private final Collection<Worker> pool;
   private final Set<String> outOfServiceDataCentres;
   private final double remoteSlowdownFactor;
@@ -60,6 +69,9 @@
    */
   private final Map<Worker, Task> heldWorkers = new LinkedHashMap<>();
 
+  /** The least gangs that the free capacity of the pool does not hold. */
+  private final List<Gang> gangsWithoutRoom = new ArrayList<>();
+
   /** Workers that get no further tasks in this round, so that a suspect can start there alone. */
   private final Set<Worker> heldForSuspects = new HashSet<>();
 
@@ -324,6 +336,18 @@
    */
   Optional<Map<Task, Worker>> chooseForGang(
       Collection<Task> tasks, Map<String, String> tickets, boolean needsTicket) {
+    Step step = tasks.iterator().next().step;
+    Gang gang = new Gang(tasks.size(), step.size);
+    if (gangsWithoutRoom.stream().anyMatch(gang::isAtLeast)) {
+      return Optional.empty();
+    }
+    if (!hasRoomForAll(step)) {
+      if (step.spec.maxPerWorker() == 0) {
+        gangsWithoutRoom.removeIf(larger -> larger.isAtLeast(gang));
+        gangsWithoutRoom.add(gang);
+      }
+      return Optional.empty();
+    }
     Optional<Map<Task, Worker>> chosen = chooseForGang(tasks, tickets, needsTicket, false);
     return chosen.isEmpty() && hasBlockedWorker
         ? chooseForGang(tasks, tickets, needsTicket, true)
@@ -332,9 +356,6 @@
 
   private Optional<Map<Task, Worker>> chooseForGang(
       Collection<Task> tasks, Map<String, String> tickets, boolean needsTicket, boolean mayProbe) {
-    if (!hasRoomForAll(tasks)) {
-      return Optional.empty();
-    }
     Map<Worker, Resources> freeByWorker = new HashMap<>();
     Map<Worker, Integer> counts = new HashMap<>();
     Map<Task, Worker> chosen = new HashMap<>();
@@ -374,20 +395,19 @@
   }
 
   /** Returns whether the free capacity of the pool holds all tasks of a gang, worker by worker. */
-  private boolean hasRoomForAll(Collection<Task> tasks) {
-    Step step = tasks.iterator().next().step;
+  private boolean hasRoomForAll(Step gang) {
+    int tasks = gang.tasks.size();
+    int limit = gang.spec.maxPerWorker();
+    Resources need = gang.spec.reserved();
     int rooms = 0;
     for (Worker worker : pool) {
-      if (mayRun(worker, step)) {
+      if (mayRun(worker, gang)) {
         Resources free = worker.freeCapacity();
-        int allowed =
-            step.spec.maxPerWorker() == 0
-                ? tasks.size()
-                : step.spec.maxPerWorker() - worker.countRuns(step);
-        for (; allowed > 0 && free.holds(step.spec.reserved()); allowed--) {
-          free = free.minus(step.spec.reserved());
+        int allowed = limit == 0 ? tasks : limit - worker.countRuns(gang);
+        for (; allowed > 0 && free.holds(need); allowed--) {
+          free = free.minus(need);
           rooms++;
-          if (rooms >= tasks.size()) {
+          if (rooms >= tasks) {
             return true;
           }
         }
