Ask silent workers for a first report after the others

What callers would see: after a takeover accepted jobs stand while workers with room are never asked, for as long as many others are silent.

Cause: 48 first reports are awaited at a time, and the places went to the first workers of the table whose time had come. A silent worker comes back 200 to 800 ms after it was given up, before any later worker gets the free place, so about a hundred silent ones occupy all places for good.

Evidence: FirstReportsTest#shouldReachTheOthersBehindManySilentWorkers failed on: of 400 workers of which the first 200 are silent, none of the other 200 was asked in 5 s. Not seen on real processes.

Change: workers without a first report are asked first; among them those that have missed none, then those whose last request is the longest ago. The number of places stays.

Result: the test passes; all 200 answer. The other tests of the class, of the driver and of takeovers give the same results as before.

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -41,6 +42,10 @@
 
   private static final long SLOWNESS_DECAY_INTERVAL_MS = 1_000;
 
+  private static final Comparator<Worker> FIRST_REPORT_ORDER =
+      Comparator.<Worker, Boolean>comparing(worker -> worker.missedReports > 0)
+          .thenComparing(worker -> worker.lastReportAttemptMs);
+
   private final SchedulerSettings settings;
   private final long term;
   private final TakeoverGuard takeoverGuard;
@@ -697,12 +702,30 @@
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
-  /** Returns the ids of all known workers whose processes may be running. */
+  /**
+   * Returns the ids of all known workers whose processes may be running, in the order in which they
+   * are asked for reports: first those without a first report, of which only some are asked at the
+   * same time. Among them, silent workers wait for those that have missed no report, and for each
+   * other.
+   */
   public List<String> workerIds() {
-    return workers.all().stream()
-        .filter(worker -> !worker.isTerminated)
-        .map(worker -> worker.id)
-        .toList();
+    List<Worker> unreported = new ArrayList<>();
+    List<String> reported = new ArrayList<>();
+    for (Worker worker : workers.all()) {
+      if (worker.isTerminated) {
+        continue;
+      }
+      if (worker.isFenced) {
+        reported.add(worker.id);
+      } else {
+        unreported.add(worker);
+      }
+    }
+    unreported.sort(FIRST_REPORT_ORDER);
+    List<String> ids = new ArrayList<>();
+    unreported.forEach(worker -> ids.add(worker.id));
+    ids.addAll(reported);
+    return ids;
   }
 
   /**
--- a/src/test/java/org/laburnumarch/internal/schedule/FirstReportsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/FirstReportsTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntPredicate;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -99,11 +100,25 @@
     @Test
     void shouldReachTheOthersWhileAZoneIsSilent() {
       listAll();
+      assertThat(workersThatAnswer(number -> number % 5 == 0, 4_000)).hasSize(WORKERS * 4 / 5);
+    }
+
+    /**
+     * Guards against workers that are never asked since silent ones before them are asked again.
+     */
+    @Test
+    void shouldReachTheOthersBehindManySilentWorkers() {
+      listAll();
+      assertThat(workersThatAnswer(number -> number < WORKERS / 2, 5_000)).hasSize(WORKERS / 2);
+    }
+
+    /** Returns the workers that have answered after a time while some do not. */
+    private Set<String> workersThatAnswer(IntPredicate isSilent, long durationMs) {
       Map<Renewal, Long> silent = new LinkedHashMap<>();
       Set<String> answered = new HashSet<>();
-      for (long endMs = nowMs + 4_000; nowMs < endMs; nowMs += 10) {
+      for (long endMs = nowMs + durationMs; nowMs < endMs; nowMs += 10) {
         for (Renewal request : requests()) {
-          if (Integer.parseInt(request.workerId().substring(1)) % 5 == 0) {
+          if (isSilent.test(Integer.parseInt(request.workerId().substring(1)))) {
             silent.put(request, nowMs + REPORT_TIMEOUT_MS);
           } else {
             answer(request);
@@ -120,7 +135,7 @@
                   miss(timedOut);
                 });
       }
-      assertThat(answered).hasSize(WORKERS * 4 / 5);
+      return answered;
     }
   }
 
