Request tickets for all workers in turn, first for those with room

What callers would see: accepted jobs of a queue with advice that never start, or not while the first allowed worker is full, although another allowed one has room.

Cause: a request named the first 30 workers of the pool, always the same ones, and none was sent while a step had any ticket that can be used, even if only for full workers. A step whose allowed workers come later in the pool never got a ticket.

Evidence: both tests of AdvisedStepsTest failed on: with 70 workers, a step that only the last one may run did not start in 5 s, and neither did one for which the first allowed worker was full. Not seen on real processes: no site of ours has queues with advice.

Change: what the service has said is kept for each worker of a step. Workers without a ticket in a response are not named again, since which ones are allowed is final; the others expire on their own. A step that lacks room requests tickets for further workers with room. A request still names 30 workers at most.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -296,8 +296,7 @@
                 return;
               }
               if (failure == null) {
-                scheduler.onAdvice(
-                    query.stepName(), advice.tickets(), advice.validityMs(), clock.nowMs());
+                scheduler.onAdvice(query, advice.tickets(), advice.validityMs(), clock.nowMs());
               } else {
                 Logger.warn(
                     "advice: event=missed step={} cause={}",
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -652,9 +652,10 @@
     }
   }
 
-  /** Stores tickets that the advisory service has issued for a step, by worker id. */
-  public void onAdvice(String stepName, Map<String, String> byWorker, long validityMs, long nowMs) {
-    adviceTickets.store(stepName, byWorker, validityMs, nowMs);
+  /** Stores tickets that the advisory service has issued on a request, by worker id. */
+  public void onAdvice(
+      AdviceQuery query, Map<String, String> byWorker, long validityMs, long nowMs) {
+    adviceTickets.store(query, byWorker, validityMs, nowMs);
   }
 
   /** Records that the advisory service did not reply; it is asked again a little later. */
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -102,7 +102,7 @@
     Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
     if (needsTicket && stepTickets.isEmpty()) {
       step.lastRefusal = WaitReason.NO_TICKET;
-      requestTickets(candidate, pool);
+      requestTickets(candidate, pool, false);
       return;
     }
     boolean isPlaced =
@@ -112,6 +112,15 @@
     if (!isPlaced) {
       shape.ifPresentOrElse(this::addMissed, () -> misses++);
     }
+    if (needsTicket && lacksRoom(step)) {
+      requestTickets(candidate, pool, true);
+    }
+  }
+
+  private boolean lacksRoom(Step step) {
+    return (step.lastRefusal == WaitReason.NO_CAPACITY
+            || step.lastRefusal == WaitReason.GANG_DOES_NOT_FIT)
+        && step.tasks.stream().anyMatch(task -> task.isStartable(nowMs));
   }
 
   private void addMissed(Shape shape) {
@@ -124,15 +133,30 @@
         .anyMatch(task -> task.isStartable(nowMs) && task.hasWaitedForSeparation(nowMs));
   }
 
-  private void requestTickets(Candidate candidate, List<Worker> pool) {
-    List<String> ids =
-        pool.stream()
-            .filter(worker -> placement.mayRun(worker, candidate.step()))
-            .map(worker -> worker.id)
-            .toList();
+  /**
+   * Requests tickets for workers that a step has none for, first for those with room.
+   *
+   * @param needsRoom whether tickets for full workers are of no use
+   */
+  private void requestTickets(Candidate candidate, List<Worker> pool, boolean needsRoom) {
+    Step step = candidate.step();
+    if (!context.adviceTickets().isQueryDue(step, nowMs)) {
+      return;
+    }
+    List<String> withRoom = new ArrayList<>();
+    List<String> full = new ArrayList<>();
+    for (Worker worker : pool) {
+      if (placement.mayRun(worker, step)) {
+        boolean hasRoom = worker.freeCapacity().holds(step.spec.reserved());
+        (hasRoom ? withRoom : full).add(worker.id);
+      }
+    }
+    if (!needsRoom) {
+      withRoom.addAll(full);
+    }
     context
         .adviceTickets()
-        .query(candidate.step(), candidate.queue().advice().orElseThrow(), ids, nowMs)
+        .query(step, candidate.queue().advice().orElseThrow(), withRoom, nowMs)
         .ifPresent(context.queries()::add);
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
@@ -1,9 +1,11 @@
 package org.laburnumarch.internal.schedule;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.laburnumarch.internal.job.QueueConfig.AdviceTimes;
 
 /** The advisory service's tickets for each step, and the times of the next requests for them. */
@@ -19,43 +21,96 @@
   private static final long RETRY_MS = 200;
   private static final long RESPONSE_MARGIN_MS = 1_500;
 
-  private record StepTickets(Map<String, String> byWorker, long usableUntilMs) {}
+  private record Ticket(String value, long usableUntilMs) {}
 
-  private final Map<String, StepTickets> ticketsByStep = new HashMap<>();
-  private final Map<String, Long> nextQueryAtMs = new HashMap<>();
+  /** What the service has said about a step. Tickets expire; which workers it allows is final. */
+  private static final class StepAdvice {
+    private final Map<String, Ticket> byWorker = new HashMap<>();
+    private final Set<String> disallowed = new HashSet<>();
+    private long nextQueryAtMs = Long.MIN_VALUE;
+
+    boolean isUsable(String workerId, long nowMs) {
+      Ticket ticket = byWorker.get(workerId);
+      return ticket != null && nowMs <= ticket.usableUntilMs();
+    }
+  }
+
+  private final Map<String, StepAdvice> adviceByStep = new HashMap<>();
 
   /** Returns the tickets of a step that can be used now, by worker id. */
   Map<String, String> usableFor(Step step, long nowMs) {
-    StepTickets tickets = ticketsByStep.get(step.wireName());
-    return tickets == null || tickets.usableUntilMs() < nowMs ? Map.of() : tickets.byWorker();
+    StepAdvice advice = adviceByStep.get(step.wireName());
+    if (advice == null) {
+      return Map.of();
+    }
+    Map<String, String> usable = new HashMap<>();
+    advice.byWorker.forEach(
+        (workerId, ticket) -> {
+          if (advice.isUsable(workerId, nowMs)) {
+            usable.put(workerId, ticket.value());
+          }
+        });
+    return usable;
+  }
+
+  /** Returns whether a request for a step may be sent, because none is pending or too recent. */
+  boolean isQueryDue(Step step, long nowMs) {
+    StepAdvice advice = adviceByStep.get(step.wireName());
+    return advice == null || advice.nextQueryAtMs <= nowMs;
   }
 
-  /** Returns the request to send for a step; empty while one is pending or none may be sent yet. */
+  /**
+   * Returns the request to send for a step; empty if none is due or if the answer is known for each
+   * of the workers.
+   *
+   * @param workerIds the workers that it might run on, the preferred ones first
+   */
   Optional<AdviceQuery> query(Step step, AdviceTimes times, List<String> workerIds, long nowMs) {
+    if (!isQueryDue(step, nowMs)) {
+      return Optional.empty();
+    }
     String name = step.wireName();
-    if (nextQueryAtMs.getOrDefault(name, Long.MIN_VALUE) > nowMs || workerIds.isEmpty()) {
+    StepAdvice advice = adviceByStep.computeIfAbsent(name, key -> new StepAdvice());
+    List<String> queried =
+        workerIds.stream()
+            .filter(id -> !advice.disallowed.contains(id) && !advice.isUsable(id, nowMs))
+            .limit(MAX_WORKERS_PER_QUERY)
+            .toList();
+    if (queried.isEmpty()) {
       return Optional.empty();
     }
-    List<String> queried = workerIds.subList(0, Math.min(MAX_WORKERS_PER_QUERY, workerIds.size()));
     long timeoutMs = times.decisionMs() + times.intervalMs() * queried.size() + RESPONSE_MARGIN_MS;
-    nextQueryAtMs.put(name, nowMs + timeoutMs);
+    advice.nextQueryAtMs = nowMs + timeoutMs;
     return Optional.of(new AdviceQuery(name, queried, timeoutMs));
   }
 
-  void store(String stepName, Map<String, String> byWorker, long validityMs, long nowMs) {
-    ticketsByStep.put(
-        stepName,
-        new StepTickets(byWorker, nowMs + (long) (validityMs * USABLE_VALIDITY_FRACTION)));
-    nextQueryAtMs.put(stepName, nowMs + RETRY_MS);
+  /** Stores the response to a request; workers without a ticket in it may not run the step. */
+  void store(AdviceQuery query, Map<String, String> byWorker, long validityMs, long nowMs) {
+    StepAdvice advice = adviceByStep.get(query.stepName());
+    if (advice == null) {
+      return;
+    }
+    long usableUntilMs = nowMs + (long) (validityMs * USABLE_VALIDITY_FRACTION);
+    for (String workerId : query.workerIds()) {
+      String value = byWorker.get(workerId);
+      if (value == null) {
+        advice.disallowed.add(workerId);
+      } else {
+        advice.byWorker.put(workerId, new Ticket(value, usableUntilMs));
+      }
+    }
+    advice.nextQueryAtMs = nowMs + RETRY_MS;
   }
 
   void scheduleRetry(String stepName, long nowMs) {
-    nextQueryAtMs.put(stepName, nowMs + RETRY_MS);
+    StepAdvice advice = adviceByStep.get(stepName);
+    if (advice != null) {
+      advice.nextQueryAtMs = nowMs + RETRY_MS;
+    }
   }
 
   /** Removes the tickets of a step whose tasks are all done. */
   void forget(Step step) {
-    ticketsByStep.remove(step.wireName());
-    nextQueryAtMs.remove(step.wireName());
+    adviceByStep.remove(step.wireName());
   }
 }
