Keep an instance cordoned when its move is planned anew

What callers would see: accepted work of a pool without instances that stands while busy instances of other pools are to be moved to it.

Cause: a move whose instance is not drained within 2.5 s was given up after the moves of that round had been planned. The instance took new runs for a round before the next attempt, so one whose runs take longer and end at different times never became empty.

Evidence: FleetPlannerTest#shouldMoveAnInstanceWhoseRunsEndAtDifferentTimes failed on this commit's parent: four instances with two runs of 7 s each, and no order in 60 s.

Change: slow moves are given up before others are planned, so that an instance that is chosen again stays cordoned. One that is not chosen again is released as before.

Result: the test and the others of the class pass.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -50,7 +50,7 @@
    */
   private static final long COMPLETION_MARGIN_MS = 700;
 
-  /** Longest time to drain an instance for a move before the move is given up. */
+  /** Longest time to drain an instance for a move before the move is planned anew. */
   private static final long MOVE_DRAIN_TIMEOUT_MS = 2_500;
 
   /** A move or a maintenance of an instance that is planned or ordered. */
@@ -264,6 +264,7 @@
     if (mayMaintain) {
       planMaintenance(config, demands, loadsById, outOfServiceDataCentres, nowMs);
     }
+    giveUpSlowMoves(nowMs);
     planMoves(config, demands, loadsById, outOfServiceDataCentres, nowMs);
     return buildPlan(config, loadsById, nowMs);
   }
@@ -276,10 +277,11 @@
         || config.service(machine.pool()).map(ServiceConfig::isSpare).orElse(false);
   }
 
-  private FleetPlan buildPlan(FleetConfig config, Map<String, WorkerLoad> loads, long nowMs) {
-    List<MachineOrder> orders = new ArrayList<>();
-    Set<String> cordoned = new HashSet<>();
-    Set<String> drained = new HashSet<>();
+  /**
+   * Gives up moves that take long, before others are planned: an instance that is chosen again must
+   * stay cordoned, or new runs start there each time.
+   */
+  private void giveUpSlowMoves(long nowMs) {
     pendingOperations
         .entrySet()
         .removeIf(
@@ -287,6 +289,12 @@
                 !entry.getValue().isMaintenance()
                     && !entry.getValue().isOrdered
                     && nowMs - entry.getValue().sinceMs > MOVE_DRAIN_TIMEOUT_MS);
+  }
+
+  private FleetPlan buildPlan(FleetConfig config, Map<String, WorkerLoad> loads, long nowMs) {
+    List<MachineOrder> orders = new ArrayList<>();
+    Set<String> cordoned = new HashSet<>();
+    Set<String> drained = new HashSet<>();
     for (Map.Entry<String, PendingOperation> entry : pendingOperations.entrySet()) {
       Machine machine = machines.get(entry.getKey());
       PendingOperation operation = entry.getValue();
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -359,6 +361,45 @@
       assertThat(plan(1, 5).cordoned()).isEmpty();
     }
 
+    /**
+     * Guards against work of a pool without instances that stands for good: a busy instance whose
+     * move was given up was filled again before the next attempt.
+     */
+    @Test
+    void shouldMoveAnInstanceWhoseRunsEndAtDifferentTimes() {
+      long runMs = 7_000;
+      addAll(0, 4, "office", 2, true);
+      Map<String, Queue<Long>> runEndsMs = new LinkedHashMap<>();
+      machines
+          .keySet()
+          .forEach(
+              name ->
+                  runEndsMs.put(name, new PriorityQueue<>(List.of(nowMs + 1_000, nowMs + 5_000))));
+      Set<String> cordoned = Set.of();
+      List<MachineOrder> orders = List.of();
+      for (long untilMs = nowMs + 60_000; nowMs < untilMs && orders.isEmpty(); nowMs += 100) {
+        for (Map.Entry<String, Queue<Long>> runs : runEndsMs.entrySet()) {
+          runs.getValue().removeIf(endMs -> endMs <= nowMs);
+          while (!cordoned.contains("w" + runs.getKey()) && runs.getValue().size() < 2) {
+            runs.getValue().add(nowMs + runMs);
+          }
+          add(runs.getKey(), "office", runs.getValue().size(), 0, true);
+        }
+        planner.onList(machines.values(), nowMs);
+        FleetPlan plan =
+            planner.plan(
+                CONFIG,
+                Map.of("desk", new PoolDemand(1, 0, 0), "office", new PoolDemand(8, 0, 0)),
+                new ArrayList<>(loads.values()),
+                Set.of(),
+                true,
+                nowMs);
+        cordoned = plan.cordoned();
+        orders = plan.orders();
+      }
+      assertThat(orders).hasSize(1);
+    }
+
     @Test
     void shouldNotCancelAMoveThatWasOrdered() {
       addAll(0, 6, "office", 0, true);
