Size pools for the workers that a gang needs at once

What callers would see: an accepted gang that never starts because its pool holds only some of its tasks, while instances are spare.

Cause: the demand on a pool counts cores and memory, and late work with a lower weight. A gang of four tasks of 5 cores on workers of 8 counted as 0.75 workers once it was late; it needs four at once.

Not seen on real processes: our sites have no gangs.

Change: the demand also has the number of workers that the widest waiting or running gang needs at once, by resources and its limit for each worker. A pool wants at least that many beside its long-running tasks, unless the whole fleet is too small. Gangs beyond their team's limit or with tasks that fit on no worker do not count.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -454,13 +454,16 @@
       if (!service.isSpare()) {
         String pool = service.name();
         PoolDemand demand = demands.getOrDefault(pool, PoolDemand.NONE);
-        int size = Math.min(wantedSize(pool, demand), sizes.total());
+        int gang = possibleGangWorkers(demand, sizes.total());
+        int size = Math.min(wantedSize(pool, demand, gang), sizes.total());
         wanted.put(pool, size);
         needs.put(
             pool,
             new PoolNeed(
                 leastSize(pool, demand),
-                (int) Math.ceil(demand.runnableWorkers() + demand.longRunningWorkers()),
+                (int)
+                    Math.ceil(
+                        Math.max(gang, demand.runnableWorkers()) + demand.longRunningWorkers()),
                 forecaster.update(
                     pool, size, demand.batchWorkers() > 0, sizes.present(pool), nowMs)));
       }
@@ -510,8 +513,16 @@
     }
   }
 
-  private int wantedSize(String pool, PoolDemand demand) {
-    double workers = demand.batchWorkers() * HEADROOM_FACTOR + demand.longRunningWorkers();
+  /** Returns the workers that gangs need at once; 0 if all instances together do not suffice. */
+  private static int possibleGangWorkers(PoolDemand demand, int instances) {
+    return demand.gangWorkers() + demand.longRunningWorkers() <= instances
+        ? demand.gangWorkers()
+        : 0;
+  }
+
+  private int wantedSize(String pool, PoolDemand demand, int gangWorkers) {
+    double batch = Math.max(gangWorkers, demand.batchWorkers() * HEADROOM_FACTOR);
+    double workers = batch + demand.longRunningWorkers();
     int size = Math.max(demand.minWorkers() + 1, (int) Math.ceil(workers));
     return size + substitutes(pool, demand);
   }
--- a/src/main/java/org/laburnumarch/internal/pool/PoolDemand.java
+++ b/src/main/java/org/laburnumarch/internal/pool/PoolDemand.java
@@ -9,13 +9,24 @@
  * @param longRunningWorkers workers for the resources that long-running tasks occupy
  * @param minWorkers smallest number of workers on which no step exceeds its limit of tasks per
  *     worker
+ * @param gangWorkers smallest number of workers that hold each waiting or running gang at once
  */
 public record PoolDemand(
-    double batchWorkers, double runnableWorkers, double longRunningWorkers, int minWorkers) {
+    double batchWorkers,
+    double runnableWorkers,
+    double longRunningWorkers,
+    int minWorkers,
+    int gangWorkers) {
 
   /** The demand for a pool without tasks. */
   public static final PoolDemand NONE = new PoolDemand(0, 0, 0);
 
+  /** Creates a demand without gangs. */
+  public PoolDemand(
+      double batchWorkers, double runnableWorkers, double longRunningWorkers, int minWorkers) {
+    this(batchWorkers, runnableWorkers, longRunningWorkers, minWorkers, 0);
+  }
+
   /** Creates a demand of work that must all run at once. */
   public PoolDemand(double batchWorkers, double longRunningWorkers, int minWorkers) {
     this(batchWorkers, batchWorkers, longRunningWorkers, minWorkers);
--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -170,6 +170,7 @@
     Map<String, PoolDemand> longRunning = new HashMap<>();
     Map<String, Map<String, Need>> neededByTeam = new HashMap<>();
     Map<String, Map<String, Need>> runnableByTeam = new HashMap<>();
+    Map<String, Integer> widestGangs = new HashMap<>();
     for (Job job : jobs) {
       Optional<QueueConfig> queue = config.queue(job.spec.queue());
       if (job.status.isFinal() || queue.isEmpty()) {
@@ -184,6 +185,7 @@
               add(runnableByTeam, job.spec.team(), service, runnable);
               Need needed = need(steps, runnable, queue.get(), known, nowMs, epochMs);
               add(neededByTeam, job.spec.team(), service, needed);
+              widestGangs.merge(service, widestGang(steps, config, known), Math::max);
             });
         for (Step step : steps) {
           if (step.spec.isLongRunning()) {
@@ -201,7 +203,9 @@
       double arriving =
           workerSize.apply(service).map(size -> arrivals(service).workers(size, nowMs)).orElse(0.0);
       partsByService.put(service, new Parts(needed, arriving, runnable));
-      PoolDemand batch = new PoolDemand(Math.max(needed, arriving), runnable, 0, 0);
+      PoolDemand batch =
+          new PoolDemand(
+              Math.max(needed, arriving), runnable, 0, 0, widestGangs.getOrDefault(service, 0));
       demands.put(service, add(batch, longRunning.getOrDefault(service, PoolDemand.NONE)));
     }
     return demands;
@@ -235,6 +239,33 @@
     return arrivalsByService.computeIfAbsent(service, name -> new Arrivals());
   }
 
+  /** Returns the number of workers that the widest gang of an occurrence needs at once. */
+  private static int widestGang(List<Step> steps, FleetConfig config, Resources workerSize) {
+    int widest = 0;
+    for (Step step : steps) {
+      if (step.spec.isGang() && !step.isDone() && Job.areDependenciesDone(step, steps)) {
+        int count = step.spec.count();
+        Resources together = step.spec.need().times(count);
+        boolean isWithinLimit =
+            config.team(step.job.spec.team()).map(it -> it.limit().allows(together)).orElse(true);
+        int perWorker = tasksPerWorker(step.spec.reserved(), workerSize);
+        if (isWithinLimit && perWorker > 0) {
+          int limit = step.spec.maxPerWorker();
+          int allowed = limit == 0 ? perWorker : Math.min(perWorker, limit);
+          widest = Math.max(widest, (count + allowed - 1) / allowed);
+        }
+      }
+    }
+    return widest;
+  }
+
+  /** Returns how many tasks of one size a worker holds. */
+  private static int tasksPerWorker(Resources task, Resources workerSize) {
+    long byCpu = workerSize.cpuMillis() / Math.max(1, task.cpuMillis());
+    long byMemory = workerSize.memoryMb() / Math.max(1, task.memoryMb());
+    return (int) Math.min(Integer.MAX_VALUE, Math.min(byCpu, byMemory));
+  }
+
   private static PoolDemand longRunningDemand(Step step, Optional<Resources> workerSize) {
     int limit = step.spec.maxPerWorker();
     int minWorkers = limit == 0 ? 1 : (step.spec.count() + limit - 1) / limit;
@@ -248,6 +279,7 @@
         first.batchWorkers() + second.batchWorkers(),
         first.runnableWorkers() + second.runnableWorkers(),
         first.longRunningWorkers() + second.longRunningWorkers(),
-        Math.max(first.minWorkers(), second.minWorkers()));
+        Math.max(first.minWorkers(), second.minWorkers()),
+        Math.max(first.gangWorkers(), second.gangWorkers()));
   }
 }
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -202,6 +202,30 @@
           .contains("desk");
     }
 
+    private List<MachineOrder> planForAGang(int gangWorkers) {
+      add("m0", "desk", 0, 0, true);
+      add("m9", "office", 0, 0, true);
+      for (int i = 1; i < 8; i++) {
+        add("m" + i, "reserve", 0, 0, true);
+      }
+      planner.onList(machines.values(), nowMs);
+      Map<String, PoolDemand> demands = Map.of("desk", new PoolDemand(0.5, 0.5, 0, 0, gangWorkers));
+      return planner
+          .plan(CONFIG, demands, new ArrayList<>(loads.values()), Set.of(), true, nowMs)
+          .orders();
+    }
+
+    /** Guards against a gang that waits for good for a pool too small for all of its tasks. */
+    @Test
+    void shouldMoveAsManyInstancesAsAGangNeedsAtOnce() {
+      assertThat(planForAGang(4)).hasSize(3);
+    }
+
+    @Test
+    void shouldMoveNoInstancesForAGangThatIsTooWideForTheWholeFleet() {
+      assertThat(planForAGang(10)).isEmpty();
+    }
+
     @Test
     void shouldReturnSurplusOnlyAfterADelay() {
       for (int i = 0; i < 6; i++) {
--- a/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
@@ -121,5 +121,17 @@
       }
       assertThat(demand(10_000).batchWorkers()).isLessThanOrEqualTo(2.0);
     }
+
+    /** Guards against a gang that stands for good since its pool holds only some of its tasks. */
+    @Test
+    void shouldWantTheWorkersThatAGangNeedsAtOnce() {
+      scheduler.configure(TestJobs.config(0, 9));
+      listWorkers(1, 10_000);
+      // One task of 5 cores fits on a worker of 8, and the job has long been late.
+      StepSpec gang = TestJobs.gangStep(4, 5_000);
+      scheduler.restore(TestJobs.job("j", 0, gang), Optional.empty(), 90_000, 90_000);
+      scheduler.decide(90_000, 90_000);
+      assertThat(demand(90_000).gangWorkers()).isEqualTo(4);
+    }
   }
 }
