Size pools for long-running tasks by how many a worker holds

What callers would see: long-running tasks that never start because their pool is too small for good, while instances are spare.

Cause: the demand on a pool adds up the resources of long-running tasks. Four tasks of 5 cores on workers of 8 counted as 2.5 workers, and a pool of three runs three of them.

Evidence: PoolDemandTest#shouldWantAWorkerForEachLongRunningTaskOfMoreThanHalfAWorker failed before (2.5).

Change: a long-running task counts as the part of a worker that it takes if the worker holds only tasks of its size.

Result: the test passes.

--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -270,7 +270,9 @@
     int limit = step.spec.maxPerWorker();
     int minWorkers = limit == 0 ? 1 : (step.spec.count() + limit - 1) / limit;
     double fraction =
-        workerSize.map(size -> fractionOfWorker(step.spec.reserved(), size)).orElse(0.0);
+        workerSize
+            .map(size -> 1.0 / Math.max(1, tasksPerWorker(step.spec.reserved(), size)))
+            .orElse(0.0);
     return new PoolDemand(0, step.spec.count() * fraction, minWorkers);
   }
 
--- a/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
@@ -12,6 +12,7 @@
 import org.laburnumarch.internal.forecast.MoveTimes;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.FleetConfig.CallerLimits;
+import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.ServiceConfig;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
@@ -133,5 +134,15 @@
       scheduler.decide(90_000, 90_000);
       assertThat(demand(90_000).gangWorkers()).isEqualTo(4);
     }
+
+    /** Guards against a long-running task that stands since its pool is too small for good. */
+    @Test
+    void shouldWantAWorkerForEachLongRunningTaskOfMoreThanHalfAWorker() {
+      scheduler.configure(TestJobs.config(0, 9));
+      listWorkers(1, 10_000);
+      StepSpec large = StepSpec.ofLongRunningTasks(4, new Resources(5_000, 1_000, 0), "", 0, 0);
+      scheduler.restore(TestJobs.job("j", 0, large), Optional.empty(), 10_000, 10_000);
+      assertThat(demand(10_000).longRunningWorkers()).isGreaterThanOrEqualTo(4);
+    }
   }
 }
