Keep workers only for tasks that have a ticket there

What callers would see: accepted jobs that never start although a worker has room, for as long as a long-running task of a queue with advice waits for another worker.

Cause: the worker that is kept for a long-running task without room was the one with the most free memory, also where the task has no ticket. It cannot start there, so that worker was kept in each round and took nothing else.

Not seen on real processes: our sites have no queues with advice. The same change for workers that are kept for suspects has no test of its own; their wait is bounded.

Change: only a worker for which the step has a ticket is kept.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -186,8 +186,9 @@
   }
 
   /** Holds a worker back until it has no new runs, so that a suspect can start there. */
-  void holdWorkerForSuspect(Task task) {
-    findLargestWorkerFor(task, worker -> true).ifPresent(heldForSuspects::add);
+  void holdWorkerForSuspect(Task task, Map<String, String> tickets, boolean needsTicket) {
+    findLargestWorkerFor(task, worker -> !needsTicket || tickets.containsKey(worker.id))
+        .ifPresent(heldForSuspects::add);
   }
 
   /** Returns whether any worker could start a task now. */
@@ -277,11 +278,16 @@
    * round, so that the task fits there in a later round. A worker where long-running tasks leave
    * too little for it is not held back, because they do not end.
    */
-  void holdWorkerFor(Task task) {
+  void holdWorkerFor(Task task, Map<String, String> tickets, boolean needsTicket) {
     Step step = task.step;
-    if (holdable.findAny(step.size, worker -> mayAdd(worker, step)).isPresent()) {
+    Predicate<Worker> isAllowed = worker -> !needsTicket || tickets.containsKey(worker.id);
+    if (holdable
+        .findAny(step.size, worker -> mayAdd(worker, step) && isAllowed.test(worker))
+        .isPresent()) {
       findLargestWorkerFor(
-              task, worker -> worker.capacityBesideLongRunningTasks().holds(step.spec.reserved()))
+              task,
+              isAllowed.and(
+                  worker -> worker.capacityBesideLongRunningTasks().holds(step.spec.reserved())))
           .ifPresent(worker -> heldWorkers.put(worker, task));
     }
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/AdvisedStepsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/AdvisedStepsTest.java
@@ -141,4 +141,18 @@
     runRounds(Set.of("w0", "w69"));
     assertThat(workerByJob.values()).containsExactlyInAnyOrder("w0", "w69");
   }
+
+  /** Guards against short tasks that stand beside a worker which a task waits for in vain. */
+  @Test
+  void shouldNotKeepAWorkerForATaskThatIsNotAllowedThere() {
+    begin(2);
+    accept("plain", "full", longRunning(WHOLE_WORKER));
+    runRounds(Set.of());
+    assertThat(workerByJob).containsEntry("full", "w0");
+    accept("advised", "waiting", longRunning(new Resources(1_000, 1_000, 0)));
+    runRounds(Set.of("w0"));
+    accept("plain", "short", TestJobs.step(1, 1_000));
+    runRounds(Set.of("w0"));
+    assertThat(workerByJob).containsEntry("short", "w1").doesNotContainKey("waiting");
+  }
 }
