Keep capacity, not whole workers, for long-running tasks

What callers would see: a long-running task that does not start for as long as a short task runs on the kept worker, although it has room there twice over; short tasks that stand because each long-running step without room keeps one more worker.

Cause: a worker was kept for one task and took nothing else, not even long-running tasks that fit beside that one, and no worker was kept for two of them.

Evidence: two tests of KeptWorkerTest failed before: shouldStillStartLongRunningTasks ThatLeaveEnoughRoom (a task of 1 GB waited behind one of 20 GB on a worker with 12 GB free) and shouldBeKeptForSeveralTasksThatFitTogether (two tasks of 10 GB kept both workers of 32 GB, and a short job did not start). Not seen on real processes.

Change: a kept worker takes a long-running task if what long-running tasks and those that it is kept for leave holds it, and is kept for further tasks by the same rule before another worker is. Short tasks still do not start there.

Result: both tests pass, with those of kept workers, suspects, blocked workers and left-out steps.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -1,10 +1,12 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -48,17 +50,20 @@
   private final boolean hasBlockedWorker;
   private final boolean isMostlyIdle;
 
-  /** The workers that may start a task of a size now. */
+  /** The workers that may start a task of a size now that ends by itself. */
   private final NarrowingChoice withRoom;
 
+  /** The workers that may start a long-running task of a size now. */
+  private final NarrowingChoice withLastingRoom;
+
   /** The workers on which a task of a size will fit once short tasks have ended. */
   private final NarrowingChoice holdable;
 
   /**
-   * Workers that get no further tasks in this round, so that a large task will fit there, and that
-   * task.
+   * Workers that get no further short tasks in this round, so that long-running tasks will fit
+   * there, and these tasks.
    */
-  private final Map<Worker, Task> heldWorkers = new LinkedHashMap<>();
+  private final Map<Worker, List<Task>> heldWorkers = new LinkedHashMap<>();
 
   /** Workers that get no further tasks in this round, so that a suspect can start there alone. */
   private final Set<Worker> heldForSuspects = new HashSet<>();
@@ -74,7 +79,14 @@
     this.nowMs = nowMs;
     this.hasBlockedWorker = pool.stream().anyMatch(worker -> worker.health.isBlocked(nowMs));
     this.isMostlyIdle = hasBlockedWorker && isMostlyIdle();
-    this.withRoom = new NarrowingChoice(pool, this::hasRoom);
+    this.withRoom =
+        new NarrowingChoice(
+            pool, (worker, size) -> !heldWorkers.containsKey(worker) && hasRoom(worker, size));
+    this.withLastingRoom =
+        new NarrowingChoice(
+            pool,
+            (worker, size) ->
+                leavesHeldTasksRoom(worker, size.reserved()) && hasRoom(worker, size));
     this.holdable = new NarrowingChoice(pool, this::isHoldable);
   }
 
@@ -100,7 +112,7 @@
    * need not be kept apart any more may find one.
    */
   boolean hasRoomFor(Step step, Map<String, String> tickets, boolean needsTicket) {
-    return withRoom
+    return (step.spec.isLongRunning() ? withLastingRoom : withRoom)
         .findAny(
             step.size,
             worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id)))
@@ -108,8 +120,7 @@
   }
 
   private boolean hasRoom(Worker worker, TaskSize size) {
-    return !heldWorkers.containsKey(worker)
-        && worker.ordersInFlight < worker.maxOrdersInFlight
+    return worker.ordersInFlight < worker.maxOrdersInFlight
         && !isIsolated(worker)
         && (!worker.health.isBlocked(nowMs) || isProbeDue(worker))
         && worker.freeCapacity().holds(size.reserved())
@@ -141,7 +152,7 @@
     Worker best = null;
     double bestCost = Double.MAX_VALUE;
     for (Worker worker : pool) {
-      if (heldWorkers.containsKey(worker)
+      if (isHeldBack(worker, task)
           || worker.ordersInFlight >= worker.maxOrdersInFlight
           || (needsIsolation && worker.newRunCount() > 0)
           || (needsSeparation && worker.hasNewSuspect())
@@ -161,6 +172,30 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns whether a worker is held for tasks that would fit there later without this one. */
+  private boolean isHeldBack(Worker worker, Task task) {
+    StepSpec spec = task.step.spec;
+    return heldWorkers.containsKey(worker)
+        && !(spec.isLongRunning() && leavesHeldTasksRoom(worker, spec.reserved()));
+  }
+
+  /**
+   * Returns whether the tasks for which a worker is held will fit there beside another long-running
+   * task. True for a worker that is not held.
+   */
+  private boolean leavesHeldTasksRoom(Worker worker, Resources amount) {
+    return !heldWorkers.containsKey(worker) || capacityBesideHeldTasks(worker).holds(amount);
+  }
+
+  /** Returns what will be free for long-running tasks beside those for which a worker is held. */
+  private Resources capacityBesideHeldTasks(Worker worker) {
+    Resources remaining = worker.capacityBesideLongRunningTasks();
+    for (Task held : heldWorkers.getOrDefault(worker, List.of())) {
+      remaining = remaining.minus(held.step.spec.reserved());
+    }
+    return remaining;
+  }
+
   /**
    * Returns whether a blocked worker may be given one more task: one at a time, unless the pool is
    * mostly idle, where other tasks would wait although it has the capacity for all of them.
@@ -274,34 +309,36 @@
   }
 
   /**
-   * Holds back the eligible worker with the most free memory: it gets no further tasks in this
-   * round, so that the task fits there in a later round. A worker where long-running tasks leave
-   * too little for it is not held back, because they do not end.
+   * Holds back a worker for a task: it gets no further short tasks in this round, so that the task
+   * fits there in a later round. A worker that is held for other tasks and will have room for this
+   * one, too, goes before the one with the most free memory. A worker where long-running tasks
+   * leave too little for it is not held back, because they do not end.
    */
   void holdWorkerFor(Task task, Map<String, String> tickets, boolean needsTicket) {
     Step step = task.step;
-    Predicate<Worker> isAllowed = worker -> !needsTicket || tickets.containsKey(worker.id);
-    if (holdable
-        .findAny(step.size, worker -> mayAdd(worker, step) && isAllowed.test(worker))
-        .isPresent()) {
-      findLargestWorkerFor(
-              task,
-              isAllowed.and(
-                  worker -> worker.capacityBesideLongRunningTasks().holds(step.spec.reserved())))
-          .ifPresent(worker -> heldWorkers.put(worker, task));
+    Predicate<Worker> isAllowed =
+        worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id));
+    if (holdable.findAny(step.size, isAllowed).isEmpty()) {
+      return;
     }
+    Predicate<Worker> isSuitable = isAllowed.and(worker -> isHoldable(worker, step.size));
+    heldWorkers.keySet().stream()
+        .filter(isSuitable)
+        .findFirst()
+        .or(() -> findLargestWorkerFor(task, isSuitable))
+        .ifPresent(
+            worker -> heldWorkers.computeIfAbsent(worker, held -> new ArrayList<>()).add(task));
   }
 
   private boolean isHoldable(Worker worker, TaskSize size) {
-    return !heldWorkers.containsKey(worker)
-        && !isIsolated(worker)
+    return !isIsolated(worker)
         && !worker.health.isBlocked(nowMs)
         && accepts(worker, size)
-        && worker.capacityBesideLongRunningTasks().holds(size.reserved());
+        && capacityBesideHeldTasks(worker).holds(size.reserved());
   }
 
   /** Returns the workers that are held back for tasks which fit nowhere yet, with these tasks. */
-  Map<Worker, Task> heldWorkers() {
+  Map<Worker, List<Task>> heldWorkers() {
     return Collections.unmodifiableMap(heldWorkers);
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/UnplacedSteps.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/UnplacedSteps.java
@@ -12,7 +12,7 @@
  *
  * @param service the pool's service
  * @param stepsByReason number of steps by why they wait; not empty
- * @param keptFor names of the tasks for which a worker each is kept
+ * @param keptFor name of the first task for which each kept worker is kept
  */
 public record UnplacedSteps(
     String service, Map<WaitReason, Integer> stepsByReason, List<String> keptFor) {
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -130,7 +130,7 @@
                     placement == null
                         ? List.of()
                         : placement.heldWorkers().values().stream()
-                            .map(task -> task.key.wireName())
+                            .map(tasks -> tasks.get(0).key.wireName())
                             .toList()));
           }
         });
--- a/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.Resources;
@@ -18,14 +20,19 @@
   private static final long SHORT_RUN_MS = 900;
 
   private final Scheduler scheduler = new Scheduler(TestJobs.SETTINGS, 1, START_MS, false);
-  private final SimulatedWorker worker =
-      new SimulatedWorker("w1", TestJobs.SERVICE, "r1", START_MS);
+  private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private long nowMs = START_MS;
 
   @BeforeEach
   void enrolWorker() {
     scheduler.configure(TestJobs.config(0, 9));
-    scheduler.updateWorkerListings(List.of(worker.listing()), nowMs);
+    enrol("w1");
+  }
+
+  private void enrol(String id) {
+    workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r1", START_MS));
+    scheduler.updateWorkerListings(
+        workers.values().stream().map(SimulatedWorker::listing).toList(), nowMs);
     scheduler.confirmEnrolment(scheduler.workersToEnrol());
   }
 
@@ -40,14 +47,18 @@
   /** Returns the jobs of which a task is started. */
   private List<String> startAll(long runMs) {
     scheduler.onOwnershipProven(nowMs);
-    scheduler
-        .renewal("w1", nowMs)
-        .ifPresent(
-            renewal -> scheduler.onReport("w1", worker.renew(renewal, 1, nowMs), nowMs, nowMs));
+    for (SimulatedWorker worker : workers.values()) {
+      scheduler
+          .renewal(worker.id(), nowMs)
+          .ifPresent(
+              renewal ->
+                  scheduler.onReport(worker.id(), worker.renew(renewal, 1, nowMs), nowMs, nowMs));
+    }
     List<String> started = new ArrayList<>();
     for (Order order : scheduler.decide(nowMs, nowMs).orders()) {
       if (order instanceof Order.Start start) {
         Behaviour behaviour = new Behaviour(nowMs + runMs, false, Resources.NONE);
+        SimulatedWorker worker = workers.get(start.workerId());
         scheduler.onStartReply(start, worker.start(start, 1, behaviour, nowMs), nowMs);
         started.add(start.taskName().substring(0, start.taskName().indexOf('.')));
       }
@@ -78,4 +89,32 @@
     nowMs += SHORT_RUN_MS;
     assertThat(startAll(SHORT_RUN_MS)).contains("last");
   }
+
+  /** Guards against a small long-running task that waits behind one without room. */
+  @Test
+  void shouldStillStartLongRunningTasksThatLeaveEnoughRoom() {
+    accept("large", StepSpec.ofTasks(1, new Resources(500, 20_000, 0), SHORT_RUN_MS, List.of()));
+    startAll(SHORT_RUN_MS);
+    nowMs += 200;
+    accept("last", longRunning(20_000));
+    accept("small", longRunning(1_000));
+    assertThat(startAll(Long.MAX_VALUE / 2)).containsExactly("small");
+    nowMs += SHORT_RUN_MS;
+    assertThat(startAll(Long.MAX_VALUE / 2)).containsExactly("last");
+  }
+
+  /** Guards against short tasks that stand since each long-running step keeps one more worker. */
+  @Test
+  void shouldBeKeptForSeveralTasksThatFitTogether() {
+    enrol("w2");
+    StepSpec large = StepSpec.ofTasks(1, new Resources(500, 25_000, 0), SHORT_RUN_MS, List.of());
+    accept("large1", large);
+    accept("large2", large);
+    assertThat(startAll(SHORT_RUN_MS)).hasSize(2);
+    nowMs += 200;
+    accept("first", longRunning(10_000));
+    accept("second", longRunning(10_000));
+    accept("short", TestJobs.step(1, 1_000));
+    assertThat(startAll(SHORT_RUN_MS)).containsExactly("short");
+  }
 }
