Keep at most half of a pool for long-running tasks

What callers would see: accepted jobs of short tasks that stand while less than half of their pool is in use, for as long as the runs last that long-running tasks wait for.

Cause: each long-running step without room kept a worker, up to all workers of the pool.

Evidence: KeptWorkerTest#shouldLeaveWorkersForShortTasksIfLongRunningTasksWaitForAll failed before: two workers of 32 GB with 13 GB in use each were both kept for tasks of 20 GB, and a job of 1 GB did not start. Not seen on real processes.

Change: at most half of the workers that accept tasks are kept, but always one, so that no long-running task can be kept out of a busy pool for good. In a pool of one worker short tasks still wait for the long-running one.

Result: the test passes, with the others of kept workers.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -36,6 +36,12 @@
    */
   private static final int POOL_SIZE_PER_ISOLATED_RUN = 2;
 
+  /**
+   * One in this many workers of a pool, but at least one, may be held for long-running tasks. The
+   * others serve short tasks meanwhile.
+   */
+  private static final int POOL_SIZE_PER_HELD_WORKER = 2;
+
   /**
    * Weight of the fraction of a worker that would stay free. Filling one worker after the other
    * leaves others empty, whose instances can then move at once. The weight is so small that a slow
@@ -311,8 +317,8 @@
   /**
    * Holds back a worker for a task: it gets no further short tasks in this round, so that the task
    * fits there in a later round. A worker that is held for other tasks and will have room for this
-   * one, too, goes before the one with the most free memory. A worker where long-running tasks
-   * leave too little for it is not held back, because they do not end.
+   * one, too, goes before the one with the most free memory. Half of the pool is not held. A worker
+   * where long-running tasks leave too little for it is not held back, because they do not end.
    */
   void holdWorkerFor(Task task, Map<String, String> tickets, boolean needsTicket) {
     Step step = task.step;
@@ -325,11 +331,16 @@
     heldWorkers.keySet().stream()
         .filter(isSuitable)
         .findFirst()
-        .or(() -> findLargestWorkerFor(task, isSuitable))
+        .or(() -> mayHoldAnother() ? findLargestWorkerFor(task, isSuitable) : Optional.empty())
         .ifPresent(
             worker -> heldWorkers.computeIfAbsent(worker, held -> new ArrayList<>()).add(task));
   }
 
+  private boolean mayHoldAnother() {
+    long accepting = pool.stream().filter(Worker::acceptsTasks).count();
+    return heldWorkers.size() < Math.max(1, accepting / POOL_SIZE_PER_HELD_WORKER);
+  }
+
   private boolean isHoldable(Worker worker, TaskSize size) {
     return !isIsolated(worker)
         && !worker.health.isBlocked(nowMs)
--- a/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
@@ -117,4 +117,36 @@
     accept("short", TestJobs.step(1, 1_000));
     assertThat(startAll(SHORT_RUN_MS)).containsExactly("short");
   }
+
+  /** Guards against short tasks that stand while all workers are kept, more than half empty. */
+  @Test
+  void shouldLeaveWorkersForShortTasksIfLongRunningTasksWaitForAll() {
+    enrol("w2");
+    Resources need = new Resources(500, 13_000, 0);
+    accept(
+        "spread",
+        new StepSpec(
+            2,
+            need,
+            SHORT_RUN_MS,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            1,
+            false,
+            false,
+            "",
+            0,
+            false,
+            0));
+    assertThat(startAll(SHORT_RUN_MS)).containsExactly("spread", "spread");
+    nowMs += 200;
+    accept("first", longRunning(20_000));
+    accept("second", longRunning(20_000));
+    accept("short", TestJobs.step(1, 1_000));
+    assertThat(startAll(SHORT_RUN_MS)).containsExactly("short");
+  }
 }
