Request another ticket once a worker has refused one

What callers would see: accepted jobs of a queue with advice that do not start on a worker which has restarted under its id, until the tickets of its earlier incarnation expire, and a refused start in each round meanwhile, which is priced.

Cause: a refusal for the ticket had no effect on the ticket. The next round used it again, 2 ms later at the earliest.

Evidence: AdvisedStepsTest#shouldRequestAnotherTicketAfterARestartOfTheWorker failed before: with tickets that are valid for 60 s, the task did not start in 5 s after the restart.

Change: a refused ticket is removed, so another one is requested.

Result: the test passes, with one refused start.

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -566,6 +566,9 @@
       worker.maxOrdersInFlight = startLimits.startsInFlightAllowed(worker.id);
     }
     if (attempt != null) {
+      if (reply.outcome() == OrderReply.Outcome.TICKET) {
+        adviceTickets.discard(attempt.task.step, order.workerId());
+      }
       runTracker.onStartReply(attempt, reply, nowMs);
     }
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
@@ -109,6 +109,16 @@
     }
   }
 
+  /**
+   * Removes a ticket that a worker has refused, for example one issued to an earlier incarnation.
+   */
+  void discard(Step step, String workerId) {
+    StepAdvice advice = adviceByStep.get(step.wireName());
+    if (advice != null) {
+      advice.byWorker.remove(workerId);
+    }
+  }
+
   /** Removes the tickets of a step whose tasks are all done. */
   void forget(Step step) {
     adviceByStep.remove(step.wireName());
--- a/src/test/java/org/laburnumarch/internal/schedule/AdvisedStepsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/AdvisedStepsTest.java
@@ -40,6 +40,10 @@
   /** The worker of each started job. */
   private final Map<String, String> workerByJob = new HashMap<>();
 
+  /** The tickets that the workers accept; a restart ends them. */
+  private final Map<String, String> validTickets = new HashMap<>();
+
+  private int refusedStarts;
   private long nowMs = START_MS;
 
   private void begin(int workerCount) {
@@ -102,7 +106,8 @@
       Map<String, String> tickets =
           pending.query().workerIds().stream()
               .filter(allowedWorkers::contains)
-              .collect(Collectors.toMap(id -> id, id -> "ticket"));
+              .collect(Collectors.toMap(id -> id, id -> "ticket" + nowMs));
+      validTickets.putAll(tickets);
       scheduler.onAdvice(pending.query(), tickets, VALIDITY_MS, nowMs);
     }
     return isAnswered;
@@ -110,11 +115,20 @@
 
   private void execute(Order order) {
     if (order instanceof Order.Start start) {
+      SimulatedWorker worker = workers.get(start.workerId());
+      boolean isRefused =
+          !start.ticket().isEmpty() && !start.ticket().equals(validTickets.get(start.workerId()));
+      refusedStarts += isRefused ? 1 : 0;
       Behaviour behaviour = new Behaviour(NEVER_MS, false, Resources.NONE);
-      OrderReply reply = workers.get(start.workerId()).start(start, 1, behaviour, nowMs);
+      OrderReply reply =
+          isRefused
+              ? new OrderReply(OrderReply.Outcome.TICKET, worker.clockMs(nowMs))
+              : worker.start(start, 1, behaviour, nowMs);
       scheduler.onStartReply(start, reply, nowMs);
-      workerByJob.put(
-          start.taskName().substring(0, start.taskName().indexOf('.')), start.workerId());
+      if (reply.outcome() == OrderReply.Outcome.OBEYED) {
+        workerByJob.put(
+            start.taskName().substring(0, start.taskName().indexOf('.')), start.workerId());
+      }
     }
   }
 
@@ -155,4 +169,21 @@
     runRounds(Set.of("w0"));
     assertThat(workerByJob).containsEntry("short", "w1").doesNotContainKey("waiting");
   }
+
+  /** Guards against starts with a ticket that ended with the worker's earlier incarnation. */
+  @Test
+  void shouldRequestAnotherTicketAfterARestartOfTheWorker() {
+    begin(1);
+    accept("advised", "a", longRunning(WHOLE_WORKER));
+    runRounds(Set.of("w0"));
+    assertThat(workerByJob).containsEntry("a", "w0");
+    workerByJob.clear();
+    validTickets.clear();
+    SimulatedWorker worker = workers.get("w0");
+    worker.crash(nowMs);
+    scheduler.updateWorkerListings(List.of(worker.listing()), nowMs);
+    runRounds(Set.of("w0"));
+    assertThat(workerByJob).containsEntry("a", "w0");
+    assertThat(refusedStarts).isEqualTo(1);
+  }
 }
