Ask workers for reports in turn if a round cannot ask all

What callers would see: runs that lose their leases, on workers with a healthy path, while the owner has little processor time.

Cause: the requests of a round end after 50 ms, and each round began at the first worker. If the first ones are due again by then, the last ones are never asked.

Evidence: WorkerDriverTest#shouldAskAllWorkersInTurnIfNotAllCanBeAskedInARound failed before: of 48 workers that are always due and cost 20 ms each, three were asked in 48 rounds. Not seen on real processes.

Change: a round goes on where the last one ended.

Result: the test passes, with that of the 50 ms.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -1,5 +1,7 @@
 package org.laburnumarch.internal.node;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -49,6 +51,8 @@
   /**
    * Time after which the requests to further workers wait for the next round. The first request to
    * a worker costs milliseconds of processor time, and the event loop also renews the ownership.
+   * The next round goes on where this one ended, or the last workers would never be asked while the
+   * first ones are due again.
    */
   private static final long MAX_REQUESTS_MS = 50;
 
@@ -88,6 +92,9 @@
   private boolean isRegistryRead;
   private boolean isClosed;
 
+  /** The worker at which the last round of requests ended early; empty if it asked all. */
+  private String nextWorkerId = "";
+
   WorkerDriver(
       NodeSettings settings,
       EventLoopThread loop,
@@ -316,9 +323,13 @@
       pacer.retainWorkers(knownWorkerIds);
     }
     long startedAtMs = clock.nowMs();
-    for (String workerId : workerIds) {
+    List<String> inTurn = new ArrayList<>(workerIds);
+    Collections.rotate(inTurn, -Math.max(0, inTurn.indexOf(nextWorkerId)));
+    nextWorkerId = "";
+    for (String workerId : inTurn) {
       long nowMs = clock.nowMs();
       if (nowMs - startedAtMs >= MAX_REQUESTS_MS) {
+        nextWorkerId = workerId;
         onEvent.run();
         return;
       }
--- a/src/test/java/org/laburnumarch/internal/node/WorkerDriverTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/WorkerDriverTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.http.EventLoopThread;
@@ -52,18 +53,7 @@
               }
               return Optional.empty();
             });
-    WorkerDriver driver =
-        new WorkerDriver(
-            settings,
-            mock(EventLoopThread.class),
-            clock,
-            mock(StoreClient.class),
-            tenure,
-            scheduler,
-            () -> scheduledRounds++,
-            mock(Owner.Listener.class),
-            mock(Meters.class),
-            mock(OwnerLoad.class));
+    WorkerDriver driver = driver();
     for (int round = 0; asked.size() < WORKERS; round++) {
       long startedAtMs = nowMs;
       assertThat(scheduledRounds).isEqualTo(round);
@@ -71,4 +61,40 @@
       assertThat(nowMs - startedAtMs).isLessThan(MAX_ROUND_MS);
     }
   }
+
+  /** Guards against workers at the end of the list whose leases expire unasked. */
+  @Test
+  void shouldAskAllWorkersInTurnIfNotAllCanBeAskedInARound() {
+    when(clock.nowMs()).thenAnswer(call -> nowMs);
+    when(tenure.hasAuthority(anyLong())).thenReturn(true);
+    when(settings.advisorAddress()).thenReturn(Optional.empty());
+    when(scheduler.workerIds())
+        .thenReturn(IntStream.range(0, WORKERS).mapToObj(number -> "w" + number).toList());
+    when(scheduler.renewal(anyString(), anyLong()))
+        .thenAnswer(
+            call -> {
+              asked.add(call.getArgument(0));
+              nowMs += REQUEST_MS;
+              return Optional.empty();
+            });
+    WorkerDriver driver = driver();
+    for (int round = 0; round < WORKERS; round++) {
+      driver.renewLeases();
+    }
+    assertThat(Set.copyOf(asked)).hasSize(WORKERS);
+  }
+
+  private WorkerDriver driver() {
+    return new WorkerDriver(
+        settings,
+        mock(EventLoopThread.class),
+        clock,
+        mock(StoreClient.class),
+        tenure,
+        scheduler,
+        () -> scheduledRounds++,
+        mock(Owner.Listener.class),
+        mock(Meters.class),
+        mock(OwnerLoad.class));
+  }
 }
