Forget the advice on steps of jobs that are over

Found by reading, without a test: tickets were kept for ever, since nothing called Tickets#forget. They are removed with the job's place among the live ones. The advice on the steps of occurrences that are done still stays until the end of the process.

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -535,7 +535,18 @@
   /** Removes jobs whose final status has been kept long enough, and returns their ids. */
   public List<String> removeFinishedJobs(long nowMs) {
     List<String> removed = new ArrayList<>();
-    liveJobs.values().removeIf(job -> job.reportedStatus.isFinal() && !hasRuns(job));
+    liveJobs
+        .values()
+        .removeIf(
+            job -> {
+              boolean isOver = job.reportedStatus.isFinal() && !hasRuns(job);
+              if (isOver) {
+                job.occurrences.values().stream()
+                    .flatMap(List::stream)
+                    .forEach(adviceTickets::forget);
+              }
+              return isOver;
+            });
     jobs.values()
         .removeIf(
             job -> {
--- a/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
@@ -119,7 +119,7 @@
     }
   }
 
-  /** Removes the tickets of a step whose tasks are all done. */
+  /** Removes what is known of a step that needs no more tickets. */
   void forget(Step step) {
     adviceByStep.remove(step.wireName());
   }
