Give the place of an instance that cannot be drained to others

What operators would see: a wave that stops, and misses its deadline, while one of its instances has a long-running task that finds no room elsewhere.

Cause: an instance that was chosen for maintenance kept one of the wave's places until it was empty, however long.

Evidence: FleetPlannerTest#shouldGoOnWithOtherInstancesWhileOneCannotBeDrained failed before: in a wave of one at a time, the second instance was not maintained in 15 s. Not seen on real processes.

Change: an instance without short runs that cannot be maintained for 2.5 s gives its place up, and is chosen again after the others of the wave. If there are none, it stays cordoned. One whose order may have been carried out keeps its place.

Result: the test passes, with the others of waves.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -53,6 +53,12 @@
   /** Longest time to drain an instance for a move before the move is planned anew. */
   private static final long MOVE_DRAIN_TIMEOUT_MS = 2_500;
 
+  /**
+   * Time for which an instance without short runs may keep its place in a wave while it cannot be
+   * maintained, for example because its long-running tasks find no room elsewhere.
+   */
+  private static final long STUCK_MAINTENANCE_MS = 2_500;
+
   /** A move or a maintenance of an instance that is planned or ordered. */
   private static final class PendingOperation {
     private final Optional<Long> wave;
@@ -61,15 +67,24 @@
     private boolean isOrdered;
     private long notBeforeMs;
 
+    /** Local time until which its instance had short runs to end, or could take the order. */
+    private long progressedAtMs;
+
     PendingOperation(Optional<Long> wave, String pool, long nowMs) {
       this.wave = wave;
       this.pool = pool;
       this.sinceMs = nowMs;
+      this.progressedAtMs = nowMs;
     }
 
     boolean isMaintenance() {
       return wave.isPresent();
     }
+
+    /** Returns whether an order may have been carried out; one without a response may have been. */
+    boolean wasOrdered() {
+      return isOrdered || notBeforeMs > 0;
+    }
   }
 
   /**
@@ -96,6 +111,9 @@
   /** Instances whose move or maintenance has been accepted and is not known to be over. */
   private final Map<String, Unavailability> unavailable = new HashMap<>();
 
+  /** When instances last gave up their place in a wave; the others go first. */
+  private final Map<String, Long> maintenanceGivenUpAtMs = new HashMap<>();
+
   private final Map<String, Long> surplusSinceMs = new HashMap<>();
   private final Set<String> impossibleOrders = new HashSet<>();
   private Map<String, Machine> machines = Map.of();
@@ -277,6 +295,37 @@
         || config.service(machine.pool()).map(ServiceConfig::isSpare).orElse(false);
   }
 
+  /** Returns whether an instance can be moved or maintained now without ending any run. */
+  private static boolean isDrained(
+      Machine machine, FleetConfig config, Map<String, WorkerLoad> loads) {
+    WorkerLoad load = loads.get(machine.workerId());
+    boolean isEmpty =
+        load == null ? isWithoutWorker(machine, config) : load.isEmpty() && load.isUsable();
+    return isEmpty && machine.state() == Machine.State.UP;
+  }
+
+  /** Gives the places in waves of instances that cannot be drained to others. */
+  private void giveUpStuckMaintenance(
+      FleetConfig config, Map<String, WorkerLoad> loads, long nowMs) {
+    Iterator<Map.Entry<String, PendingOperation>> operations =
+        pendingOperations.entrySet().iterator();
+    while (operations.hasNext()) {
+      Map.Entry<String, PendingOperation> entry = operations.next();
+      PendingOperation operation = entry.getValue();
+      Machine machine = machines.get(entry.getKey());
+      if (machine == null || !operation.isMaintenance() || operation.wasOrdered()) {
+        continue;
+      }
+      WorkerLoad load = loads.get(machine.workerId());
+      if (isDrained(machine, config, loads) || (load != null && load.shortRuns() > 0)) {
+        operation.progressedAtMs = nowMs;
+      } else if (nowMs - operation.progressedAtMs > STUCK_MAINTENANCE_MS) {
+        operations.remove();
+        maintenanceGivenUpAtMs.put(machine.name(), nowMs);
+      }
+    }
+  }
+
   /**
    * Gives up moves that take long, before others are planned: an instance that is chosen again must
    * stay cordoned, or new runs start there each time.
@@ -306,10 +355,9 @@
         cordoned.add(load.workerId());
         drained.add(load.workerId());
       }
-      boolean isEmpty =
-          load == null ? isWithoutWorker(machine, config) : load.isEmpty() && load.isUsable();
-      boolean isUp = machine.state() == Machine.State.UP;
-      if (isEmpty && isUp && !operation.isOrdered && operation.notBeforeMs <= nowMs) {
+      if (isDrained(machine, config, loads)
+          && !operation.isOrdered
+          && operation.notBeforeMs <= nowMs) {
         operation.isOrdered = true;
         orders.add(
             operation.isMaintenance()
@@ -335,6 +383,7 @@
                 entry.getValue().isMaintenance()
                     && !entry.getValue().isOrdered
                     && isNeeded.test(machines.get(entry.getKey())));
+    giveUpStuckMaintenance(config, loads, nowMs);
     for (WaveProgress progress : waves.values()) {
       List<Machine> remaining = new ArrayList<>();
       int inProgress = 0;
@@ -384,8 +433,11 @@
                         * DRAIN_AND_MAINTENANCE_MS
                         / remainingTimeMs));
     remaining.sort(
-        Comparator.comparingDouble(
-            machine -> InstanceCosts.disruption(machine, config, demands, loads)));
+        Comparator.comparingLong(
+                (Machine machine) ->
+                    maintenanceGivenUpAtMs.getOrDefault(machine.name(), Long.MIN_VALUE))
+            .thenComparingDouble(
+                machine -> InstanceCosts.disruption(machine, config, demands, loads)));
     int freeSlots = progress.wave.atOnce() - inProgress;
     int usedSlots = inProgress;
     for (Machine machine : remaining) {
@@ -501,11 +553,9 @@
       Map.Entry<String, PendingOperation> entry = operations.next();
       PendingOperation operation = entry.getValue();
       Machine machine = machines.get(entry.getKey());
-      // An order without a response may have been carried out.
-      boolean wasOrdered = operation.isOrdered || operation.notBeforeMs > 0;
       if (machine != null
           && !operation.isMaintenance()
-          && !wasOrdered
+          && !operation.wasOrdered()
           && PoolShortage.isNeededMore(machine.pool(), operation.pool, needs, sizes)) {
         operations.remove();
         sizes.cancelMove(machine.pool(), isUsable(machine, loads), operation.pool);
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -181,6 +182,22 @@
       assertThat(maintenanceOrders(plan(1, 1))).containsExactly(order);
     }
 
+    /** Guards against a wave that waits for an instance whose long-running task finds no room. */
+    @Test
+    void shouldGoOnWithOtherInstancesWhileOneCannotBeDrained() {
+      add("m0", "desk", 0, 1, true);
+      add("m1", "desk", 1, 0, true);
+      add("m2", "desk", 1, 0, true);
+      planner.addWave(wave(1, "m0", "m1"), nowMs, Set.of());
+      Set<MachineOrder> orders = new HashSet<>();
+      for (long endMs = nowMs + 15_000; nowMs < endMs; nowMs += 100) {
+        FleetPlan plan = plan(2, 1);
+        orders.addAll(maintenanceOrders(plan));
+        add("m1", "desk", plan.cordoned().contains("wm1") ? 0 : 1, 0, true);
+      }
+      assertThat(orders).containsExactly(new MachineOrder.Maintain("m1", 1));
+    }
+
     private List<MachineOrder> maintenanceOrders(FleetPlan plan) {
       return plan.orders().stream().filter(MachineOrder.Maintain.class::isInstance).toList();
     }
