--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -41,6 +42,10 @@
 
   private static final long SLOWNESS_DECAY_INTERVAL_MS = 1_000;
 
+  private static final Comparator<Worker> FIRST_REPORT_ORDER =
+      Comparator.<Worker, Boolean>comparing(worker -> worker.missedReports > 0)
+          .thenComparing(worker -> worker.lastReportAttemptMs);
+
   private final SchedulerSettings settings;
   private final long term;
   private final TakeoverGuard takeoverGuard;
@@ -530,7 +535,18 @@
   /** Removes jobs whose final status has been kept long enough, and returns their ids. */
   public List<String> removeFinishedJobs(long nowMs) {
     List<String> removed = new ArrayList<>();
-    liveJobs.values().removeIf(job -> job.reportedStatus.isFinal() && !hasRuns(job));
+    liveJobs
+        .values()
+        .removeIf(
+            job -> {
+              boolean isOver = job.reportedStatus.isFinal() && !hasRuns(job);
+              if (isOver) {
+                job.occurrences.values().stream()
+                    .flatMap(List::stream)
+                    .forEach(adviceTickets::forget);
+              }
+              return isOver;
+            });
     jobs.values()
         .removeIf(
             job -> {
@@ -561,6 +577,9 @@
       worker.maxOrdersInFlight = startLimits.startsInFlightAllowed(worker.id);
     }
     if (attempt != null) {
+      if (reply.outcome() == OrderReply.Outcome.TICKET) {
+        adviceTickets.discard(attempt.task.step, order.workerId());
+      }
       runTracker.onStartReply(attempt, reply, nowMs);
     }
   }
@@ -647,9 +666,10 @@
     }
   }
 
-  /** Stores tickets that the advisory service has issued for a step, by worker id. */
-  public void onAdvice(String stepName, Map<String, String> byWorker, long validityMs, long nowMs) {
-    adviceTickets.store(stepName, byWorker, validityMs, nowMs);
+  /** Stores tickets that the advisory service has issued on a request, by worker id. */
+  public void onAdvice(
+      AdviceQuery query, Map<String, String> byWorker, long validityMs, long nowMs) {
+    adviceTickets.store(query, byWorker, validityMs, nowMs);
   }
 
   /** Records that the advisory service did not reply; it is asked again a little later. */
@@ -697,12 +717,30 @@
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
-  /** Returns the ids of all known workers whose processes may be running. */
+  /**
+   * Returns the ids of all known workers whose processes may be running, in the order in which they
+   * are asked for reports: first those without a first report, of which only some are asked at the
+   * same time. Among them, silent workers wait for those that have missed no report, and for each
+   * other.
+   */
   public List<String> workerIds() {
-    return workers.all().stream()
-        .filter(worker -> !worker.isTerminated)
-        .map(worker -> worker.id)
-        .toList();
+    List<Worker> unreported = new ArrayList<>();
+    List<String> reported = new ArrayList<>();
+    for (Worker worker : workers.all()) {
+      if (worker.isTerminated) {
+        continue;
+      }
+      if (worker.isFenced) {
+        reported.add(worker.id);
+      } else {
+        unreported.add(worker);
+      }
+    }
+    unreported.sort(FIRST_REPORT_ORDER);
+    List<String> ids = new ArrayList<>();
+    unreported.forEach(worker -> ids.add(worker.id));
+    ids.addAll(reported);
+    return ids;
   }
 
   /**
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -1,5 +1,6 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,23 +58,49 @@
     Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
     if (needsTicket && stepTickets.isEmpty()) {
       step.lastRefusal = WaitReason.NO_TICKET;
-      requestTickets(candidate, pool);
-    } else if (step.spec.isGang()) {
+      requestTickets(candidate, pool, false);
+      return;
+    }
+    if (step.spec.isGang()) {
       startGang(step, stepTickets, needsTicket);
     } else {
       startTasks(candidate, stepTickets, needsTicket);
     }
+    if (needsTicket && lacksRoom(step)) {
+      requestTickets(candidate, pool, true);
+    }
   }
 
-  private void requestTickets(Candidate candidate, List<Worker> pool) {
-    List<String> ids =
-        pool.stream()
-            .filter(worker -> placement.mayRun(worker, candidate.step()))
-            .map(worker -> worker.id)
-            .toList();
+  private boolean lacksRoom(Step step) {
+    return (step.lastRefusal == WaitReason.NO_CAPACITY
+            || step.lastRefusal == WaitReason.GANG_DOES_NOT_FIT)
+        && step.tasks.stream().anyMatch(task -> task.isStartable(nowMs));
+  }
+
+  /**
+   * Requests tickets for workers that a step has none for, first for those with room.
+   *
+   * @param needsRoom whether tickets for full workers are of no use
+   */
+  private void requestTickets(Candidate candidate, List<Worker> pool, boolean needsRoom) {
+    Step step = candidate.step();
+    if (!context.adviceTickets().isQueryDue(step, nowMs)) {
+      return;
+    }
+    List<String> withRoom = new ArrayList<>();
+    List<String> full = new ArrayList<>();
+    for (Worker worker : pool) {
+      if (placement.mayRun(worker, step)) {
+        boolean hasRoom = worker.freeCapacity().holds(step.spec.reserved());
+        (hasRoom ? withRoom : full).add(worker.id);
+      }
+    }
+    if (!needsRoom) {
+      withRoom.addAll(full);
+    }
     context
         .adviceTickets()
-        .query(candidate.step(), candidate.queue().advice().orElseThrow(), ids, nowMs)
+        .query(step, candidate.queue().advice().orElseThrow(), withRoom, nowMs)
         .ifPresent(context.queries()::add);
   }
 
@@ -94,7 +121,7 @@
               ? placement.choose(task, stepTickets, needsTicket)
               : Optional.empty();
       if (worker.isEmpty()) {
-        isPlaced &= onNoWorker(task, candidate.rank());
+        isPlaced &= onNoWorker(task, candidate.rank(), stepTickets, needsTicket);
         continue;
       }
       if (!context.budget().tryTake(1)) {
@@ -109,11 +136,12 @@
    * Holds a worker back for a task that has found none, if that is due. Returns whether other tasks
    * of its step may find one all the same, because this one has to be kept apart.
    */
-  private boolean onNoWorker(Task task, CandidateRanking.Rank rank) {
+  private boolean onNoWorker(
+      Task task, CandidateRanking.Rank rank, Map<String, String> stepTickets, boolean needsTicket) {
     if (task.needsIsolation(nowMs)) {
       task.limitIsolationWait(nowMs);
       if (placement.mayIsolateAnother()) {
-        placement.holdWorkerForSuspect(task);
+        placement.holdWorkerForSuspect(task, stepTickets, needsTicket);
       }
       return true;
     }
@@ -121,7 +149,7 @@
       return true;
     }
     if (rank == CandidateRanking.Rank.LONG_RUNNING) {
-      placement.holdWorkerFor(task);
+      placement.holdWorkerFor(task, stepTickets, needsTicket);
     }
     return false;
   }
