Hold inherited tasks for the workers of all pools that their queue has used

Cause: the successor held the task only while workers of the pool had not reported to which the configuration sends the queue now. What earlier owners' configurations said is not stored, and the log of the configuration keeps only its newest record for certain.

Evidence: the four tests of TakeoverSeriesTest.WhenTheQueueGoesToAnotherPool failed on each run; the task started in the new pool at once.

Change: the record of a job names the service that ran its queue's tasks when it was accepted. Nothing of the job starts in the pool of another service before its progress names that, too. A successor holds its tasks for the workers of these pools, whatever the configuration says, and no longer for those of a pool that the queue has gone to since. Both records end with the new fields, which earlier builds ignore; a job of an earlier build names no service, and its tasks wait for all pools.

Cost: some 10 bytes for each job. After its queue's route has changed, the first start of a job in the new pool waits for one write of its progress, and while the store is down it does not start there (before, it did). A wait in the old pool is the one of any silent worker (6.2 s after a certain stop); other pools do not wait (shouldNotWaitForWorkersOfAPoolThatTheQueueHasNeverUsed).

Result: the four tests pass, and four new ones: a queue that returns to its old pool, a start that waits until its pool is stored, and no wait for workers of a pool that the queue has never used or has used only since the takeover.

--- a/src/main/java/org/laburnumarch/internal/job/JobCodec.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobCodec.java
@@ -37,6 +37,7 @@
       for (StepSpec step : job.steps()) {
         packStep(out, step);
       }
+      out.packString(job.service());
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -64,6 +65,8 @@
       for (int i = 0; i < count; i++) {
         steps.add(unpackStep(in));
       }
+      // Earlier versions ended the record before the service.
+      String service = in.hasNext() ? in.unpackString() : "";
       return new JobSpec(
           id,
           queue,
@@ -73,7 +76,8 @@
           repeatCount,
           firstDueEpochMs,
           periodMs,
-          submittedEpochMs);
+          submittedEpochMs,
+          service);
     }
   }
 
@@ -147,6 +151,10 @@
             .packInt(task.crashes())
             .packBoolean(task.isSuspect());
       }
+      out.packArrayHeader(progress.laterServices().size());
+      for (String service : progress.laterServices()) {
+        out.packString(service);
+      }
       return out.toByteArray();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -184,7 +192,7 @@
       for (int i = 0; i < count; i++) {
         steps.add(unpackStepProgress(in));
       }
-      return new JobProgress(id, status, steps, unpackCrashedTasks(in));
+      return new JobProgress(id, status, steps, unpackCrashedTasks(in), unpackLaterServices(in));
     }
   }
 
@@ -200,6 +208,16 @@
     return tasks;
   }
 
+  private static List<String> unpackLaterServices(MessageUnpacker in) throws IOException {
+    // Earlier versions ended the record before this list.
+    int count = in.hasNext() ? in.unpackArrayHeader() : 0;
+    List<String> services = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      services.add(in.unpackString());
+    }
+    return services;
+  }
+
   private static StepProgress unpackStepProgress(MessageUnpacker in) throws IOException {
     int occurrence = in.unpackInt();
     int step = in.unpackInt();
--- a/src/main/java/org/laburnumarch/internal/job/JobProgress.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobProgress.java
@@ -10,17 +10,30 @@
  * @param status the job's status; a later owner relies on it only if it is final
  * @param steps the progress of each step that has made any
  * @param crashedTasks the unfinished tasks under which processes of workers have ended
+ * @param laterServices the services whose pools may have runs of the job's tasks, besides the one
+ *     that the job was accepted for
  */
 public record JobProgress(
-    String id, JobStatus status, List<StepProgress> steps, List<CrashedTask> crashedTasks) {
+    String id,
+    JobStatus status,
+    List<StepProgress> steps,
+    List<CrashedTask> crashedTasks,
+    List<String> laterServices) {
 
   /** Copies the lists. */
   public JobProgress {
     steps = List.copyOf(steps);
     crashedTasks = List.copyOf(crashedTasks);
+    laterServices = List.copyOf(laterServices);
   }
 
-  /** Creates the progress of a job whose tasks have crashed no worker. */
+  /** Creates the progress of a job whose queue has stayed with one service. */
+  public JobProgress(
+      String id, JobStatus status, List<StepProgress> steps, List<CrashedTask> crashedTasks) {
+    this(id, status, steps, crashedTasks, List.of());
+  }
+
+  /** Creates the progress of such a job whose tasks have crashed no worker. */
   public JobProgress(String id, JobStatus status, List<StepProgress> steps) {
     this(id, status, steps, List.of());
   }
--- a/src/main/java/org/laburnumarch/internal/job/JobSpec.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobSpec.java
@@ -15,6 +15,8 @@
  *     repeatCount is 0
  * @param periodMs time between two occurrences, in milliseconds
  * @param submittedEpochMs when a daemon received the job, in Unix milliseconds
+ * @param service the service whose pool ran the queue's tasks when the job was accepted; empty if
+ *     that is not known
  */
 public record JobSpec(
     String id,
@@ -25,13 +27,53 @@
     int repeatCount,
     long firstDueEpochMs,
     long periodMs,
-    long submittedEpochMs) {
+    long submittedEpochMs,
+    String service) {
 
   /** Copies the list. */
   public JobSpec {
     steps = List.copyOf(steps);
   }
 
+  /** Creates a job of an unknown service. */
+  public JobSpec(
+      String id,
+      String queue,
+      String team,
+      String program,
+      List<StepSpec> steps,
+      int repeatCount,
+      long firstDueEpochMs,
+      long periodMs,
+      long submittedEpochMs) {
+    this(
+        id,
+        queue,
+        team,
+        program,
+        steps,
+        repeatCount,
+        firstDueEpochMs,
+        periodMs,
+        submittedEpochMs,
+        "");
+  }
+
+  /** Returns the same job, accepted while the pool of a service runs its queue's tasks. */
+  public JobSpec withService(String acceptedService) {
+    return new JobSpec(
+        id,
+        queue,
+        team,
+        program,
+        steps,
+        repeatCount,
+        firstDueEpochMs,
+        periodMs,
+        submittedEpochMs,
+        acceptedService);
+  }
+
   /** Returns the number of occurrences, at least 1. */
   public int occurrences() {
     return Math.max(1, repeatCount);
--- a/src/main/java/org/laburnumarch/internal/node/Owner.java
+++ b/src/main/java/org/laburnumarch/internal/node/Owner.java
@@ -397,7 +397,7 @@
     if (refusal.isPresent()) {
       return CompletableFuture.completedStage(refusal.get());
     }
-    return jobs.submit(job)
+    return jobs.submit(scheduler.withService(job))
         .handle(
             (submissionResult, failure) -> {
               if (failure != null) {
--- a/src/main/java/org/laburnumarch/internal/schedule/EarlierRun.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/EarlierRun.java
@@ -9,7 +9,7 @@
 /**
  * Where a run of a task may be going on that an earlier owner started and no report has shown yet.
  *
- * @param isAnywhere whether any worker of the pool may have it
+ * @param isAnywhere whether any worker of the job's pools may have it
  * @param workerIds the workers that may have it otherwise
  * @param absences processes of these workers of which one complete report to an earlier owner has
  *     lacked the run
@@ -19,7 +19,7 @@
   /** No such run. */
   static final EarlierRun NONE = new EarlierRun(false, Set.of(), Set.of());
 
-  /** A run that may be on any worker of the pool. */
+  /** A run that may be on any worker of the job's pools. */
   static final EarlierRun ANYWHERE = new EarlierRun(true, Set.of(), Set.of());
 
   /**
@@ -51,11 +51,11 @@
   /**
    * Returns the known workers that may have the run.
    *
-   * @param service the service whose pool has it; empty if that is unknown
+   * @param services the services of which a pool has it; empty if that is unknown
    */
-  Stream<Worker> possibleWorkers(WorkerTable workers, String service) {
+  Stream<Worker> possibleWorkers(WorkerTable workers, Set<String> services) {
     return isAnywhere
-        ? workers.poolOrAll(service).stream()
+        ? workers.poolsOrAll(services)
         : workerIds.stream().map(workers::find).filter(Objects::nonNull);
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/Job.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Job.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import org.laburnumarch.internal.job.JobProgress;
@@ -61,6 +63,14 @@
   /** Whether the job is within the agreement with its team, so that it goes before other work. */
   boolean isAgreed;
 
+  /**
+   * The services besides {@link JobSpec#service} whose pools may get runs of its tasks, with the
+   * number of the batch that stores each; 0 if an earlier owner has stored it.
+   */
+  private final Map<String, Long> laterServices = new LinkedHashMap<>();
+
+  private Set<String> earlierServices;
+
   /** Whether a run of an earlier owner may keep any task from being started. */
   boolean mayHaveHeldTasks;
 
@@ -76,6 +86,43 @@
     this.submittedAtMs = submittedAtMs;
     this.mayHaveHeldTasks = isInherited;
     this.initialEarlierRun = isInherited ? EarlierRun.ANYWHERE : EarlierRun.NONE;
+    this.earlierServices = spec.service().isEmpty() ? Set.of() : Set.of(spec.service());
+  }
+
+  /**
+   * Returns the services in whose pools earlier owners may have started its tasks; empty if they
+   * may have in each.
+   */
+  Set<String> earlierServices() {
+    return earlierServices;
+  }
+
+  /**
+   * Returns whether a later owner will know that the pool of a service may have runs of its tasks,
+   * so that they may start there.
+   *
+   * @param storedBatchNumber number of the last batch of progress that has been stored
+   */
+  boolean mayStartInPoolOf(String service, long storedBatchNumber) {
+    return spec.service().isEmpty()
+        || spec.service().equals(service)
+        || laterServices.getOrDefault(service, Long.MAX_VALUE) <= storedBatchNumber;
+  }
+
+  /** Adds a service to whose pool the queue has gone to the progress that is to be stored next. */
+  void addLaterService(String service, PendingChanges changes) {
+    if (!laterServices.containsKey(service)) {
+      laterServices.put(service, changes.add(this));
+    }
+  }
+
+  private void restoreServices(List<String> stored) {
+    stored.forEach(service -> laterServices.put(service, 0L));
+    if (!spec.service().isEmpty()) {
+      Set<String> services = new HashSet<>(stored);
+      services.add(spec.service());
+      earlierServices = Set.copyOf(services);
+    }
   }
 
   /** Returns where an earlier owner may have left a run of a task that nothing is known of. */
@@ -187,7 +234,8 @@
         }
       }
     }
-    return new JobProgress(spec.id(), status, steps, crashedTasks());
+    List<String> services = status.isFinal() ? List.of() : List.copyOf(laterServices.keySet());
+    return new JobProgress(spec.id(), status, steps, crashedTasks(), services);
   }
 
   private List<CrashedTask> crashedTasks() {
@@ -232,6 +280,7 @@
     if (status.isFinal()) {
       return;
     }
+    restoreServices(progress.laterServices());
     for (StepProgress stored : progress.steps()) {
       hasStarted = true;
       if (stored.step() < 0) {
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -121,12 +121,18 @@
   public Optional<Submission> submission(
       JobSpec spec, Function<String, OptionalInt> projectedSize, long nowMs, long epochMs) {
     String service = service(spec);
-    return takeoverGuard.isBlocked(workers, service, ownershipProvenAtMs)
+    Set<String> services = service.isEmpty() ? Set.of() : Set.of(service);
+    return takeoverGuard.isBlocked(workers, services, ownershipProvenAtMs)
         ? Optional.empty()
         : admissionView.submission(
             spec, config, workers.pool(service), projectedSize, nowMs, epochMs);
   }
 
+  /** Returns a submitted job as it must be stored, with the service that runs its tasks now. */
+  public JobSpec withService(JobSpec spec) {
+    return spec.withService(service(spec));
+  }
+
   /** Returns the service that runs a job's tasks; empty if the job's queue is not configured. */
   private String service(JobSpec spec) {
     return config.queue(spec.queue()).map(QueueConfig::service).orElse("");
@@ -207,33 +213,34 @@
     List<TakeoverWait> waits = new ArrayList<>();
     heldByService.forEach(
         (service, held) -> {
-          List<Worker> unreported = takeoverGuard.unreported(workers, service, ownershipProvenAtMs);
+          List<Worker> unreported =
+              takeoverGuard.unreported(workers, Set.of(service), ownershipProvenAtMs);
           int ended = (int) unreported.stream().filter(worker -> worker.process.hasEnded()).count();
           waits.add(
               new TakeoverWait(
                   service,
                   held.size(),
                   unreported.size(),
-                  awaitedWorkers(held, unreported),
+                  awaitedWorkers(held),
                   ended,
                   takeoverGuard.overAtMs()));
         });
     return waits;
   }
 
-  /**
-   * Returns the ids of the workers that may have an unreported run of any of some tasks.
-   *
-   * @param unreported the workers of the tasks' pool that have not reported
-   */
-  private List<String> awaitedWorkers(List<Task> held, List<Worker> unreported) {
+  /** Returns the ids of the workers that may have an unreported run of any of some tasks. */
+  private List<String> awaitedWorkers(List<Task> held) {
     Set<String> awaited = new TreeSet<>();
-    if (held.stream().anyMatch(task -> task.earlierRun.isAnywhere())) {
-      unreported.forEach(worker -> awaited.add(worker.id));
-    }
+    held.stream()
+        .filter(task -> task.earlierRun.isAnywhere())
+        .map(task -> task.step.job.earlierServices())
+        .distinct()
+        .flatMap(
+            services -> takeoverGuard.unreported(workers, services, ownershipProvenAtMs).stream())
+        .forEach(worker -> awaited.add(worker.id));
     held.stream()
         .filter(task -> !task.earlierRun.isAnywhere())
-        .flatMap(task -> takeoverGuard.unresolvedWorkers(task, "", workers, ownershipProvenAtMs))
+        .flatMap(task -> takeoverGuard.unresolvedWorkers(task, workers, ownershipProvenAtMs))
         .forEach(worker -> awaited.add(worker.id));
     return List.copyOf(awaited);
   }
@@ -300,8 +307,7 @@
     }
     if (!takeoverGuard.isOver(workers, ownershipProvenAtMs)) {
       for (Job job : liveJobs.values()) {
-        takeoverGuard.addUnresolved(
-            job, service(job.spec), workers, workersByTask, ownershipProvenAtMs);
+        takeoverGuard.addUnresolved(job, workers, workersByTask, ownershipProvenAtMs);
       }
     }
     Map<String, Long> leasesLeftMs = new HashMap<>();
@@ -869,7 +875,7 @@
     unreportedByTeam =
         heldUsage.isEmpty()
             ? Map.of()
-            : heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs));
+            : heldUsage.byTeam(takeoverGuard.unreported(workers, Set.of(), ownershipProvenAtMs));
     StartBudget budget = new StartBudget(startLimits, nowMs);
     StartRound.Context context =
         new StartRound.Context(
@@ -915,15 +921,20 @@
     String service = queue.get().service();
     if (job.mayHaveHeldTasks) {
       job.mayHaveHeldTasks = !takeoverGuard.isOver(workers, ownershipProvenAtMs);
-      takeoverGuard.updateHeldTasks(job, service, workers, ownershipProvenAtMs);
+      takeoverGuard.updateHeldTasks(job, workers, ownershipProvenAtMs);
       // A held task may be running, so its team is charged for it.
       heldTasks(job).forEach(task -> heldUsage.add(job.spec.team(), task.step.spec));
     }
+    boolean mayStart = job.mayStartInPoolOf(service, storedBatchNumber);
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
         if (!step.isDone()
             && Job.areDependenciesDone(step, steps)
             && hasStartableTask(step, nowMs)) {
+          if (!mayStart) {
+            job.addLaterService(service, changes);
+            return;
+          }
           byService
               .computeIfAbsent(service, name -> new ArrayList<>())
               .add(ranking.candidate(step, steps, queue.get(), nowMs, epochMs));
--- a/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/TakeoverGuard.java
@@ -14,7 +14,7 @@
  * that the earlier owner may have requested has expired. A worker with more ends than it reports at
  * a time counts once it has reported all, because its leases are renewed until then. Where the
  * earlier owner has left the locations of its runs, only these workers count; otherwise all of the
- * pool do.
+ * pools do to which the job's queue has gone since the job was accepted.
  *
  * <p>Earlier owners stop sending orders at one time, and the leases that they have requested expire
  * a lease later, for each worker as far as that is known. Where it is not known, the longest lease
@@ -100,25 +100,30 @@
     return worker.missedReports > 0 && worker.reportRequestedAtMs < ordersOverAtMs;
   }
 
-  /** Returns whether runs of earlier owners may be going on unreported in a pool. */
-  boolean isBlocked(WorkerTable workers, String service, long nowMs) {
-    return !isOver(workers, nowMs) && !unreported(workers, service, nowMs).isEmpty();
+  /**
+   * Returns whether runs of earlier owners may be going on unreported in the pools of some
+   * services, or anywhere if none is given.
+   */
+  boolean isBlocked(WorkerTable workers, Set<String> services, long nowMs) {
+    return !isOver(workers, nowMs)
+        && workers.poolsOrAll(services).anyMatch(worker -> isUnreported(worker, nowMs));
   }
 
-  /** Returns the workers of a pool at which runs of earlier owners may be going on unreported. */
-  List<Worker> unreported(WorkerTable workers, String service, long nowMs) {
-    return workers.poolOrAll(service).stream()
-        .filter(worker -> isUnreported(worker, nowMs))
-        .toList();
+  /**
+   * Returns the workers at which runs of earlier owners may be going on unreported, of the pools of
+   * some services or of all if none is given.
+   */
+  List<Worker> unreported(WorkerTable workers, Set<String> services, long nowMs) {
+    return workers.poolsOrAll(services).filter(worker -> isUnreported(worker, nowMs)).toList();
   }
 
   /**
    * Determines which tasks of an inherited job may be running on workers that have not reported.
    * The tasks of a gang wait together, since they start together.
    */
-  void updateHeldTasks(Job job, String service, WorkerTable workers, long nowMs) {
+  void updateHeldTasks(Job job, WorkerTable workers, long nowMs) {
     boolean isTakeoverOver = isOver(workers, nowMs);
-    boolean isPoolBlocked = isBlocked(workers, service, nowMs);
+    boolean isAnyPoolBlocked = isBlocked(workers, job.earlierServices(), nowMs);
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
         boolean isAnyHeld = false;
@@ -127,7 +132,7 @@
               !isTakeoverOver
                   && !task.isDone
                   && task.attempt == null
-                  && mayHaveEarlierRun(task, isPoolBlocked, workers, nowMs);
+                  && mayHaveEarlierRun(task, isAnyPoolBlocked, workers, nowMs);
           isAnyHeld |= task.isHeld;
         }
         if (isAnyHeld && step.spec.isGang()) {
@@ -138,20 +143,20 @@
   }
 
   private boolean mayHaveEarlierRun(
-      Task task, boolean isPoolBlocked, WorkerTable workers, long nowMs) {
+      Task task, boolean isAnyPoolBlocked, WorkerTable workers, long nowMs) {
     // An earlier owner may learn of the end of a known run and start another while it sends orders.
     if (task.knownRunAtMs >= ordersOverAtMs && nowMs >= ordersOverAtMs) {
       return false;
     }
     return task.earlierRun.isAnywhere()
-        ? isPoolBlocked
-        : unresolvedWorkers(task, "", workers, nowMs).findAny().isPresent();
+        ? isAnyPoolBlocked
+        : unresolvedWorkers(task, workers, nowMs).findAny().isPresent();
   }
 
   /** Returns the workers that may have an unreported run of a task. */
-  Stream<Worker> unresolvedWorkers(Task task, String service, WorkerTable workers, long nowMs) {
+  Stream<Worker> unresolvedWorkers(Task task, WorkerTable workers, long nowMs) {
     return task.earlierRun
-        .possibleWorkers(workers, service)
+        .possibleWorkers(workers, task.step.job.earlierServices())
         .filter(worker -> isUnreported(worker, nowMs) && !task.earlierRun.isAbsentAt(worker));
   }
 
@@ -220,12 +225,8 @@
 
   /** Adds the tasks of a job that may be running on workers that have not reported. */
   void addUnresolved(
-      Job job,
-      String service,
-      WorkerTable workers,
-      Map<TaskKey, Set<String>> workersByTask,
-      long nowMs) {
-    updateHeldTasks(job, service, workers, nowMs);
+      Job job, WorkerTable workers, Map<TaskKey, Set<String>> workersByTask, long nowMs) {
+    updateHeldTasks(job, workers, nowMs);
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
         for (Task task : step.tasks) {
@@ -233,7 +234,7 @@
             workersByTask
                 .computeIfAbsent(task.key, key -> new HashSet<>())
                 .addAll(
-                    unresolvedWorkers(task, service, workers, nowMs)
+                    unresolvedWorkers(task, workers, nowMs)
                         .map(worker -> worker.id)
                         .collect(Collectors.toSet()));
           }
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -358,8 +358,7 @@
                   held ->
                       state
                           .takeoverGuard()
-                          .unresolvedWorkers(
-                              held, key.service(), state.workers(), state.provenAtMs()));
+                          .unresolvedWorkers(held, state.workers(), state.provenAtMs()));
       case NO_WORKER, WORKER_LIMIT -> pool.stream().filter(worker -> !isAvailable(worker));
       case NO_CAPACITY, GANG_DOES_NOT_FIT ->
           pool.stream()
--- a/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WorkerTable.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
 
 /** All workers that the registry lists or that may still run something. */
 final class WorkerTable {
@@ -26,9 +28,11 @@
     return pools.getOrDefault(service, List.of());
   }
 
-  /** Returns the workers of a service's pool, or all workers if the service is empty. */
-  Collection<Worker> poolOrAll(String service) {
-    return service.isEmpty() ? workers.values() : pool(service);
+  /** Returns the workers of the pools of some services, or all workers if none is given. */
+  Stream<Worker> poolsOrAll(Set<String> services) {
+    return services.isEmpty()
+        ? workers.values().stream()
+        : services.stream().flatMap(service -> pool(service).stream());
   }
 
   /** Adds a worker that an earlier owner may have given orders to. */
--- a/src/test/java/org/laburnumarch/internal/job/JobCodecTest.java
+++ b/src/test/java/org/laburnumarch/internal/job/JobCodecTest.java
@@ -82,7 +82,25 @@
   void shouldReadProgressOfAnEarlierVersion() throws IOException {
     JobProgress progress = new JobProgress("a", JobStatus.RUNNING, List.of());
     byte[] bytes = JobCodec.encode(progress);
-    // Earlier versions did not write the list of crashed tasks, whose empty form is one byte.
+    // Earlier versions did not write the later services or, still earlier, the crashed tasks. The
+    // empty form of each list is one byte.
     assertThat(JobCodec.decodeProgress(Arrays.copyOf(bytes, bytes.length - 1))).isEqualTo(progress);
+    assertThat(JobCodec.decodeProgress(Arrays.copyOf(bytes, bytes.length - 2))).isEqualTo(progress);
+  }
+
+  @Test
+  void shouldKeepTheServicesOfAJob() throws IOException {
+    JobSpec accepted = JOB.withService("compute");
+    assertThat(JobCodec.decodeJob(JobCodec.encode(accepted))).isEqualTo(accepted);
+    JobProgress progress =
+        new JobProgress("a", JobStatus.RUNNING, List.of(), List.of(), List.of("reserve"));
+    assertThat(JobCodec.decodeProgress(JobCodec.encode(progress))).isEqualTo(progress);
+  }
+
+  @Test
+  void shouldReadAJobOfAnEarlierVersion() throws IOException {
+    byte[] bytes = JobCodec.encode(JOB);
+    // Earlier versions did not write the service, whose empty form is one byte.
+    assertThat(JobCodec.decodeJob(Arrays.copyOf(bytes, bytes.length - 1))).isEqualTo(JOB);
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeries.java
@@ -150,9 +150,10 @@
   }
 
   private void accept(JobSpec job, LongUnaryOperator runEnd) {
-    jobs.put(job.id(), job);
+    JobSpec stored = scheduler.withService(job);
+    jobs.put(job.id(), stored);
     runEnds.put(job.id(), runEnd);
-    scheduler.accept(job, nowMs);
+    scheduler.accept(stored, nowMs);
   }
 
   /** Lets the owner stop in an orderly way and the next one take over. */
--- a/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TakeoverSeriesTest.java
@@ -258,6 +258,69 @@
       series.takeOver();
       assertThatTheTaskStartsAfterTheLeases();
     }
+
+    /** Guards against a wait for every silent worker of the fleet. */
+    @Test
+    void shouldNotWaitForWorkersOfAPoolThatTheQueueHasNeverUsed() {
+      series.reconnect(series.workerOf(TASK).orElseThrow());
+      series.cutOff("r0");
+      series.advance(1_000);
+      series.takeOver();
+      series.accept(TestJobs.job("b", series.nowMs, TestJobs.step(1, 1_000)), LONG_RUN_MS);
+      series.restart(series.workerOf(TASK).orElseThrow());
+      series.advance(1_500);
+      assertThat(series.runningTasks()).contains(TASK, "b.0.0.0");
+    }
+
+    /** Guards against a wait for the new pool by an owner that reads the route only later. */
+    @Test
+    void shouldNotWaitForWorkersOfTheNewPoolBeforeAnyTaskStartsThere() {
+      series.reconnect(series.workerOf(TASK).orElseThrow());
+      series.cutOff("r0");
+      series.depart(series.workerOf(TASK).orElseThrow());
+      series.takeOverWith("reserve");
+      series.advance(1_000);
+      assertThat(series.workerOf(TASK)).contains("r1");
+    }
+  }
+
+  /** Guards against a second run beside one in a pool to which the queue had gone for a while. */
+  @Nested
+  class WhenTheQueueReturnsToItsPool {
+
+    private static final String TASK = "b.0.0.0";
+
+    @BeforeEach
+    void routeToAnotherPool() {
+      series.addWorkerOf("reserve", "r0");
+      series.advance(20_000);
+    }
+
+    @Test
+    void shouldWaitForWorkersOfThePoolBetween() {
+      series.accept(TestJobs.job("b", series.nowMs, TestJobs.step(1, 1_000)), LONG_RUN_MS);
+      series.route("reserve");
+      series.advance(200);
+      assertThat(series.workerOf(TASK)).contains("r0");
+      series.cutOff("r0");
+      series.takeOverWith(TestJobs.SERVICE);
+      series.advance(TestJobs.SETTINGS.maxLeaseMs() - 500);
+      assertThat(series.runningTasks()).doesNotContain(TASK);
+      series.advance(1_000);
+      assertThat(series.runningTasks()).contains(TASK);
+    }
+
+    @Test
+    void shouldNotStartThereBeforeThatIsStored() {
+      series.accept(TestJobs.job("b", series.nowMs, TestJobs.step(1, 1_000)), LONG_RUN_MS);
+      series.setStoreDown(true);
+      series.route("reserve");
+      series.advance(2_000);
+      assertThat(series.runningTasks()).doesNotContain(TASK);
+      series.setStoreDown(false);
+      series.advance(150);
+      assertThat(series.workerOf(TASK)).contains("r0");
+    }
   }
 
   @Nested
