Keep workers only for tasks that have a ticket for them

What callers saw: jobs with nothing running for as long as a long-running job of a queue with advice lacks room on the workers that the advisory service allows, although the other workers of the pool are nearly idle.

Cause: Placement.holdWorkerFor and holdWorkerForSuspect choose the largest worker that accepts the task, without a look at the task's tickets. A worker that is kept takes nothing else in the round. A long-running task whose allowed workers are full thus keeps a worker that it can never start on, in each round; as many such steps as the pool has other workers stop it for all other work. The log says worker-kept and names the task under kept_for.

Change: both keep only workers for which the step has a ticket, if it needs one.

Result: KeptWorkerTest passes.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -101,9 +101,7 @@
    */
   boolean hasRoomFor(Step step, Map<String, String> tickets, boolean needsTicket) {
     return withRoom
-        .findAny(
-            step.size,
-            worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id)))
+        .findAny(step.size, worker -> mayAdd(worker, step) && admits(worker, tickets, needsTicket))
         .isPresent();
   }
 
@@ -149,7 +147,7 @@
           || (worker.health.isBlocked(nowMs) && !(mayProbe && isProbeDue(worker)))
           || !worker.freeCapacity().holds(task.step.spec.reserved())
           || !isEligible(worker, task.step)
-          || (needsTicket && !tickets.containsKey(worker.id))) {
+          || !admits(worker, tickets, needsTicket)) {
         continue;
       }
       double cost = cost(worker, task);
@@ -186,8 +184,9 @@
   }
 
   /** Holds a worker back until it has no new runs, so that a suspect can start there. */
-  void holdWorkerForSuspect(Task task) {
-    findLargestWorkerFor(task, worker -> true).ifPresent(heldForSuspects::add);
+  void holdWorkerForSuspect(Task task, Map<String, String> tickets, boolean needsTicket) {
+    findLargestWorkerFor(task, worker -> admits(worker, tickets, needsTicket))
+        .ifPresent(heldForSuspects::add);
   }
 
   /** Returns whether any worker could start a task now. */
@@ -275,17 +274,29 @@
   /**
    * Holds back the eligible worker with the most free memory: it gets no further tasks in this
    * round, so that the task fits there in a later round. A worker where long-running tasks leave
-   * too little for it is not held back, because they do not end.
+   * too little for it is not held back, because they do not end, nor is one for which the task has
+   * no ticket.
    */
-  void holdWorkerFor(Task task) {
+  void holdWorkerFor(Task task, Map<String, String> tickets, boolean needsTicket) {
     Step step = task.step;
-    if (holdable.findAny(step.size, worker -> mayAdd(worker, step)).isPresent()) {
+    Predicate<Worker> isAdmitted = worker -> admits(worker, tickets, needsTicket);
+    if (holdable
+        .findAny(step.size, worker -> mayAdd(worker, step) && isAdmitted.test(worker))
+        .isPresent()) {
       findLargestWorkerFor(
-              task, worker -> worker.capacityBesideLongRunningTasks().holds(step.spec.reserved()))
+              task,
+              worker ->
+                  isAdmitted.test(worker)
+                      && worker.capacityBesideLongRunningTasks().holds(step.spec.reserved()))
           .ifPresent(worker -> heldWorkers.put(worker, task));
     }
   }
 
+  /** Returns whether a step has the ticket that it needs for a worker. */
+  private static boolean admits(Worker worker, Map<String, String> tickets, boolean needsTicket) {
+    return !needsTicket || tickets.containsKey(worker.id);
+  }
+
   private boolean isHoldable(Worker worker, TaskSize size) {
     return !heldWorkers.containsKey(worker)
         && !isIsolated(worker)
@@ -351,7 +362,7 @@
             || !remaining.holds(task.step.spec.reserved())
             || !mayRun(worker, task.step)
             || (limit > 0 && worker.countRuns(task.step) + count >= limit)
-            || (needsTicket && !tickets.containsKey(worker.id))) {
+            || !admits(worker, tickets, needsTicket)) {
           continue;
         }
         double cost = cost(worker, task) + rackSpanCost(worker, chosen, task.step.spec);
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -94,7 +94,7 @@
               ? placement.choose(task, stepTickets, needsTicket)
               : Optional.empty();
       if (worker.isEmpty()) {
-        isPlaced &= onNoWorker(task, candidate.rank());
+        isPlaced &= onNoWorker(task, candidate.rank(), stepTickets, needsTicket);
         continue;
       }
       if (!context.budget().tryTake(1)) {
@@ -109,11 +109,12 @@
    * Holds a worker back for a task that has found none, if that is due. Returns whether other tasks
    * of its step may find one all the same, because this one has to be kept apart.
    */
-  private boolean onNoWorker(Task task, CandidateRanking.Rank rank) {
+  private boolean onNoWorker(
+      Task task, CandidateRanking.Rank rank, Map<String, String> stepTickets, boolean needsTicket) {
     if (task.needsIsolation(nowMs)) {
       task.limitIsolationWait(nowMs);
       if (placement.mayIsolateAnother()) {
-        placement.holdWorkerForSuspect(task);
+        placement.holdWorkerForSuspect(task, stepTickets, needsTicket);
       }
       return true;
     }
@@ -121,7 +122,7 @@
       return true;
     }
     if (rank == CandidateRanking.Rank.LONG_RUNNING) {
-      placement.holdWorkerFor(task);
+      placement.holdWorkerFor(task, stepTickets, needsTicket);
     }
     return false;
   }
--- a/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.Resources;
@@ -78,4 +79,14 @@
     nowMs += SHORT_RUN_MS;
     assertThat(startAll(SHORT_RUN_MS)).contains("last");
   }
+
+  /** Guards against short tasks that stand while an advised one may only run on other workers. */
+  @Test
+  void shouldNotBeKeptForALongRunningTaskWithoutATicketForIt() {
+    scheduler.configure(TestJobs.configWithAdvice());
+    scheduler.accept(TestJobs.advisedJob("advised", nowMs, longRunning(1_000)), nowMs);
+    accept("short", TestJobs.step(1, 1_000));
+    scheduler.onAdvice("advised.0.0", Map.of("w2", "ticket"), 10_000, nowMs);
+    assertThat(startAll(SHORT_RUN_MS)).containsExactly("short");
+  }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/TestJobs.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/TestJobs.java
@@ -16,6 +16,7 @@
 final class TestJobs {
 
   static final String QUEUE = "batch";
+  static final String ADVISED_QUEUE = "advised";
   static final String SERVICE = "compute";
   static final String TEAM = "research";
   static final SchedulerSettings SETTINGS =
@@ -49,6 +50,29 @@
         CallerLimits.DEFAULT);
   }
 
+  /** Returns the usual queue and one whose tasks need tickets, on one pool. */
+  static FleetConfig configWithAdvice() {
+    FleetConfig plain = config(0, 9);
+    QueueConfig advised =
+        new QueueConfig(
+            ADVISED_QUEUE,
+            "host",
+            "/advised/",
+            SERVICE,
+            0,
+            9,
+            1.6,
+            600,
+            false,
+            Optional.of(new QueueConfig.AdviceTimes(10, 10, 10_000)));
+    return new FleetConfig(
+        1,
+        List.of(plain.queue(QUEUE).orElseThrow(), advised),
+        List.copyOf(plain.services().values()),
+        List.of(team(TEAM, 1_000, 0)),
+        CallerLimits.DEFAULT);
+  }
+
   /** Returns queues {@code q0} and {@code q1} of priorities 0 and 1 on one pool for some teams. */
   static FleetConfig configOfTeams(double stretch, long latencyTargetMs, TeamConfig... teams) {
     Optional<QueueConfig.AdviceTimes> noAdvice = Optional.empty();
@@ -100,4 +124,10 @@
   static JobSpec job(String id, long submittedEpochMs, StepSpec... steps) {
     return new JobSpec(id, QUEUE, TEAM, "program", List.of(steps), 0, 0, 0, submittedEpochMs);
   }
+
+  /** Returns a job of the queue whose tasks need tickets. */
+  static JobSpec advisedJob(String id, long submittedEpochMs, StepSpec step) {
+    return new JobSpec(
+        id, ADVISED_QUEUE, TEAM, "program", List.of(step), 0, 0, 0, submittedEpochMs);
+  }
 }
