Do not wait for earlier leases of a worker whose process has ended

What callers saw: jobs with nothing running, and long-running tasks without a run, for up to 14 s after a worker has crashed for good or left, if the worker had restarted under its id within the 18 s before. Its runs stay registered meanwhile, so that their room, the limits of their steps for each worker and their team's limit count as used.

Shrunk to RestartedWorkerTest#shouldRestartTheTasksOfANewIncarnationThatHasEnded, which fails before this change: nothing starts within 7 s.

Change: the runs of a worker whose process has ended are over once the leases have expired that were requested of its known incarnation, as for a worker that has not restarted. A silent worker is treated as before, and so is one whose new incarnation has not reported.

--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -832,10 +832,9 @@
   }
 
   private void closeExpiredRuns(Worker worker, long nowMs) {
-    boolean isExpired = worker.isLeaseExpired(ownershipProvenAtMs);
-    if (worker.process.hasEnded() && (isExpired || worker.hasLeft())) {
+    if (worker.process.hasEnded() && worker.isOverAfterEnd(ownershipProvenAtMs)) {
       runTracker.onProcessEnded(worker, nowMs);
-    } else if (isExpired) {
+    } else if (worker.isLeaseExpired(ownershipProvenAtMs)) {
       runTracker.closeExpired(worker, settings, ownershipProvenAtMs);
     }
   }
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -372,6 +372,14 @@
     return endClockMs;
   }
 
+  /**
+   * Returns whether all runs of a worker whose process has ended count as over. A lease that the
+   * process got by a late order to an earlier incarnation has ended with it.
+   */
+  boolean isOverAfterEnd(long nowMs) {
+    return hasLeft() || nowMs >= (hasClock() ? requestedLeasesExpireAtMs() : leasesExpireAtMs());
+  }
+
   /** Returns whether every lease of the known incarnation has certainly expired. */
   boolean isLeaseExpired(long nowMs) {
     return nowMs >= leasesExpireAtMs();
@@ -406,8 +414,13 @@
     if (!hasClock()) {
       return attempts.isEmpty() ? Long.MIN_VALUE : unknownIncarnationOverAtMs + 1;
     }
-    long expireAtMs =
-        clockReadAtMs + (long) Math.floor((leaseEndClockMs - clockReadingMs) / SLOWEST_CLOCK) + 1;
-    return Math.max(expireAtMs, earlierLeasesOverAtMs);
+    return Math.max(requestedLeasesExpireAtMs(), earlierLeasesOverAtMs);
+  }
+
+  /** Returns the same, without leases that were requested of an earlier incarnation. */
+  private long requestedLeasesExpireAtMs() {
+    return clockReadAtMs
+        + (long) Math.floor((leaseEndClockMs - clockReadingMs) / SLOWEST_CLOCK)
+        + 1;
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -625,4 +625,40 @@
       goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
     }
   }
+
+  /**
+   * Guards against tasks that wait for leases of a process which has ended, for 18 s after the
+   * worker's restart.
+   */
+  @Test
+  void shouldRestartTheTasksOfANewIncarnationThatHasEnded() {
+    acceptJobWithOneTask();
+    Order.Start first = starts().get(0);
+    scheduler.onStartReply(first, execute(first, 60_000), nowMs);
+    passTime(500);
+    SimulatedWorker restarted = workers.get(first.workerId());
+    restarted.crash(nowMs);
+    readRegistry();
+    passTime(50);
+    scheduler.setCordonedWorkers(Set.of(restarted == one ? "w2" : "w1"));
+    Order.Start again = starts().get(0);
+    assertThat(again.workerId()).isEqualTo(restarted.id());
+    scheduler.onStartReply(again, execute(again, 60_000), nowMs);
+    passTime(500);
+    scheduler.setCordonedWorkers(Set.of());
+    long endedAtMs = nowMs;
+    List<Order.Start> elsewhere = List.of();
+    while (elsewhere.isEmpty()) {
+      nowMs += 50;
+      assertThat(nowMs).isLessThan(endedAtMs + 7_000);
+      if (scheduler.renewal(restarted.id(), nowMs).isPresent()) {
+        scheduler.onReportMissed(restarted.id(), ReportFailure.CONNECTION_REFUSED, nowMs, nowMs);
+      }
+      if (scheduler.needsInstanceList(nowMs)) {
+        scheduler.onInstancesListed(Set.of(), nowMs);
+      }
+      report(restarted == one ? two : one);
+      elsewhere = starts();
+    }
+  }
 }
