Count only workers in service as half of a pool to keep

What callers would see: accepted jobs of short tasks that stand while less than half of their pool is in use (LOST), during the evacuation of a data centre.

Cause: at most half of the workers that accept tasks are kept for long-running tasks, but workers in a data centre out of service counted as well. With half of a pool evacuated, all workers that may take tasks were kept.

Evidence: KeptWorkerTest#shouldLeaveWorkersForShortTasksWhileADataCentreIsOutOfService failed on: two workers with 13 of 32 GB in use were kept for tasks of 20 GB, two more were in an evacuated data centre, and a job of 1 GB did not start. Not seen on real processes. Blocked workers still count; that they keep short tasks waiting is only suspected.

Change: workers of data centres out of service do not count.

Result: the test passes, with the others of the class.

--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -276,12 +276,16 @@
   private boolean accepts(Worker worker, TaskSize size) {
     return worker.acceptsTasks()
         && worker.blockedUntilMs <= nowMs
-        && !outOfServiceDataCentres.contains(worker.listing.dataCentre())
+        && isInService(worker)
         && worker.listing.capacity().holds(size.need())
         && (size.requiredLabel().isEmpty()
             || worker.listing.labels().contains(size.requiredLabel()));
   }
 
+  private boolean isInService(Worker worker) {
+    return !outOfServiceDataCentres.contains(worker.listing.dataCentre());
+  }
+
   /** Returns whether the limit of a step for each worker allows one more of its tasks there. */
   boolean mayAdd(Worker worker, Step step) {
     int limit = step.spec.maxPerWorker();
@@ -347,7 +351,8 @@
   }
 
   private boolean mayHoldAnother() {
-    long accepting = pool.stream().filter(Worker::acceptsTasks).count();
+    long accepting =
+        pool.stream().filter(worker -> worker.acceptsTasks() && isInService(worker)).count();
     return heldWorkers.size() < Math.max(1, accepting / POOL_SIZE_PER_HELD_WORKER);
   }
 
--- a/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.job.Resources;
@@ -19,6 +20,26 @@
   private static final long START_MS = 1_000_000;
   private static final long SHORT_RUN_MS = 900;
 
+  /** A step that takes less than half of each of two workers. */
+  private static final StepSpec SPREAD =
+      new StepSpec(
+          2,
+          new Resources(500, 13_000, 0),
+          SHORT_RUN_MS,
+          List.of(),
+          false,
+          false,
+          false,
+          "",
+          "",
+          1,
+          false,
+          false,
+          "",
+          0,
+          false,
+          0);
+
   private final Scheduler scheduler = new Scheduler(TestJobs.SETTINGS, 1, START_MS, false);
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
   private long nowMs = START_MS;
@@ -122,31 +143,54 @@
   @Test
   void shouldLeaveWorkersForShortTasksIfLongRunningTasksWaitForAll() {
     enrol("w2");
-    Resources need = new Resources(500, 13_000, 0);
-    accept(
-        "spread",
-        new StepSpec(
-            2,
-            need,
-            SHORT_RUN_MS,
-            List.of(),
-            false,
-            false,
-            false,
-            "",
-            "",
-            1,
-            false,
-            false,
-            "",
-            0,
-            false,
-            0));
+    accept("spread", SPREAD);
+    assertThat(startAll(SHORT_RUN_MS)).containsExactly("spread", "spread");
+    nowMs += 200;
+    accept("first", longRunning(20_000));
+    accept("second", longRunning(20_000));
+    accept("short", TestJobs.step(1, 1_000));
+    assertThat(startAll(SHORT_RUN_MS)).containsExactly("short");
+  }
+
+  /** Guards against short tasks that stand because workers count that may not take them. */
+  @Test
+  void shouldLeaveWorkersForShortTasksWhileADataCentreIsOutOfService() {
+    enrol("w2");
+    accept("spread", SPREAD);
     assertThat(startAll(SHORT_RUN_MS)).containsExactly("spread", "spread");
     nowMs += 200;
+    enrolElsewhere("w3", "w4");
+    scheduler.setOutOfServiceDataCentres(Set.of("elsewhere"));
     accept("first", longRunning(20_000));
     accept("second", longRunning(20_000));
     accept("short", TestJobs.step(1, 1_000));
     assertThat(startAll(SHORT_RUN_MS)).containsExactly("short");
   }
+
+  private void enrolElsewhere(String... ids) {
+    for (String id : ids) {
+      workers.put(id, new SimulatedWorker(id, TestJobs.SERVICE, "r1", START_MS));
+    }
+    Set<String> elsewhere = Set.of(ids);
+    scheduler.updateWorkerListings(
+        workers.values().stream()
+            .map(SimulatedWorker::listing)
+            .map(
+                it ->
+                    elsewhere.contains(it.id())
+                        ? new WorkerListing(
+                            it.id(),
+                            it.service(),
+                            it.address(),
+                            "elsewhere",
+                            it.capacity(),
+                            it.labels(),
+                            it.isDraining(),
+                            it.remainingMs(),
+                            it.startedEpochMs())
+                        : it)
+            .toList(),
+        nowMs);
+    scheduler.confirmEnrolment(scheduler.workersToEnrol());
+  }
 }
