Let an instance keep its place in a wave while long-running tasks leave

What operators would see: a wave that never ends, while long-running tasks are stopped and started again for as long as it lasts.

Cause: since an instance without short runs gives its place in a wave up after 2.5 s. Long-running tasks of a step leave one after the other, each once the one before is at work again. An instance with several of them gave its place up meanwhile, and got tasks of the instance that was drained next, since well-filled workers are preferred.

Evidence: FleetPlannerTest#shouldMaintainInstancesWhoseLongRunningTasksLeaveOneByOne failed on: two instances with four tasks each, one task moves in a second, and neither was maintained in 60 s. Not seen on real processes.

Change: an instance makes progress also when it has fewer long-running runs than before.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -54,8 +54,8 @@
   private static final long MOVE_DRAIN_TIMEOUT_MS = 2_500;
 
   /**
-   * Time for which an instance without short runs may keep its place in a wave while it cannot be
-   * maintained, for example because its long-running tasks find no room elsewhere.
+   * Time for which an instance without short runs may keep its place in a wave while no
+   * long-running task leaves it, for example because these find no room elsewhere.
    */
   private static final long STUCK_MAINTENANCE_MS = 2_500;
 
@@ -67,9 +67,12 @@
     private boolean isOrdered;
     private long notBeforeMs;
 
-    /** Local time until which its instance had short runs to end, or could take the order. */
+    /** Local time until which runs left its instance, or it could take the order. */
     private long progressedAtMs;
 
+    /** Least number of long-running runs that its instance has had. */
+    private int longRunningRuns = Integer.MAX_VALUE;
+
     PendingOperation(Optional<Long> wave, String pool, long nowMs) {
       this.wave = wave;
       this.pool = pool;
@@ -81,6 +84,15 @@
       return wave.isPresent();
     }
 
+    /**
+     * Returns whether its instance has short runs to end, or fewer long-running ones than before.
+     */
+    boolean isDraining(WorkerLoad load) {
+      boolean hasLost = load.longRunningRuns() < longRunningRuns;
+      longRunningRuns = Math.min(longRunningRuns, load.longRunningRuns());
+      return hasLost || load.shortRuns() > 0;
+    }
+
     /** Returns whether an order may have been carried out; one without a response may have been. */
     boolean wasOrdered() {
       return isOrdered || notBeforeMs > 0;
@@ -317,7 +329,7 @@
         continue;
       }
       WorkerLoad load = loads.get(machine.workerId());
-      if (isDrained(machine, config, loads) || (load != null && load.shortRuns() > 0)) {
+      if (isDrained(machine, config, loads) || (load != null && operation.isDraining(load))) {
         operation.progressedAtMs = nowMs;
       } else if (nowMs - operation.progressedAtMs > STUCK_MAINTENANCE_MS) {
         operations.remove();
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -3,10 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Set;
@@ -198,6 +200,46 @@
       assertThat(orders).containsExactly(new MachineOrder.Maintain("m1", 1));
     }
 
+    /**
+     * Guards against a wave that never ends while long-running tasks leave their instance one after
+     * the other: it gives its place up and gets tasks of the next one.
+     */
+    @Test
+    void shouldMaintainInstancesWhoseLongRunningTasksLeaveOneByOne() {
+      Map<String, Integer> longRuns = new LinkedHashMap<>(Map.of("m0", 4, "m1", 4, "m2", 0));
+      add("m3", "office", 0, 0, true);
+      add("m4", "office", 0, 0, true);
+      planner.addWave(wave(1, "m0", "m1"), nowMs, Set.of());
+      Set<MachineOrder> orders = new HashSet<>();
+      long movedAtMs = nowMs;
+      for (long endMs = nowMs + 60_000; nowMs < endMs; nowMs += 100) {
+        longRuns.forEach((name, runs) -> add(name, "desk", 0, runs, true));
+        FleetPlan plan = plan(2, 1);
+        for (MachineOrder order : maintenanceOrders(plan)) {
+          orders.add(order);
+          planner.onOutcome(order, MachineOrderOutcome.DONE, nowMs);
+        }
+        Optional<String> from =
+            longRuns.keySet().stream()
+                .filter(name -> plan.cordoned().contains("w" + name) && longRuns.get(name) > 0)
+                .findFirst();
+        if (from.isPresent() && nowMs - movedAtMs >= 1_000) {
+          // Tasks go to a well-filled worker.
+          String to =
+              longRuns.keySet().stream()
+                  .filter(name -> !plan.cordoned().contains("w" + name))
+                  .max(Comparator.comparing(longRuns::get))
+                  .orElseThrow();
+          longRuns.merge(from.get(), -1, Integer::sum);
+          longRuns.merge(to, 1, Integer::sum);
+          movedAtMs = nowMs;
+        }
+      }
+      assertThat(orders)
+          .containsExactlyInAnyOrder(
+              new MachineOrder.Maintain("m0", 1), new MachineOrder.Maintain("m1", 1));
+    }
+
     private List<MachineOrder> maintenanceOrders(FleetPlan plan) {
       return plan.orders().stream().filter(MachineOrder.Maintain.class::isInstance).toList();
     }
