Count a long-running gang once in the demand on its pool

What operators would see: a pool that holds twice the instances of its long-running gang for good, and other pools that lack them.

Cause: since a gang counts by the workers that it needs at once, beside the long-running tasks. A long-running gang was in both.

Evidence: PoolDemandTest#shouldWantTheWorkersOfALongRunningGangOnce failed on: 8 workers for four tasks that take a worker each. Not seen on real processes: no site of ours has gangs.

Change: only gangs that end count by the workers that they need at once.

--- a/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/DemandEstimator.java
@@ -243,7 +243,11 @@
   private static int widestGang(List<Step> steps, FleetConfig config, Resources workerSize) {
     int widest = 0;
     for (Step step : steps) {
-      if (step.spec.isGang() && !step.isDone() && Job.areDependenciesDone(step, steps)) {
+      // Long-running tasks count by themselves, in gangs or not.
+      if (step.spec.isGang()
+          && !step.spec.isLongRunning()
+          && !step.isDone()
+          && Job.areDependenciesDone(step, steps)) {
         int count = step.spec.count();
         Resources together = step.spec.need().times(count);
         boolean isWithinLimit =
--- a/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
@@ -135,6 +135,35 @@
       assertThat(demand(90_000).gangWorkers()).isEqualTo(4);
     }
 
+    /** Guards against a pool that holds twice the workers of a long-running gang for good. */
+    @Test
+    void shouldWantTheWorkersOfALongRunningGangOnce() {
+      scheduler.configure(TestJobs.config(0, 9));
+      listWorkers(4, 10_000);
+      StepSpec gang =
+          new StepSpec(
+              4,
+              new Resources(5_000, 1_000, 0),
+              0,
+              List.of(),
+              false,
+              true,
+              false,
+              "",
+              "",
+              0,
+              false,
+              true,
+              "",
+              0,
+              false,
+              0);
+      scheduler.restore(TestJobs.job("j", 0, gang), Optional.empty(), 10_000, 10_000);
+      scheduler.decide(10_000, 10_000);
+      PoolDemand demand = demand(10_000);
+      assertThat(demand.gangWorkers() + demand.longRunningWorkers()).isEqualTo(4);
+    }
+
     /** Guards against a long-running task that stands since its pool is too small for good. */
     @Test
     void shouldWantAWorkerForEachLongRunningTaskOfMoreThanHalfAWorker() {
