Show two gangs that wait for good for each other's instances

What callers would see: two accepted gangs of different pools that never start, although the fleet has room for one after the other, and other pools that lack the instances.

Cause: since each pool wants the workers that its gang needs at once if the whole fleet has that many. Pools get instances in proportion to what they want, and one that is short gives none to another that is about equally short.

Evidence: FleetPlannerTest#shouldGiveOnePoolEnoughInstancesIfTwoGangsTogetherNeedMore ThanThereAre fails: of six instances two pools whose gangs need four each get three each. The same is to be expected where long-running tasks of other pools leave too few instances; that has no test.

--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -280,6 +280,30 @@
       assertThat(planForAGang(4)).hasSize(3);
     }
 
+    /** Guards against two gangs of which each waits for good for instances that the other has. */
+    @Test
+    void shouldGiveOnePoolEnoughInstancesIfTwoGangsTogetherNeedMoreThanThereAre() {
+      add("m0", "desk", 0, 0, true);
+      add("m1", "office", 0, 0, true);
+      for (int i = 2; i < 6; i++) {
+        add("m" + i, "reserve", 0, 0, true);
+      }
+      planner.onList(machines.values(), nowMs);
+      PoolDemand gang = new PoolDemand(0.5, 0.5, 0, 0, 4);
+      planner.plan(
+          CONFIG,
+          Map.of("desk", gang, "office", gang),
+          new ArrayList<>(loads.values()),
+          Set.of(),
+          true,
+          nowMs);
+      assertThat(
+              Math.max(
+                  planner.projectedSize("desk").getAsInt(),
+                  planner.projectedSize("office").getAsInt()))
+          .isGreaterThanOrEqualTo(4);
+    }
+
     @Test
     void shouldMoveNoInstancesForAGangThatIsTooWideForTheWholeFleet() {
       assertThat(planForAGang(10)).isEmpty();
