Show work that stands for as long as a worker is kept

What callers would see: accepted work that has nothing running for more than 3 s while its pool has room for it twice over (LOST), for as long as a run lasts.

Cause: a worker that is kept for a long-running task takes no short tasks, and no long- running ones that would leave that task too little, until the runs there have ended.

Evidence: two tests of KeptWorkerTest fail on, each with a short run of 60 s on the only worker: a short job of 1 GB does not start in 3 s with 13 of 32 GB in use, and neither does a long-running task of 5 GB with 12 GB free. Not seen on real processes; there most runs end within 3 s.

--- a/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,10 @@
 
   private static final long START_MS = 1_000_000;
   private static final long SHORT_RUN_MS = 900;
+  private static final long LONG_RUN_MS = 60_000;
+
+  /** Longest time for which a job may have nothing running while its pool has room. */
+  private static final long MAX_STANDING_MS = 3_000;
 
   /** A step that takes less than half of each of two workers. */
   private static final StepSpec SPREAD =
@@ -193,4 +198,40 @@
         nowMs);
     scheduler.confirmEnrolment(scheduler.workersToEnrol());
   }
+
+  /** Runs the scheduler for the longest time that a job may stand; returns the started jobs. */
+  private Set<String> startFor(long durationMs) {
+    Set<String> started = new HashSet<>();
+    for (long untilMs = nowMs + durationMs; nowMs < untilMs; nowMs += 100) {
+      started.addAll(startAll(LONG_RUN_MS));
+    }
+    return started;
+  }
+
+  private static StepSpec longRun(long memoryMb) {
+    return StepSpec.ofTasks(1, new Resources(500, memoryMb, 0), LONG_RUN_MS, List.of());
+  }
+
+  /** Guards against short tasks that stand beside less than half a worker in use. */
+  @Test
+  void shouldNotKeepShortTasksWaitingInAPoolOfOneForLongerThanTheyMayStand() {
+    accept("large", longRun(13_000));
+    assertThat(startAll(LONG_RUN_MS)).containsExactly("large");
+    nowMs += 200;
+    accept("last", longRunning(20_000));
+    accept("short", TestJobs.step(1, 1_000));
+    assertThat(startFor(MAX_STANDING_MS)).contains("short");
+  }
+
+  /** Guards against a long-running task that stands beside room for two of it. */
+  @Test
+  void shouldNotKeepLongRunningTasksWithRoomWaitingForLongerThanTheyMayStand() {
+    accept("first", longRunning(10_000));
+    accept("large", longRun(10_000));
+    assertThat(startAll(LONG_RUN_MS)).containsExactly("first", "large");
+    nowMs += 200;
+    accept("last", longRunning(20_000));
+    accept("small", longRunning(5_000));
+    assertThat(startFor(MAX_STANDING_MS)).contains("small");
+  }
 }
