Send the limit of tasks for each worker with the soak's jobs

What callers saw: nothing; the soak did not test it. CallerClient left antiAffinity out of what it submits, so a step that the soak's load limits to one task a worker reached the daemons without a limit. The only such steps were the long-running jobs of PEAKS. StartDelayChecker counted the limit nevertheless, so it judged these jobs by less room than they had.

Cause: encodeJob did not write the field.

Evidence: read in the code; no run failed before.

Change: the field is sent if a step has a limit. The order of random draws is as before; where long-running jobs of PEAKS run is not.

--- a/src/main/java/org/laburnumarch/internal/platform/CallerClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/CallerClient.java
@@ -108,6 +108,9 @@
       if (step.isLongRunning()) {
         node.put("longRunning", true).put("mayMiss", step.maxUnavailable());
       }
+      if (step.maxPerWorker() > 0) {
+        node.put("antiAffinity", step.maxPerWorker());
+      }
       if (step.isSpeculative()) {
         node.put("speculative", true);
       }
