Limit the tasks on one worker for some steps of the PEAKS load

What callers saw: nothing; the soak could not show faults of such steps.

Change: a tenth of the steps of quotes gets a limit of one or two.

--- a/src/main/java/org/laburnumarch/internal/job/JobSpec.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobSpec.java
@@ -32,6 +32,20 @@
     steps = List.copyOf(steps);
   }
 
+  /** Returns this job with other steps. */
+  public JobSpec withSteps(List<StepSpec> otherSteps) {
+    return new JobSpec(
+        id,
+        queue,
+        team,
+        program,
+        otherSteps,
+        repeatCount,
+        firstDueEpochMs,
+        periodMs,
+        submittedEpochMs);
+  }
+
   /** Returns the number of occurrences, at least 1. */
   public int occurrences() {
     return Math.max(1, repeatCount);
--- a/src/main/java/org/laburnumarch/internal/job/StepSpec.java
+++ b/src/main/java/org/laburnumarch/internal/job/StepSpec.java
@@ -91,6 +91,27 @@
         maxUnavailable);
   }
 
+  /** Returns this step with a limit of its tasks on one worker. */
+  public StepSpec withMaxPerWorker(int limit) {
+    return new StepSpec(
+        count,
+        need,
+        estimatedRunMs,
+        after,
+        isCheckpointing,
+        isGang,
+        isRackSensitive,
+        requiredLabel,
+        dataRack,
+        limit,
+        isSpeculative,
+        isLongRunning,
+        image,
+        tailLatencyTargetMs,
+        isFiller,
+        maxUnavailable);
+  }
+
   /**
    * Returns the resources that a task reserves on its worker; a filler reserves no processor time.
    */
--- a/src/main/java/org/laburnumarch/internal/soak/PeakJobs.java
+++ b/src/main/java/org/laburnumarch/internal/soak/PeakJobs.java
@@ -34,6 +34,11 @@
   private static final double REPEATED_FRACTION = 0.05;
   private static final int MAX_REPEAT_MS = 5_000;
 
+  /** Fraction of the steps of quotes that limit their tasks on one worker. */
+  private static final double LIMITED_FRACTION = 0.1;
+
+  private static final int MAX_TASKS_PER_WORKER = 2;
+
   /** Jobs with each unusual program among this many. */
   private static final int ONE_FAILS_OFTEN_IN = 30;
 
@@ -42,10 +47,10 @@
 
   /** A queue, its pool, and the size of its tasks. */
   enum Queue {
-    QUOTES_NORTH("quotes-north", 6, 4.32, 1.6, 6, 2_100, 2_000, 800, 0),
-    PAYOUTS_CENTRAL("payouts-central", 6, 0.64, 2, 8, 4_500, 4_500, 1_700, 1),
-    QUOTES_SOUTH("quotes-south", 8, 5.4, 1.6, 6, 2_100, 2_000, 800, 0),
-    PAYOUTS_WEST("payouts-west", 9, 0.783, 2, 8, 4_500, 4_500, 1_700, 1);
+    QUOTES_NORTH("quotes-north", 6, 4.32, 1.6, 6, 2_100, 2_000, 800, 0, LIMITED_FRACTION),
+    PAYOUTS_CENTRAL("payouts-central", 6, 0.64, 2, 8, 4_500, 4_500, 1_700, 1, 0),
+    QUOTES_SOUTH("quotes-south", 8, 5.4, 1.6, 6, 2_100, 2_000, 800, 0, LIMITED_FRACTION),
+    PAYOUTS_WEST("payouts-west", 9, 0.783, 2, 8, 4_500, 4_500, 1_700, 1, 0);
 
     private final String label;
     private final int workers;
@@ -56,6 +61,7 @@
     private final long meanMemoryMb;
     private final long meanRunMs;
     private final int priority;
+    private final double limitedFraction;
 
     Queue(
         String label,
@@ -66,7 +72,8 @@
         long meanCpuMillis,
         long meanMemoryMb,
         long meanRunMs,
-        int priority) {
+        int priority,
+        double limitedFraction) {
       this.label = label;
       this.workers = workers;
       this.jobsPerSecond = jobsPerSecond;
@@ -76,6 +83,7 @@
       this.meanMemoryMb = meanMemoryMb;
       this.meanRunMs = meanRunMs;
       this.priority = priority;
+      this.limitedFraction = limitedFraction;
     }
 
     /** Returns the pool that serves the queue; it has the queue's name. */
@@ -96,6 +104,19 @@
       return List.of(new Route(label, pool(), priority), new Route(longRunningQueue(), pool(), 0));
     }
 
+    private JobSpec withLimits(JobSpec job) {
+      // A source of its own, by the job, keeps later draws of a seed as they are without limits.
+      Random limits = new Random(job.id().hashCode());
+      return job.withSteps(
+          job.steps().stream()
+              .map(
+                  step ->
+                      limits.nextDouble() < limitedFraction
+                          ? step.withMaxPerWorker(1 + limits.nextInt(MAX_TASKS_PER_WORKER))
+                          : step)
+              .toList());
+    }
+
     private List<StepSpec> steps(Random random) {
       int count = 1;
       while (count < 4 && random.nextDouble() < 1 - 1 / meanSteps) {
@@ -182,7 +203,7 @@
     for (Queue queue : queues) {
       double factor = queue == busy ? PEAK_FACTOR : IDLE_FACTOR;
       if (random.nextDouble() < queue.jobsPerSecond * factor * SECONDS_PER_INTERVAL) {
-        due.add(job(queue.label, program(), queue.steps(random)));
+        due.add(queue.withLimits(job(queue.label, program(), queue.steps(random))));
       }
     }
     if (!areLongRunningSubmitted && elapsedMs >= LONG_RUNNING_FROM_MS) {
