Run the soak with dozens of steps at their limit for each worker

The soak could not show it on real processes: it had one long-running job a pool and no short steps with a limit for each worker.

Change: the load LIMITED_TASKS. Two pools of three workers run 28 long-running jobs each that need four workers, until their callers cancel them; short jobs, most with a limit for each worker, have to start behind them. In a third pool the long-running jobs wait while two workers are missing. The checkers are unchanged.

--- a/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
@@ -135,6 +135,40 @@
     JobSource jobs(Random random, SuspendAwareClock clock) {
       return new PeakJobs(random, clock);
     }
+  },
+  /**
+   * Small pools with many steps that limit their tasks on one worker, so that dozens of them wait
+   * for other workers at a time.
+   */
+  LIMITED_TASKS(90_000) {
+    @Override
+    PlatformLayout layout() {
+      Map<String, Integer> poolSizes = new HashMap<>();
+      Arrays.stream(LimitedJobs.Queue.values())
+          .forEach(queue -> poolSizes.put(queue.pool(), queue.workers()));
+      poolSizes.put(PlatformStandIn.SPARE_POOL, 0);
+      return new PlatformLayout(
+          poolSizes,
+          Arrays.stream(LimitedJobs.Queue.values())
+              .flatMap(queue -> queue.routes().stream())
+              .toList(),
+          PlatformStandIn.SPARE_POOL,
+          List.of("north"),
+          4,
+          new Resources(32_000, 65_536, 0),
+          20,
+          400,
+          500,
+          0.98,
+          true,
+          PlatformLayout.equalTeams(400_000),
+          40);
+    }
+
+    @Override
+    JobSource jobs(Random random, SuspendAwareClock clock) {
+      return new LimitedJobs(random, clock);
+    }
   };
 
   private static final int WORKERS_PER_POOL = 10;
