--- a/src/main/java/org/laburnumarch/internal/job/JobSpec.java
+++ b/src/main/java/org/laburnumarch/internal/job/JobSpec.java
@@ -74,6 +74,21 @@
         acceptedService);
   }
 
+  /** Returns this job with other steps. */
+  public JobSpec withSteps(List<StepSpec> otherSteps) {
+    return new JobSpec(
+        id,
+        queue,
+        team,
+        program,
+        otherSteps,
+        repeatCount,
+        firstDueEpochMs,
+        periodMs,
+        submittedEpochMs,
+        service);
+  }
+
   /** Returns the number of occurrences, at least 1. */
   public int occurrences() {
     return Math.max(1, repeatCount);
