Count calls that a later process of a worker may execute late

Cause: a run that no report has listed counted until the longest lease after the call was sent or given up, and not after its last possible execution. The header X-Target-Instance does not help: it holds the id of the worker (the registry and X-Instance-Id show the same value), and the id stays the same after a restart.

Change: PlatformHttpClient tells each call when its connection was made. A connection ends with the process that accepted it, so a call over one that was made before the last sign of the known process can reach no later one. After any other start or renewal of leases without an answer, a run there counts for 18 s (the time that is used for a known restart), unless a report has listed it, the clock in the reply to its start shows the known process, or that process reports later.

Cost: none for calls over connections older than the worker's last sign of life, which a cut or a crash leaves unanswered: shouldNotWaitForALaterIncarnation ThatACallCannotReach, 6.2 s from the last call as before. A task whose start, or next renewal, got no answer over a newer connection stands for up to 18 s if its worker stays silent, instead of 6.2 s.

Not covered: such calls of an earlier owner (RunningEarlierOwnerTest, still in KNOWN-RED.txt); its successor does not know over which connections they went.

--- a/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
+++ b/src/main/java/org/laburnumarch/internal/http/PlatformHttpClient.java
@@ -4,11 +4,16 @@
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.context.api.ContextMap;
+import io.servicetalk.http.api.FilterableStreamingHttpConnection;
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.api.SingleAddressHttpClientBuilder;
+import io.servicetalk.http.api.StreamingHttpConnectionFilter;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
 import io.servicetalk.http.netty.HttpClients;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
@@ -26,6 +31,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.laburnumarch.spi.PlatformException;
 import org.tinylog.Logger;
 
@@ -46,8 +53,12 @@
    */
   public static final int CONNECT_TIMEOUT_MS = 300;
 
+  private static final ContextMap.Key<LongConsumer> CONNECTION_LISTENER =
+      ContextMap.Key.newKey("connectionListener", LongConsumer.class);
+
   private final InetSocketAddress address;
   private final Optional<EventLoopThread> loop;
+  private final LongSupplier clock;
 
   /** The client in use; null before the first call and after a failed one. */
   private final AtomicReference<HttpClient> current;
@@ -60,7 +71,7 @@
    * @param address IP address and port of the platform's service
    */
   public PlatformHttpClient(InetSocketAddress address) {
-    this(address, Optional.empty());
+    this(address, Optional.empty(), System::nanoTime);
   }
 
   /**
@@ -70,12 +81,26 @@
    * @param loop the event loop
    */
   public PlatformHttpClient(InetSocketAddress address, EventLoopThread loop) {
-    this(address, Optional.of(loop));
+    this(address, Optional.of(loop), System::nanoTime);
   }
 
-  private PlatformHttpClient(InetSocketAddress address, Optional<EventLoopThread> loop) {
+  /**
+   * Creates a client that tells the age of its connections, and whose sockets, timers and callbacks
+   * run on the thread of an event loop.
+   *
+   * @param address IP address and port of the platform's service
+   * @param loop the event loop
+   * @param clock measures when connections are made
+   */
+  public PlatformHttpClient(InetSocketAddress address, EventLoopThread loop, LongSupplier clock) {
+    this(address, Optional.of(loop), clock);
+  }
+
+  private PlatformHttpClient(
+      InetSocketAddress address, Optional<EventLoopThread> loop, LongSupplier clock) {
     this.address = Objects.requireNonNull(address, "address");
     this.loop = loop;
+    this.clock = clock;
     this.current = new AtomicReference<>();
   }
 
@@ -130,12 +155,36 @@
       byte[] body,
       long timeoutMs,
       Function<Response, T> parse) {
+    return call(method, target, headers, body, timeoutMs, connectedAt -> {}, parse);
+  }
+
+  /**
+   * Sends one request with additional headers.
+   *
+   * @param method the HTTP method
+   * @param target path and query
+   * @param headers names and values of the headers to add
+   * @param body the request's body; may be empty
+   * @param timeoutMs time limit of the call, in milliseconds
+   * @param onConnection is told the time by which the connection was made, before the request is
+   *     sent over it
+   * @param parse converts the response to the result or throws {@link PlatformException}
+   */
+  public <T> CompletionStage<T> call(
+      HttpRequestMethod method,
+      String target,
+      Map<String, String> headers,
+      byte[] body,
+      long timeoutMs,
+      LongConsumer onConnection,
+      Function<Response, T> parse) {
     if (isClosed) {
       return CompletableFuture.failedStage(
           PlatformException.withoutEffect("the connections to " + address + " are closed", null));
     }
     HttpClient client = openedClient();
     HttpRequest request = client.newRequest(method, target);
+    request.context().put(CONNECTION_LISTENER, onConnection);
     headers.forEach(request::addHeader);
     if (body.length > 0) {
       request.payloadBody(client.executionContext().bufferAllocator().wrap(body));
@@ -234,9 +283,33 @@
         .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         // The callers decide which calls may be repeated.
         .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
+        .appendConnectionFilter(connection -> new TimedConnection(connection, clock.getAsLong()))
         .build();
   }
 
+  /** Tells each call when its connection was made. */
+  @SuppressWarnings("try") // close() of the library may throw InterruptedException.
+  private static final class TimedConnection extends StreamingHttpConnectionFilter {
+    private final long connectedAt;
+
+    TimedConnection(FilterableStreamingHttpConnection connection, long connectedAt) {
+      super(connection);
+      this.connectedAt = connectedAt;
+    }
+
+    @Override
+    public Single<StreamingHttpResponse> request(StreamingHttpRequest request) {
+      return Single.defer(
+          () -> {
+            LongConsumer listener = request.context().get(CONNECTION_LISTENER);
+            if (listener != null) {
+              listener.accept(connectedAt);
+            }
+            return delegate().request(request).shareContextOnSubscribe();
+          });
+    }
+  }
+
   /** Closes all connections; calls in flight fail. */
   @Override
   public void close() {
--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Pattern;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerTenure;
@@ -210,7 +211,8 @@
       known.client().close();
     }
     WorkerClient created =
-        new WorkerClient(listing.get().address(), workerId, loop, new MeteredTraffic(meters));
+        new WorkerClient(
+            listing.get().address(), workerId, loop, clock::nowMs, new MeteredTraffic(meters));
     connections.put(workerId, new Connection(listing.get(), created));
     return Optional.of(created);
   }
@@ -359,10 +361,15 @@
     }
     inFlight.add(renewal.workerId());
     long requestedAtMs = clock.nowMs();
+    AtomicLong connectedAtMs = new AtomicLong(Long.MAX_VALUE);
     client
         .get()
         .renew(
-            renewal.leaseEndClockMs(), tenure.term(), renewal.acknowledgedEnd(), renewal.waitMs())
+            renewal.leaseEndClockMs(),
+            tenure.term(),
+            renewal.acknowledgedEnd(),
+            renewal.waitMs(),
+            connectedAtMs::set)
         .whenComplete(
             EventLoopThread.logged(
                 (report, failure) -> {
@@ -371,7 +378,7 @@
                     return;
                   }
                   if (failure != null) {
-                    onRenewalFailed(renewal, requestedAtMs, failure);
+                    onRenewalFailed(renewal, requestedAtMs, connectedAtMs.get(), failure);
                   } else {
                     logEnds(renewal.workerId(), report);
                     scheduler
@@ -398,13 +405,21 @@
     }
   }
 
-  private void onRenewalFailed(Renewal renewal, long requestedAtMs, Throwable failure) {
+  private void onRenewalFailed(
+      Renewal renewal, long requestedAtMs, long connectedAtMs, Throwable failure) {
     Throwable cause = PlatformFailures.unwrap(failure);
     Logger.info(
         "workers: event=no-report worker={} cause={}", renewal.workerId(), cause.getMessage());
     ReportFailure kind = PlatformFailures.reportFailure(failure);
     meters.count("reports_missed_total", kind.name());
-    scheduler.onReportMissed(renewal.workerId(), kind, requestedAtMs, clock.nowMs());
+    boolean mayHaveRenewed =
+        renewal.leaseEndClockMs() >= 0 && PlatformFailures.mayHaveTakenEffect(failure);
+    scheduler.onReportMissed(
+        renewal.workerId(),
+        kind,
+        requestedAtMs,
+        mayHaveRenewed ? connectedAtMs : Long.MIN_VALUE,
+        clock.nowMs());
     if (cause instanceof WorkerRefusalException refusal && refusal.outcome() == Outcome.FENCED) {
       listener.onFenced("worker " + renewal.workerId());
     }
--- a/src/main/java/org/laburnumarch/internal/platform/WorkerClient.java
+++ b/src/main/java/org/laburnumarch/internal/platform/WorkerClient.java
@@ -5,7 +5,10 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.http.PlatformHttpClient;
 import org.laburnumarch.internal.http.PlatformHttpClient.Response;
@@ -38,13 +41,18 @@
    * @param workerId id under which the worker is listed; a worker with another id refuses the
    *     orders
    * @param loop event loop that runs sockets and callbacks
+   * @param clock measures when connections are made, in milliseconds
    * @param traffic is told the size of each message
    */
   public WorkerClient(
-      InetSocketAddress address, String workerId, EventLoopThread loop, WorkerTraffic traffic) {
+      InetSocketAddress address,
+      String workerId,
+      EventLoopThread loop,
+      LongSupplier clock,
+      WorkerTraffic traffic) {
     this.traffic = traffic;
-    this.orders = new PlatformHttpClient(address, loop);
-    this.reports = new PlatformHttpClient(address, loop);
+    this.orders = new PlatformHttpClient(address, loop, clock);
+    this.reports = new PlatformHttpClient(address, loop, clock);
     this.headers = Map.of("X-Target-Instance", workerId, "Content-Type", "application/json");
   }
 
@@ -105,8 +113,17 @@
   }
 
   private CompletionStage<OrderReply> sendOrder(String kind, String target, ObjectNode body) {
-    return call(orders, kind, target, body, ORDER_TIMEOUT_MS, WorkerClient::toOrderReply)
-        .exceptionally(WorkerClient::replyAfterFailure);
+    AtomicLong connectedAtMs = new AtomicLong(Long.MAX_VALUE);
+    return call(
+            orders,
+            kind,
+            target,
+            body,
+            ORDER_TIMEOUT_MS,
+            connectedAtMs::set,
+            WorkerClient::toOrderReply)
+        .exceptionally(WorkerClient::replyAfterFailure)
+        .thenApply(reply -> reply.withConnectedAtMs(connectedAtMs.get()));
   }
 
   private <T> CompletionStage<T> call(
@@ -115,6 +132,7 @@
       String target,
       ObjectNode body,
       long timeoutMs,
+      LongConsumer onConnection,
       Function<Response, T> parse) {
     byte[] request = Json.encode(body);
     traffic.onRequest(kind, request.length);
@@ -124,6 +142,7 @@
         headers,
         request,
         timeoutMs,
+        onConnection,
         response -> {
           traffic.onResponse(kind, response.bytes().length);
           return parse.apply(response);
@@ -144,9 +163,15 @@
    * @param fencingToken the owner's term
    * @param acknowledgedEnd number of the last ended run that the worker need no longer list
    * @param waitMs how long the worker may delay its report until a run ends, in milliseconds
+   * @param onConnection is told the time by which the connection was made, before the request is
+   *     sent over it
    */
   public CompletionStage<WorkerReport> renew(
-      long leaseEndClockMs, long fencingToken, long acknowledgedEnd, long waitMs) {
+      long leaseEndClockMs,
+      long fencingToken,
+      long acknowledgedEnd,
+      long waitMs,
+      LongConsumer onConnection) {
     ObjectNode body =
         Json.object().put("fenceToken", fencingToken).put("ackCursor", acknowledgedEnd);
     if (leaseEndClockMs >= 0) {
@@ -161,6 +186,7 @@
         "/v1/hold",
         body,
         waitMs + REPORT_TIMEOUT_MS,
+        onConnection,
         WorkerClient::toWorkerReport);
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Attempt.java
@@ -51,6 +51,9 @@
    */
   boolean isOfNextIncarnation;
 
+  /** Whether the worker's known incarnation has certainly confirmed the start. */
+  boolean isConfirmedByKnownIncarnation;
+
   /** Whether the worker has reported the run a while after its start. */
   boolean hasSurvivedStart;
 
@@ -149,6 +152,7 @@
       stopAsUnanswered();
     }
     isOfNextIncarnation = false;
+    isConfirmedByKnownIncarnation = false;
     absentSinceMs = -1;
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/OrderReply.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/OrderReply.java
@@ -5,8 +5,20 @@
  *
  * @param outcome the outcome of the order
  * @param workerClockMs the worker's steady clock when it replied; -1 if the reply has none
+ * @param connectedAtMs local time by which the connection was made over which the order was sent;
+ *     {@link Long#MAX_VALUE} if that is not known
  */
-public record OrderReply(Outcome outcome, long workerClockMs) {
+public record OrderReply(Outcome outcome, long workerClockMs, long connectedAtMs) {
+
+  /** Creates a reply over a connection of unknown age. */
+  public OrderReply(Outcome outcome, long workerClockMs) {
+    this(outcome, workerClockMs, Long.MAX_VALUE);
+  }
+
+  /** Returns the same reply over a connection that was made by a local time. */
+  public OrderReply withConnectedAtMs(long newConnectedAtMs) {
+    return new OrderReply(outcome, workerClockMs, newConnectedAtMs);
+  }
 
   /** Outcome of an order. */
   public enum Outcome {
--- a/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RenewalPolicy.java
@@ -163,6 +163,7 @@
       return Optional.of(new Renewal(worker.id, -1, 0, 0));
     }
     long leaseEndClockMs = worker.requestLease(settings.leaseMs(), nowMs);
+    worker.onLeaseRenewalSent(nowMs);
     boolean isAckWithheld = worker.hasUnsentAcknowledgement() && acknowledgement == 0;
     boolean isAwaited =
         worker.ends.hasUnacknowledged()
--- a/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/RunTracker.java
@@ -147,6 +147,8 @@
       case OBEYED -> {
         attempt.phase = Attempt.Phase.RUNNING;
         attempt.isOfNextIncarnation = isClockSetBack;
+        attempt.isConfirmedByKnownIncarnation =
+            worker.isClockOfKnownIncarnation(reply.workerClockMs(), nowMs);
         attempt.confirmedAtMs = nowMs;
         attempt.confirmedClockMs = reply.workerClockMs();
       }
@@ -154,6 +156,7 @@
         attempt.phase = Attempt.Phase.UNANSWERED;
         attempt.lookUpDeadlineAtMs = nowMs + LOOK_UP_MS;
         attempt.isStartUncertain = true;
+        worker.onLeaseUnanswered(reply.connectedAtMs(), nowMs);
         worker.blockedUntilMs = Math.max(worker.blockedUntilMs, nowMs + REFUSAL_PAUSE_MS);
       }
       case NO_ROOM, LATE -> onRefused(attempt, REFUSAL_PAUSE_MS, nowMs);
@@ -221,6 +224,7 @@
     worker.incarnationShownAtMs = nowMs;
     worker.recordClock(report.workerClockMs(), nowMs);
     worker.recordAlive(report.workerClockMs(), requestedAtMs);
+    worker.onReportArrived(requestedAtMs);
     if (!worker.isFenced && earlierLeaseMs.isPresent()) {
       // What earlier owners have requested is not known, and no worker grants more than this.
       worker.leaseEndClockMs =
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -610,10 +610,26 @@
    */
   public void onReportMissed(
       String workerId, ReportFailure failure, long requestedAtMs, long nowMs) {
+    boolean maybeSent = failure == ReportFailure.NO_ANSWER;
+    long connectedAtMs = maybeSent ? Long.MAX_VALUE : Long.MIN_VALUE;
+    onReportMissed(workerId, failure, requestedAtMs, connectedAtMs, nowMs);
+  }
+
+  /**
+   * Records that a worker did not report.
+   *
+   * @param requestedAtMs local time at which the report was requested
+   * @param connectedAtMs local time by which the connection was made over which the request was
+   *     sent; {@link Long#MAX_VALUE} if that is not known, {@link Long#MIN_VALUE} if it was not
+   *     sent or renews no lease
+   */
+  public void onReportMissed(
+      String workerId, ReportFailure failure, long requestedAtMs, long connectedAtMs, long nowMs) {
     Worker worker = workers.find(workerId);
     if (worker == null) {
       return;
     }
+    worker.onReportUnanswered(requestedAtMs, connectedAtMs, nowMs);
     firstReports.onSettled(worker);
     worker.lostAtMs = worker.missedReports == 0 ? nowMs : worker.lostAtMs;
     worker.missedReports++;
--- a/src/main/java/org/laburnumarch/internal/schedule/Worker.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Worker.java
@@ -113,6 +113,18 @@
    */
   private long earlierLeasesOverAtMs = Long.MIN_VALUE;
 
+  /**
+   * Local time until which a later incarnation than the known one may have a lease by a call that
+   * got no answer. The call may have reached that incarnation and may be executed seconds later.
+   */
+  private long strayLeasesOverAtMs = Long.MIN_VALUE / 2;
+
+  /** Local time at which the last such call was given up. */
+  private long strayCallGivenUpAtMs = Long.MIN_VALUE / 2;
+
+  /** Local time at which a renewal of leases was sent that is not settled; -1 if there is none. */
+  private long unsettledRenewalAtMs = -1;
+
   /** Highest acknowledgement that was sent in a renewal. */
   long sentAcknowledgement;
 
@@ -284,6 +296,51 @@
     }
   }
 
+  /** Records that a renewal of leases is sent. */
+  void onLeaseRenewalSent(long nowMs) {
+    unsettledRenewalAtMs = nowMs;
+  }
+
+  /**
+   * Records that a report has arrived. If the known incarnation goes on after an unanswered call
+   * was given up, no later one existed that could have received the call.
+   */
+  void onReportArrived(long requestedAtMs) {
+    if (requestedAtMs >= unsettledRenewalAtMs) {
+      unsettledRenewalAtMs = -1;
+    }
+    if (requestedAtMs >= strayCallGivenUpAtMs) {
+      strayLeasesOverAtMs = Long.MIN_VALUE / 2;
+    }
+  }
+
+  /**
+   * Records that a request for a report was given up.
+   *
+   * @param connectedAtMs local time by which its connection was made; {@link Long#MIN_VALUE} if the
+   *     request has certainly renewed no lease
+   */
+  void onReportUnanswered(long requestedAtMs, long connectedAtMs, long nowMs) {
+    boolean mayHaveRenewed = connectedAtMs != Long.MIN_VALUE;
+    if (mayHaveRenewed && unsettledRenewalAtMs >= 0 && requestedAtMs >= unsettledRenewalAtMs) {
+      unsettledRenewalAtMs = -1;
+      onLeaseUnanswered(connectedAtMs, nowMs);
+    }
+  }
+
+  /**
+   * Records that a call which requests a lease was given up. A connection that was made while the
+   * known incarnation was running ends with it, so the call cannot reach a later one.
+   *
+   * @param connectedAtMs local time by which its connection was made
+   */
+  void onLeaseUnanswered(long connectedAtMs, long nowMs) {
+    if (connectedAtMs > aliveAtMs) {
+      strayCallGivenUpAtMs = nowMs;
+      strayLeasesOverAtMs = nowMs + UNKNOWN_INCARNATION_MS;
+    }
+  }
+
   RunLocations.Incarnation incarnation() {
     return new RunLocations.Incarnation(id, startedEpochMs);
   }
@@ -327,6 +384,14 @@
     return aliveAtMs >= nowMs - durationMs;
   }
 
+  /**
+   * Returns whether only the known incarnation can have read its clock so now: a later one began
+   * some time after the last sign of the known one, with its clock at 0.
+   */
+  boolean isClockOfKnownIncarnation(long workerClockMs, long nowMs) {
+    return aliveAtMs != Long.MIN_VALUE && workerClockMs >= nowMs - aliveAtMs;
+  }
+
   /** Returns a lower bound of the worker's clock, apart from clock drift. */
   long clockMs(long nowMs) {
     return clockReadingMs + (nowMs - clockReadAtMs);
@@ -369,12 +434,17 @@
   /**
    * Returns the local time from which a run there has certainly lost its lease. A run that no
    * report has listed may be one of a later incarnation than the known one, and that may have
-   * granted any lease on orders that were meant for the known one.
+   * granted any lease on orders that were meant for the known one, also some time after these were
+   * given up.
    */
   long expiresAtMs(Attempt attempt, SchedulerSettings settings) {
-    return attempt.isListed
-        ? leasesExpireAtMs()
-        : Math.max(leasesExpireAtMs(), leaseRequestedAtMs + settings.longestLeaseMs());
+    if (attempt.isListed) {
+      return leasesExpireAtMs();
+    }
+    long expiresAtMs = Math.max(leasesExpireAtMs(), leaseRequestedAtMs + settings.longestLeaseMs());
+    return attempt.isConfirmedByKnownIncarnation
+        ? expiresAtMs
+        : Math.max(expiresAtMs, strayLeasesOverAtMs);
   }
 
   /** Returns the local time from which all runs there have certainly lost their leases. */
--- a/src/test/java/org/laburnumarch/internal/http/PlatformHttpClientTest.java
+++ b/src/test/java/org/laburnumarch/internal/http/PlatformHttpClientTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -289,6 +290,50 @@
     }
   }
 
+  @Nested
+  class WhenACallGetsNoAnswer {
+
+    private long connectedAt(PlatformHttpClient client) throws Exception {
+      AtomicLong connectedAt = new AtomicLong(-1);
+      loop.call(
+              () ->
+                  client
+                      .call(
+                          HttpRequestMethod.POST,
+                          "/",
+                          Map.of(),
+                          SMALL,
+                          TIMEOUT_MS,
+                          connectedAt::set,
+                          Response::status)
+                      .handle((status, failure) -> status))
+          .toCompletableFuture()
+          .join();
+      return connectedAt.get();
+    }
+
+    /** Guards against a call on a new connection that counts as one on an older connection. */
+    @Test
+    void shouldTellWhenItsConnectionWasMade() throws Exception {
+      AtomicLong clock = new AtomicLong(1);
+      Handler handler =
+          (socket, read) -> {
+            if (read == 1) {
+              answer(socket, ANSWER);
+            }
+            return true;
+          };
+      try (RecordingServer server = new RecordingServer(-1, handler);
+          PlatformHttpClient client = new PlatformHttpClient(server.address(), loop, clock::get)) {
+        assertThat(connectedAt(client)).isEqualTo(1);
+        clock.set(5);
+        assertThat(connectedAt(client)).as("without an answer").isEqualTo(1);
+        clock.set(9);
+        assertThat(connectedAt(client)).as("on the next connection").isEqualTo(9);
+      }
+    }
+  }
+
   @Nested
   class WhenTheServerClosesAnIdleConnection {
 
--- a/src/test/java/org/laburnumarch/internal/platform/WorkerClientTest.java
+++ b/src/test/java/org/laburnumarch/internal/platform/WorkerClientTest.java
@@ -28,6 +28,7 @@
                 new InetSocketAddress(loopback, listener.getLocalPort()),
                 "w1",
                 loop,
+                () -> 0,
                 mock(WorkerTraffic.class))) {
       assertThat(first.isConnected() && second.isConnected()).as("the queue is full").isTrue();
       OrderReply reply =
@@ -37,4 +38,25 @@
       assertThat(reply.outcome()).isEqualTo(Outcome.UNREACHABLE);
     }
   }
+
+  /** Guards against an order that counts for long because nobody knows which process got it. */
+  @Test
+  void shouldTellWhenTheConnectionOfAnUnansweredOrderWasMade() throws Exception {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (ServerSocket listener = new ServerSocket(0, 1, loopback);
+        EventLoopThread loop = new EventLoopThread();
+        WorkerClient client =
+            new WorkerClient(
+                new InetSocketAddress(loopback, listener.getLocalPort()),
+                "w1",
+                loop,
+                () -> 7,
+                mock(WorkerTraffic.class))) {
+      OrderReply reply =
+          loop.call(() -> client.start("0000000000000001.0.0.0", 1, "", 1_000, 1, "", ""))
+              .toCompletableFuture()
+              .join();
+      assertThat(reply).isEqualTo(new OrderReply(Outcome.UNKNOWN, -1, 7));
+    }
+  }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/RestartedWorkerTest.java
@@ -609,6 +609,28 @@
       goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
     }
 
+    /** Guards against a long wait after each call that a cut path leaves without an answer. */
+    @Test
+    void shouldNotWaitForALaterIncarnationThatACallCannotReach() {
+      passTime(100_000);
+      long connectedAtMs = nowMs;
+      acceptJobWithOneTask();
+      Order.Start start = starts().get(0);
+      nowMs += 50;
+      long requestedAtMs = nowMs;
+      Renewal renewal = scheduler.renewal(start.workerId(), nowMs).orElseThrow();
+      assertThat(renewal.leaseEndClockMs()).isPositive();
+      nowMs += 400;
+      OrderReply unanswered = new OrderReply(Outcome.UNKNOWN, -1, connectedAtMs);
+      scheduler.onStartReply(start, unanswered, nowMs);
+      long givenUpAtMs = nowMs;
+      nowMs += 1_300;
+      scheduler.onReportMissed(
+          start.workerId(), ReportFailure.NO_ANSWER, requestedAtMs, connectedAtMs, nowMs);
+      goSilentAndAssertThatTheTaskStartsAfterItsRun(workers.get(start.workerId()));
+      assertThat(nowMs - givenUpAtMs).isLessThan(TestJobs.SETTINGS.longestLeaseMs() + 200);
+    }
+
     @Test
     void shouldNotRunATaskTwiceThatAnEarlierOwnerStarted() {
       Order.Start start = orderToARestartedWorker();
