Check the limits for each worker at each start of the soak

Change: InvariantChecker records a breach if a worker has more runs of a step than its limit allows.

--- a/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
@@ -398,6 +398,11 @@
         recordBreach("ORDER", runDescription + " starts before step " + earlier + " is done");
       }
     }
+    String stepName = task.substring(0, task.lastIndexOf('.') + 1);
+    if (step.maxPerWorker() > 0 && worker.countRuns(stepName) > step.maxPerWorker()) {
+      recordBreach(
+          "ROUTE", runDescription + " exceeds the step's limit of " + step.maxPerWorker());
+    }
     if (TaskProgram.of(submitted.job.program()) == TaskProgram.CRASHES) {
       fatalStartListener.accept(worker);
     }
