Let pools whose gangs together need too many instances take turns

What callers would see: two accepted gangs of different pools that never start, although the fleet has room for one after the other.

Cause: since each pool wants the workers that its gang needs at once if the whole fleet has that many. Pools share instances in proportion, so that each gets a part that is of no use to it.

Change: the gangs of a pool count only as far as all pools have their least sizes and long-running tasks beside them.

--- a/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
+++ b/src/main/java/org/laburnumarch/internal/pool/FleetPlanner.java
@@ -126,6 +126,7 @@
   /** When instances last gave up their place in a wave; the others go first. */
   private final Map<String, Long> maintenanceGivenUpAtMs = new HashMap<>();
 
+  private final GangTurns gangTurns = new GangTurns();
   private final Map<String, Long> surplusSinceMs = new HashMap<>();
   private final Set<String> impossibleOrders = new HashSet<>();
   private Map<String, Machine> machines = Map.of();
@@ -514,11 +515,13 @@
             projectedSizes(outOfServiceDataCentres), usableSizes(loads, outOfServiceDataCentres));
     Map<String, Integer> wanted = new TreeMap<>();
     Map<String, PoolNeed> needs = new TreeMap<>();
+    List<String> poolsWithTurn =
+        gangTurns.choose(claims(config, demands, sizes), sizes.total(), nowMs);
     for (ServiceConfig service : config.services().values()) {
       if (!service.isSpare()) {
         String pool = service.name();
         PoolDemand demand = demands.getOrDefault(pool, PoolDemand.NONE);
-        int gang = possibleGangWorkers(demand, sizes.total());
+        int gang = poolsWithTurn.contains(pool) ? demand.gangWorkers() : 0;
         int size = Math.min(wantedSize(pool, demand, gang), sizes.total());
         wanted.put(pool, size);
         needs.put(
@@ -575,11 +578,20 @@
     }
   }
 
-  /** Returns the workers that gangs need at once; 0 if all instances together do not suffice. */
-  private static int possibleGangWorkers(PoolDemand demand, int instances) {
-    return demand.gangWorkers() + demand.longRunningWorkers() <= instances
-        ? demand.gangWorkers()
-        : 0;
+  private Map<String, GangTurns.Claim> claims(
+      FleetConfig config, Map<String, PoolDemand> demands, PoolSizes sizes) {
+    Map<String, GangTurns.Claim> claims = new HashMap<>();
+    for (ServiceConfig service : config.services().values()) {
+      if (!service.isSpare()) {
+        String pool = service.name();
+        PoolDemand demand = demands.getOrDefault(pool, PoolDemand.NONE);
+        int longRunning = (int) Math.ceil(demand.longRunningWorkers());
+        int without = Math.max(leastSize(pool, demand), longRunning);
+        int with = Math.max(without, demand.gangWorkers() + longRunning);
+        claims.put(pool, new GangTurns.Claim(without, with, sizes.reliable(pool)));
+      }
+    }
+    return claims;
   }
 
   private int wantedSize(String pool, PoolDemand demand, int gangWorkers) {
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -304,6 +304,21 @@
           .isGreaterThanOrEqualTo(4);
     }
 
+    /** Guards against a gang that waits for as long as gangs of another pool come. */
+    @Test
+    void shouldGiveEachOfTwoPoolsATurnForItsGangs() {
+      Map<String, GangTurns.Claim> claims =
+          Map.of("desk", new GangTurns.Claim(1, 4, 4), "office", new GangTurns.Claim(1, 4, 1));
+      GangTurns turns = new GangTurns();
+      Set<String> chosen = new HashSet<>();
+      for (long endMs = nowMs + 30_000; nowMs < endMs; nowMs += 100) {
+        List<String> atOnce = turns.choose(claims, 6, nowMs);
+        assertThat(atOnce).hasSize(1);
+        chosen.addAll(atOnce);
+      }
+      assertThat(chosen).containsExactlyInAnyOrder("desk", "office");
+    }
+
     @Test
     void shouldMoveNoInstancesForAGangThatIsTooWideForTheWholeFleet() {
       assertThat(planForAGang(10)).isEmpty();
