Come to all workers in turn although their order changes

What callers would see: runs that lose their leases, on workers with a healthy path, while many other workers are silent and the owner has little processor time.

Cause: a round that ends after 50 ms goes on at the worker where it ended, but silent workers are listed first, sorted by their last request. Those that were asked go behind the next silent one, so rounds never came past the silent ones if their requests take as long as they wait to be asked again.

Evidence: WorkerDriverTest#shouldAskTheOthersWhileSilentWorkersAreAlwaysDue failed on: beside 48 silent workers that cost 20 ms each and are due again after 800 ms, a worker that has reported was not asked in 10 s. Not seen on real processes.

Change: rounds remember which workers they have come to until one has come to all.

Result: the test passes, with the others of the class.

--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -1,7 +1,5 @@
 package org.laburnumarch.internal.node;
 
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -51,8 +49,8 @@
   /**
    * Time after which the requests to further workers wait for the next round. The first request to
    * a worker costs milliseconds of processor time, and the event loop also renews the ownership.
-   * The next round goes on where this one ended, or the last workers would never be asked while the
-   * first ones are due again.
+   * The next round goes on with the others, or the last workers would never be asked while the
+   * first ones are due again. The order may change in between.
    */
   private static final long MAX_REQUESTS_MS = 50;
 
@@ -92,8 +90,10 @@
   private boolean isRegistryRead;
   private boolean isClosed;
 
-  /** The worker at which the last round of requests ended early; empty if it asked all. */
-  private String nextWorkerId = "";
+  /**
+   * The workers that need not be asked again before the others; empty unless a round ended early.
+   */
+  private final Set<String> passedWorkerIds = new HashSet<>();
 
   WorkerDriver(
       NodeSettings settings,
@@ -323,13 +323,12 @@
       pacer.retainWorkers(knownWorkerIds);
     }
     long startedAtMs = clock.nowMs();
-    List<String> inTurn = new ArrayList<>(workerIds);
-    Collections.rotate(inTurn, -Math.max(0, inTurn.indexOf(nextWorkerId)));
-    nextWorkerId = "";
-    for (String workerId : inTurn) {
+    for (String workerId : workerIds) {
+      if (passedWorkerIds.contains(workerId)) {
+        continue;
+      }
       long nowMs = clock.nowMs();
       if (nowMs - startedAtMs >= MAX_REQUESTS_MS) {
-        nextWorkerId = workerId;
         onEvent.run();
         return;
       }
@@ -337,6 +336,7 @@
         // This process was paused since its last check; a later owner counts no lease from now.
         return;
       }
+      passedWorkerIds.add(workerId);
       if (!renewing.contains(workerId)) {
         scheduler.renewal(workerId, nowMs).ifPresent(renewal -> renew(renewal, renewing));
       } else if (!requestingReport.contains(workerId)) {
@@ -345,6 +345,7 @@
             .ifPresent(renewal -> renew(renewal, requestingReport));
       }
     }
+    passedWorkerIds.clear();
   }
 
   /** Closes the connections to workers that have left. */
--- a/src/test/java/org/laburnumarch/internal/node/WorkerDriverTest.java
+++ b/src/test/java/org/laburnumarch/internal/node/WorkerDriverTest.java
@@ -7,10 +7,14 @@
 import static org.mockito.Mockito.when;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerTenure;
@@ -25,6 +29,7 @@
 
   private static final int WORKERS = 48;
   private static final long REQUEST_MS = 20;
+  private static final long RETRY_MS = 800;
   private static final long MAX_ROUND_MS = 100;
 
   private final NodeSettings settings = mock(NodeSettings.class);
@@ -84,6 +89,40 @@
     assertThat(Set.copyOf(asked)).hasSize(WORKERS);
   }
 
+  /** Guards against leases that expire while silent workers, asked first, are due again. */
+  @Test
+  void shouldAskTheOthersWhileSilentWorkersAreAlwaysDue() {
+    Map<String, Long> silentAskedAtMs = new LinkedHashMap<>();
+    IntStream.range(0, WORKERS).forEach(number -> silentAskedAtMs.put("silent" + number, 0L));
+    when(clock.nowMs()).thenAnswer(call -> nowMs);
+    when(tenure.hasAuthority(anyLong())).thenReturn(true);
+    when(settings.advisorAddress()).thenReturn(Optional.empty());
+    when(scheduler.workerIds())
+        .thenAnswer(
+            call ->
+                Stream.concat(
+                        silentAskedAtMs.keySet().stream()
+                            .sorted(Comparator.comparing(silentAskedAtMs::get)),
+                        Stream.of("reported"))
+                    .toList());
+    when(scheduler.renewal(anyString(), anyLong()))
+        .thenAnswer(
+            call -> {
+              String worker = call.getArgument(0);
+              if (nowMs - silentAskedAtMs.getOrDefault(worker, 0L) >= RETRY_MS) {
+                asked.add(worker);
+                silentAskedAtMs.computeIfPresent(worker, (id, atMs) -> nowMs);
+                nowMs += REQUEST_MS;
+              }
+              return Optional.empty();
+            });
+    WorkerDriver driver = driver();
+    for (long untilMs = nowMs + 10_000; nowMs < untilMs; ) {
+      driver.renewLeases();
+    }
+    assertThat(asked).contains("reported");
+  }
+
   private WorkerDriver driver() {
     return new WorkerDriver(
         settings,
