--- a/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
+++ b/src/main/java/org/laburnumarch/internal/platform/standin/InvariantChecker.java
@@ -400,8 +400,7 @@
     }
     String stepName = task.substring(0, task.lastIndexOf('.') + 1);
     if (step.maxPerWorker() > 0 && worker.countRuns(stepName) > step.maxPerWorker()) {
-      recordBreach(
-          "ROUTE", runDescription + " exceeds the step's limit of " + step.maxPerWorker());
+      recordBreach("ROUTE", runDescription + " exceeds the step's limit of " + step.maxPerWorker());
     }
     if (TaskProgram.of(submitted.job.program()) == TaskProgram.CRASHES) {
       fatalStartListener.accept(worker);
