Ask for advice on workers that the last call did not name

What callers saw: tasks of a queue with advice that stand for as long as a ticket can be used, and more, although allowed workers have room; and jobs that never start in a pool of more than 30 workers if none of the first 30 is allowed.

Cause: a step asks about the workers that accept its tasks at that moment, 30 at most, and asks again only once it has no ticket left that can be used. A worker that has been silent, cordoned, refusing, at the step's limit or not there yet gets no ticket until then, however many tasks wait. If no worker is allowed, the next call names the same 30.

--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
@@ -57,18 +58,29 @@
     Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
     if (needsTicket && stepTickets.isEmpty()) {
       step.lastRefusal = WaitReason.NO_TICKET;
-      requestTickets(candidate, pool);
-    } else if (step.spec.isGang()) {
+      requestTickets(candidate, pool, worker -> true);
+      return;
+    }
+    if (step.spec.isGang()) {
       startGang(step, stepTickets, needsTicket);
     } else {
       startTasks(candidate, stepTickets, needsTicket);
     }
+    if (needsTicket && isAnyStartable(step) && placement.hasRoomFor(step, Map.of(), false)) {
+      requestTickets(candidate, pool, worker -> worker.freeCapacity().holds(step.spec.reserved()));
+    }
+  }
+
+  private boolean isAnyStartable(Step step) {
+    return step.tasks.stream().anyMatch(task -> task.isStartable(nowMs));
   }
 
-  private void requestTickets(Candidate candidate, List<Worker> pool) {
+  private void requestTickets(
+      Candidate candidate, List<Worker> pool, Predicate<Worker> isSuitable) {
     List<String> ids =
         pool.stream()
             .filter(worker -> placement.mayRun(worker, candidate.step()))
+            .filter(isSuitable)
             .map(worker -> worker.id)
             .toList();
     context
