--- a/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/CrashingTaskTest.java
@@ -119,6 +119,22 @@
     return job;
   }
 
+  /** Guards against giving up a task whose second worker happens to crash right after its start. */
+  @Test
+  void shouldNotGiveUpATaskAfterOnlyOneCrashRightAfterItsStart() {
+    String task = "innocent.0.0.0";
+    runMs = 2_000;
+    accept("innocent", 1);
+    playUntil(nowMs + 1_000);
+    workers.get(workerOf(task)).crash(nowMs);
+    while (startsByTask.get(task) < 2) {
+      playUntil(nowMs + 20);
+    }
+    workers.get(workerOf(task)).crash(nowMs);
+    playUntil(nowMs + 10_000);
+    assertThat(scheduler.status("innocent")).contains(JobStatus.COMPLETED);
+  }
+
   @Nested
   class ATaskThatCrashesItsWorkers {
 
