--- a/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
+++ b/src/main/java/org/laburnumarch/internal/node/WorkerDriver.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Pattern;
 import org.laburnumarch.internal.http.EventLoopThread;
 import org.laburnumarch.internal.lead.OwnerTenure;
@@ -49,6 +50,8 @@
   /**
    * Time after which the requests to further workers wait for the next round. The first request to
    * a worker costs milliseconds of processor time, and the event loop also renews the ownership.
+   * The next round goes on with the others, or the last workers would never be asked while the
+   * first ones are due again. The order may change in between.
    */
   private static final long MAX_REQUESTS_MS = 50;
 
@@ -88,6 +91,11 @@
   private boolean isRegistryRead;
   private boolean isClosed;
 
+  /**
+   * The workers that need not be asked again before the others; empty unless a round ended early.
+   */
+  private final Set<String> passedWorkerIds = new HashSet<>();
+
   WorkerDriver(
       NodeSettings settings,
       EventLoopThread loop,
@@ -210,7 +218,8 @@
       known.client().close();
     }
     WorkerClient created =
-        new WorkerClient(listing.get().address(), workerId, loop, new MeteredTraffic(meters));
+        new WorkerClient(
+            listing.get().address(), workerId, loop, clock::nowMs, new MeteredTraffic(meters));
     connections.put(workerId, new Connection(listing.get(), created));
     return Optional.of(created);
   }
@@ -296,8 +305,7 @@
                 return;
               }
               if (failure == null) {
-                scheduler.onAdvice(
-                    query.stepName(), advice.tickets(), advice.validityMs(), clock.nowMs());
+                scheduler.onAdvice(query, advice.tickets(), advice.validityMs(), clock.nowMs());
               } else {
                 Logger.warn(
                     "advice: event=missed step={} cause={}",
@@ -318,6 +326,9 @@
     }
     long startedAtMs = clock.nowMs();
     for (String workerId : workerIds) {
+      if (passedWorkerIds.contains(workerId)) {
+        continue;
+      }
       long nowMs = clock.nowMs();
       if (nowMs - startedAtMs >= MAX_REQUESTS_MS) {
         onEvent.run();
@@ -327,6 +338,7 @@
         // This process was paused since its last check; a later owner counts no lease from now.
         return;
       }
+      passedWorkerIds.add(workerId);
       if (!renewing.contains(workerId)) {
         scheduler.renewal(workerId, nowMs).ifPresent(renewal -> renew(renewal, renewing));
       } else if (!requestingReport.contains(workerId)) {
@@ -335,6 +347,7 @@
             .ifPresent(renewal -> renew(renewal, requestingReport));
       }
     }
+    passedWorkerIds.clear();
   }
 
   /** Closes the connections to workers that have left. */
@@ -359,10 +372,15 @@
     }
     inFlight.add(renewal.workerId());
     long requestedAtMs = clock.nowMs();
+    AtomicLong connectedAtMs = new AtomicLong(Long.MAX_VALUE);
     client
         .get()
         .renew(
-            renewal.leaseEndClockMs(), tenure.term(), renewal.acknowledgedEnd(), renewal.waitMs())
+            renewal.leaseEndClockMs(),
+            tenure.term(),
+            renewal.acknowledgedEnd(),
+            renewal.waitMs(),
+            connectedAtMs::set)
         .whenComplete(
             EventLoopThread.logged(
                 (report, failure) -> {
@@ -371,7 +389,7 @@
                     return;
                   }
                   if (failure != null) {
-                    onRenewalFailed(renewal, requestedAtMs, failure);
+                    onRenewalFailed(renewal, requestedAtMs, connectedAtMs.get(), failure);
                   } else {
                     logEnds(renewal.workerId(), report);
                     scheduler
@@ -398,13 +416,21 @@
     }
   }
 
-  private void onRenewalFailed(Renewal renewal, long requestedAtMs, Throwable failure) {
+  private void onRenewalFailed(
+      Renewal renewal, long requestedAtMs, long connectedAtMs, Throwable failure) {
     Throwable cause = PlatformFailures.unwrap(failure);
     Logger.info(
         "workers: event=no-report worker={} cause={}", renewal.workerId(), cause.getMessage());
     ReportFailure kind = PlatformFailures.reportFailure(failure);
     meters.count("reports_missed_total", kind.name());
-    scheduler.onReportMissed(renewal.workerId(), kind, requestedAtMs, clock.nowMs());
+    boolean mayHaveRenewed =
+        renewal.leaseEndClockMs() >= 0 && PlatformFailures.mayHaveTakenEffect(failure);
+    scheduler.onReportMissed(
+        renewal.workerId(),
+        kind,
+        requestedAtMs,
+        mayHaveRenewed ? connectedAtMs : Long.MIN_VALUE,
+        clock.nowMs());
     if (cause instanceof WorkerRefusalException refusal && refusal.outcome() == Outcome.FENCED) {
       listener.onFenced("worker " + renewal.workerId());
     }
--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -1,10 +1,12 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -34,6 +36,12 @@
    */
   private static final int POOL_SIZE_PER_ISOLATED_RUN = 2;
 
+  /**
+   * One in this many workers of a pool, but at least one, may be held for long-running tasks. The
+   * others serve short tasks meanwhile.
+   */
+  private static final int POOL_SIZE_PER_HELD_WORKER = 2;
+
   /**
    * Weight of the fraction of a worker that would stay free. Filling one worker after the other
    * leaves others empty, whose instances can then move at once. The weight is so small that a slow
@@ -41,6 +49,13 @@
    */
   private static final double FREE_CAPACITY_WEIGHT = 0.3;
 
+  /** The number and the size of tasks that must start at once. */
+  private record Gang(int tasks, TaskSize size) {
+    boolean isAtLeast(Gang other) {
+      return tasks >= other.tasks && size.isAtLeast(other.size);
+    }
+  }
+
   private final Collection<Worker> pool;
   private final Set<String> outOfServiceDataCentres;
   private final double remoteSlowdownFactor;
@@ -48,17 +63,23 @@
   private final boolean hasBlockedWorker;
   private final boolean isMostlyIdle;
 
-  /** The workers that may start a task of a size now. */
+  /** The workers that may start a task of a size now that ends by itself. */
   private final NarrowingChoice withRoom;
 
+  /** The workers that may start a long-running task of a size now. */
+  private final NarrowingChoice withLastingRoom;
+
   /** The workers on which a task of a size will fit once short tasks have ended. */
   private final NarrowingChoice holdable;
 
   /**
-   * Workers that get no further tasks in this round, so that a large task will fit there, and that
-   * task.
+   * Workers that get no further short tasks in this round, so that long-running tasks will fit
+   * there, and these tasks.
    */
-  private final Map<Worker, Task> heldWorkers = new LinkedHashMap<>();
+  private final Map<Worker, List<Task>> heldWorkers = new LinkedHashMap<>();
+
+  /** The least gangs that the free capacity of the pool does not hold. */
+  private final List<Gang> gangsWithoutRoom = new ArrayList<>();
 
   /** Workers that get no further tasks in this round, so that a suspect can start there alone. */
   private final Set<Worker> heldForSuspects = new HashSet<>();
@@ -74,7 +95,14 @@
     this.nowMs = nowMs;
     this.hasBlockedWorker = pool.stream().anyMatch(worker -> worker.health.isBlocked(nowMs));
     this.isMostlyIdle = hasBlockedWorker && isMostlyIdle();
-    this.withRoom = new NarrowingChoice(pool, this::hasRoom);
+    this.withRoom =
+        new NarrowingChoice(
+            pool, (worker, size) -> !heldWorkers.containsKey(worker) && hasRoom(worker, size));
+    this.withLastingRoom =
+        new NarrowingChoice(
+            pool,
+            (worker, size) ->
+                leavesHeldTasksRoom(worker, size.reserved()) && hasRoom(worker, size));
     this.holdable = new NarrowingChoice(pool, this::isHoldable);
   }
 
@@ -100,14 +128,15 @@
    * need not be kept apart any more may find one.
    */
   boolean hasRoomFor(Step step, Map<String, String> tickets, boolean needsTicket) {
-    return withRoom
-        .findAny(step.size, worker -> mayAdd(worker, step) && admits(worker, tickets, needsTicket))
+    return (step.spec.isLongRunning() ? withLastingRoom : withRoom)
+        .findAny(
+            step.size,
+            worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id)))
         .isPresent();
   }
 
   private boolean hasRoom(Worker worker, TaskSize size) {
-    return !heldWorkers.containsKey(worker)
-        && worker.ordersInFlight < worker.maxOrdersInFlight
+    return worker.ordersInFlight < worker.maxOrdersInFlight
         && !isIsolated(worker)
         && (!worker.health.isBlocked(nowMs) || isProbeDue(worker))
         && worker.freeCapacity().holds(size.reserved())
@@ -139,7 +168,7 @@
     Worker best = null;
     double bestCost = Double.MAX_VALUE;
     for (Worker worker : pool) {
-      if (heldWorkers.containsKey(worker)
+      if (isHeldBack(worker, task)
           || worker.ordersInFlight >= worker.maxOrdersInFlight
           || (needsIsolation && worker.newRunCount() > 0)
           || (needsSeparation && worker.hasNewSuspect())
@@ -147,7 +176,7 @@
           || (worker.health.isBlocked(nowMs) && !(mayProbe && isProbeDue(worker)))
           || !worker.freeCapacity().holds(task.step.spec.reserved())
           || !isEligible(worker, task.step)
-          || !admits(worker, tickets, needsTicket)) {
+          || (needsTicket && !tickets.containsKey(worker.id))) {
         continue;
       }
       double cost = cost(worker, task);
@@ -159,6 +188,30 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns whether a worker is held for tasks that would fit there later without this one. */
+  private boolean isHeldBack(Worker worker, Task task) {
+    StepSpec spec = task.step.spec;
+    return heldWorkers.containsKey(worker)
+        && !(spec.isLongRunning() && leavesHeldTasksRoom(worker, spec.reserved()));
+  }
+
+  /**
+   * Returns whether the tasks for which a worker is held will fit there beside another long-running
+   * task. True for a worker that is not held.
+   */
+  private boolean leavesHeldTasksRoom(Worker worker, Resources amount) {
+    return !heldWorkers.containsKey(worker) || capacityBesideHeldTasks(worker).holds(amount);
+  }
+
+  /** Returns what will be free for long-running tasks beside those for which a worker is held. */
+  private Resources capacityBesideHeldTasks(Worker worker) {
+    Resources remaining = worker.capacityBesideLongRunningTasks();
+    for (Task held : heldWorkers.getOrDefault(worker, List.of())) {
+      remaining = remaining.minus(held.step.spec.reserved());
+    }
+    return remaining;
+  }
+
   /**
    * Returns whether a blocked worker may be given one more task: one at a time, unless the pool is
    * mostly idle, where other tasks would wait although it has the capacity for all of them.
@@ -185,7 +238,7 @@
 
   /** Holds a worker back until it has no new runs, so that a suspect can start there. */
   void holdWorkerForSuspect(Task task, Map<String, String> tickets, boolean needsTicket) {
-    findLargestWorkerFor(task, worker -> admits(worker, tickets, needsTicket))
+    findLargestWorkerFor(task, worker -> !needsTicket || tickets.containsKey(worker.id))
         .ifPresent(heldForSuspects::add);
   }
 
@@ -223,12 +276,16 @@
   private boolean accepts(Worker worker, TaskSize size) {
     return worker.acceptsTasks()
         && worker.blockedUntilMs <= nowMs
-        && !outOfServiceDataCentres.contains(worker.listing.dataCentre())
+        && isInService(worker)
         && worker.listing.capacity().holds(size.need())
         && (size.requiredLabel().isEmpty()
             || worker.listing.labels().contains(size.requiredLabel()));
   }
 
+  private boolean isInService(Worker worker) {
+    return !outOfServiceDataCentres.contains(worker.listing.dataCentre());
+  }
+
   /** Returns whether the limit of a step for each worker allows one more of its tasks there. */
   boolean mayAdd(Worker worker, Step step) {
     int limit = step.spec.maxPerWorker();
@@ -272,41 +329,42 @@
   }
 
   /**
-   * Holds back the eligible worker with the most free memory: it gets no further tasks in this
-   * round, so that the task fits there in a later round. A worker where long-running tasks leave
-   * too little for it is not held back, because they do not end, nor is one for which the task has
-   * no ticket.
+   * Holds back a worker for a task: it gets no further short tasks in this round, so that the task
+   * fits there in a later round. A worker that is held for other tasks and will have room for this
+   * one, too, goes before the one with the most free memory. Half of the pool is not held. A worker
+   * where long-running tasks leave too little for it is not held back, because they do not end.
    */
   void holdWorkerFor(Task task, Map<String, String> tickets, boolean needsTicket) {
     Step step = task.step;
-    Predicate<Worker> isAdmitted = worker -> admits(worker, tickets, needsTicket);
-    if (holdable
-        .findAny(step.size, worker -> mayAdd(worker, step) && isAdmitted.test(worker))
-        .isPresent()) {
-      findLargestWorkerFor(
-              task,
-              worker ->
-                  isAdmitted.test(worker)
-                      && worker.capacityBesideLongRunningTasks().holds(step.spec.reserved()))
-          .ifPresent(worker -> heldWorkers.put(worker, task));
+    Predicate<Worker> isAllowed =
+        worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id));
+    if (holdable.findAny(step.size, isAllowed).isEmpty()) {
+      return;
     }
+    Predicate<Worker> isSuitable = isAllowed.and(worker -> isHoldable(worker, step.size));
+    heldWorkers.keySet().stream()
+        .filter(isSuitable)
+        .findFirst()
+        .or(() -> mayHoldAnother() ? findLargestWorkerFor(task, isSuitable) : Optional.empty())
+        .ifPresent(
+            worker -> heldWorkers.computeIfAbsent(worker, held -> new ArrayList<>()).add(task));
   }
 
-  /** Returns whether a step has the ticket that it needs for a worker. */
-  private static boolean admits(Worker worker, Map<String, String> tickets, boolean needsTicket) {
-    return !needsTicket || tickets.containsKey(worker.id);
+  private boolean mayHoldAnother() {
+    long accepting =
+        pool.stream().filter(worker -> worker.acceptsTasks() && isInService(worker)).count();
+    return heldWorkers.size() < Math.max(1, accepting / POOL_SIZE_PER_HELD_WORKER);
   }
 
   private boolean isHoldable(Worker worker, TaskSize size) {
-    return !heldWorkers.containsKey(worker)
-        && !isIsolated(worker)
+    return !isIsolated(worker)
         && !worker.health.isBlocked(nowMs)
         && accepts(worker, size)
-        && worker.capacityBesideLongRunningTasks().holds(size.reserved());
+        && capacityBesideHeldTasks(worker).holds(size.reserved());
   }
 
   /** Returns the workers that are held back for tasks which fit nowhere yet, with these tasks. */
-  Map<Worker, Task> heldWorkers() {
+  Map<Worker, List<Task>> heldWorkers() {
     return Collections.unmodifiableMap(heldWorkers);
   }
 
@@ -335,6 +393,18 @@
    */
   Optional<Map<Task, Worker>> chooseForGang(
       Collection<Task> tasks, Map<String, String> tickets, boolean needsTicket) {
+    Step step = tasks.iterator().next().step;
+    Gang gang = new Gang(tasks.size(), step.size);
+    if (gangsWithoutRoom.stream().anyMatch(gang::isAtLeast)) {
+      return Optional.empty();
+    }
+    if (!hasRoomForAll(step)) {
+      if (step.spec.maxPerWorker() == 0) {
+        gangsWithoutRoom.removeIf(larger -> larger.isAtLeast(gang));
+        gangsWithoutRoom.add(gang);
+      }
+      return Optional.empty();
+    }
     Optional<Map<Task, Worker>> chosen = chooseForGang(tasks, tickets, needsTicket, false);
     return chosen.isEmpty() && hasBlockedWorker
         ? chooseForGang(tasks, tickets, needsTicket, true)
@@ -343,9 +413,6 @@
 
   private Optional<Map<Task, Worker>> chooseForGang(
       Collection<Task> tasks, Map<String, String> tickets, boolean needsTicket, boolean mayProbe) {
-    if (!hasRoomForAll(tasks)) {
-      return Optional.empty();
-    }
     Map<Worker, Resources> freeByWorker = new HashMap<>();
     Map<Worker, Integer> counts = new HashMap<>();
     Map<Task, Worker> chosen = new HashMap<>();
@@ -362,7 +429,7 @@
             || !remaining.holds(task.step.spec.reserved())
             || !mayRun(worker, task.step)
             || (limit > 0 && worker.countRuns(task.step) + count >= limit)
-            || !admits(worker, tickets, needsTicket)) {
+            || (needsTicket && !tickets.containsKey(worker.id))) {
           continue;
         }
         double cost = cost(worker, task) + rackSpanCost(worker, chosen, task.step.spec);
@@ -385,20 +452,19 @@
   }
 
   /** Returns whether the free capacity of the pool holds all tasks of a gang, worker by worker. */
-  private boolean hasRoomForAll(Collection<Task> tasks) {
-    Step step = tasks.iterator().next().step;
+  private boolean hasRoomForAll(Step gang) {
+    int tasks = gang.tasks.size();
+    int limit = gang.spec.maxPerWorker();
+    Resources need = gang.spec.reserved();
     int rooms = 0;
     for (Worker worker : pool) {
-      if (mayRun(worker, step)) {
+      if (mayRun(worker, gang)) {
         Resources free = worker.freeCapacity();
-        int allowed =
-            step.spec.maxPerWorker() == 0
-                ? tasks.size()
-                : step.spec.maxPerWorker() - worker.countRuns(step);
-        for (; allowed > 0 && free.holds(step.spec.reserved()); allowed--) {
-          free = free.minus(step.spec.reserved());
+        int allowed = limit == 0 ? tasks : limit - worker.countRuns(gang);
+        for (; allowed > 0 && free.holds(need); allowed--) {
+          free = free.minus(need);
           rooms++;
-          if (rooms >= tasks.size()) {
+          if (rooms >= tasks) {
             return true;
           }
         }
--- a/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Scheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -41,6 +42,10 @@
 
   private static final long SLOWNESS_DECAY_INTERVAL_MS = 1_000;
 
+  private static final Comparator<Worker> FIRST_REPORT_ORDER =
+      Comparator.<Worker, Boolean>comparing(worker -> worker.missedReports > 0)
+          .thenComparing(worker -> worker.lastReportAttemptMs);
+
   private final SchedulerSettings settings;
   private final long term;
   private final TakeoverGuard takeoverGuard;
@@ -121,12 +126,18 @@
   public Optional<Submission> submission(
       JobSpec spec, Function<String, OptionalInt> projectedSize, long nowMs, long epochMs) {
     String service = service(spec);
-    return takeoverGuard.isBlocked(workers, service, ownershipProvenAtMs)
+    Set<String> services = service.isEmpty() ? Set.of() : Set.of(service);
+    return takeoverGuard.isBlocked(workers, services, ownershipProvenAtMs)
         ? Optional.empty()
         : admissionView.submission(
             spec, config, workers.pool(service), projectedSize, nowMs, epochMs);
   }
 
+  /** Returns a submitted job as it must be stored, with the service that runs its tasks now. */
+  public JobSpec withService(JobSpec spec) {
+    return spec.withService(service(spec));
+  }
+
   /** Returns the service that runs a job's tasks; empty if the job's queue is not configured. */
   private String service(JobSpec spec) {
     return config.queue(spec.queue()).map(QueueConfig::service).orElse("");
@@ -207,33 +218,34 @@
     List<TakeoverWait> waits = new ArrayList<>();
     heldByService.forEach(
         (service, held) -> {
-          List<Worker> unreported = takeoverGuard.unreported(workers, service, ownershipProvenAtMs);
+          List<Worker> unreported =
+              takeoverGuard.unreported(workers, Set.of(service), ownershipProvenAtMs);
           int ended = (int) unreported.stream().filter(worker -> worker.process.hasEnded()).count();
           waits.add(
               new TakeoverWait(
                   service,
                   held.size(),
                   unreported.size(),
-                  awaitedWorkers(held, unreported),
+                  awaitedWorkers(held),
                   ended,
                   takeoverGuard.overAtMs()));
         });
     return waits;
   }
 
-  /**
-   * Returns the ids of the workers that may have an unreported run of any of some tasks.
-   *
-   * @param unreported the workers of the tasks' pool that have not reported
-   */
-  private List<String> awaitedWorkers(List<Task> held, List<Worker> unreported) {
+  /** Returns the ids of the workers that may have an unreported run of any of some tasks. */
+  private List<String> awaitedWorkers(List<Task> held) {
     Set<String> awaited = new TreeSet<>();
-    if (held.stream().anyMatch(task -> task.earlierRun.isAnywhere())) {
-      unreported.forEach(worker -> awaited.add(worker.id));
-    }
+    held.stream()
+        .filter(task -> task.earlierRun.isAnywhere())
+        .map(task -> task.step.job.earlierServices())
+        .distinct()
+        .flatMap(
+            services -> takeoverGuard.unreported(workers, services, ownershipProvenAtMs).stream())
+        .forEach(worker -> awaited.add(worker.id));
     held.stream()
         .filter(task -> !task.earlierRun.isAnywhere())
-        .flatMap(task -> takeoverGuard.unresolvedWorkers(task, "", workers, ownershipProvenAtMs))
+        .flatMap(task -> takeoverGuard.unresolvedWorkers(task, workers, ownershipProvenAtMs))
         .forEach(worker -> awaited.add(worker.id));
     return List.copyOf(awaited);
   }
@@ -300,8 +312,7 @@
     }
     if (!takeoverGuard.isOver(workers, ownershipProvenAtMs)) {
       for (Job job : liveJobs.values()) {
-        takeoverGuard.addUnresolved(
-            job, service(job.spec), workers, workersByTask, ownershipProvenAtMs);
+        takeoverGuard.addUnresolved(job, workers, workersByTask, ownershipProvenAtMs);
       }
     }
     Map<String, Long> leasesLeftMs = new HashMap<>();
@@ -530,7 +541,18 @@
   /** Removes jobs whose final status has been kept long enough, and returns their ids. */
   public List<String> removeFinishedJobs(long nowMs) {
     List<String> removed = new ArrayList<>();
-    liveJobs.values().removeIf(job -> job.reportedStatus.isFinal() && !hasRuns(job));
+    liveJobs
+        .values()
+        .removeIf(
+            job -> {
+              boolean isOver = job.reportedStatus.isFinal() && !hasRuns(job);
+              if (isOver) {
+                job.occurrences.values().stream()
+                    .flatMap(List::stream)
+                    .forEach(adviceTickets::forget);
+              }
+              return isOver;
+            });
     jobs.values()
         .removeIf(
             job -> {
@@ -561,6 +583,9 @@
       worker.maxOrdersInFlight = startLimits.startsInFlightAllowed(worker.id);
     }
     if (attempt != null) {
+      if (reply.outcome() == OrderReply.Outcome.TICKET) {
+        adviceTickets.discard(attempt.task.step, order.workerId());
+      }
       runTracker.onStartReply(attempt, reply, nowMs);
     }
   }
@@ -604,10 +629,26 @@
    */
   public void onReportMissed(
       String workerId, ReportFailure failure, long requestedAtMs, long nowMs) {
+    boolean maybeSent = failure == ReportFailure.NO_ANSWER;
+    long connectedAtMs = maybeSent ? Long.MAX_VALUE : Long.MIN_VALUE;
+    onReportMissed(workerId, failure, requestedAtMs, connectedAtMs, nowMs);
+  }
+
+  /**
+   * Records that a worker did not report.
+   *
+   * @param requestedAtMs local time at which the report was requested
+   * @param connectedAtMs local time by which the connection was made over which the request was
+   *     sent; {@link Long#MAX_VALUE} if that is not known, {@link Long#MIN_VALUE} if it was not
+   *     sent or renews no lease
+   */
+  public void onReportMissed(
+      String workerId, ReportFailure failure, long requestedAtMs, long connectedAtMs, long nowMs) {
     Worker worker = workers.find(workerId);
     if (worker == null) {
       return;
     }
+    worker.onReportUnanswered(requestedAtMs, connectedAtMs, nowMs);
     firstReports.onSettled(worker);
     worker.lostAtMs = worker.missedReports == 0 ? nowMs : worker.lostAtMs;
     worker.missedReports++;
@@ -647,9 +688,10 @@
     }
   }
 
-  /** Stores tickets that the advisory service has issued for a step, by worker id. */
-  public void onAdvice(String stepName, Map<String, String> byWorker, long validityMs, long nowMs) {
-    adviceTickets.store(stepName, byWorker, validityMs, nowMs);
+  /** Stores tickets that the advisory service has issued on a request, by worker id. */
+  public void onAdvice(
+      AdviceQuery query, Map<String, String> byWorker, long validityMs, long nowMs) {
+    adviceTickets.store(query, byWorker, validityMs, nowMs);
   }
 
   /** Records that the advisory service did not reply; it is asked again a little later. */
@@ -697,12 +739,30 @@
     return isWanted ? Optional.of(new Renewal(worker.id, -1, 0, 0)) : Optional.empty();
   }
 
-  /** Returns the ids of all known workers whose processes may be running. */
+  /**
+   * Returns the ids of all known workers whose processes may be running, in the order in which they
+   * are asked for reports: first those without a first report, of which only some are asked at the
+   * same time. Among them, silent workers wait for those that have missed no report, and for each
+   * other.
+   */
   public List<String> workerIds() {
-    return workers.all().stream()
-        .filter(worker -> !worker.isTerminated)
-        .map(worker -> worker.id)
-        .toList();
+    List<Worker> unreported = new ArrayList<>();
+    List<String> reported = new ArrayList<>();
+    for (Worker worker : workers.all()) {
+      if (worker.isTerminated) {
+        continue;
+      }
+      if (worker.isFenced) {
+        reported.add(worker.id);
+      } else {
+        unreported.add(worker);
+      }
+    }
+    unreported.sort(FIRST_REPORT_ORDER);
+    List<String> ids = new ArrayList<>();
+    unreported.forEach(worker -> ids.add(worker.id));
+    ids.addAll(reported);
+    return ids;
   }
 
   /**
@@ -868,7 +928,7 @@
     unreportedByTeam =
         heldUsage.isEmpty()
             ? Map.of()
-            : heldUsage.byTeam(takeoverGuard.unreported(workers, "", ownershipProvenAtMs));
+            : heldUsage.byTeam(takeoverGuard.unreported(workers, Set.of(), ownershipProvenAtMs));
     StartBudget budget = new StartBudget(startLimits, nowMs);
     StartRound.Context context =
         new StartRound.Context(
@@ -914,15 +974,20 @@
     String service = queue.get().service();
     if (job.mayHaveHeldTasks) {
       job.mayHaveHeldTasks = !takeoverGuard.isOver(workers, ownershipProvenAtMs);
-      takeoverGuard.updateHeldTasks(job, service, workers, ownershipProvenAtMs);
+      takeoverGuard.updateHeldTasks(job, workers, ownershipProvenAtMs);
       // A held task may be running, so its team is charged for it.
       heldTasks(job).forEach(task -> heldUsage.add(job.spec.team(), task.step.spec));
     }
+    boolean mayStart = job.mayStartInPoolOf(service, storedBatchNumber);
     for (List<Step> steps : job.occurrences.values()) {
       for (Step step : steps) {
         if (!step.isDone()
             && Job.areDependenciesDone(step, steps)
             && hasStartableTask(step, nowMs)) {
+          if (!mayStart) {
+            job.addLaterService(service, changes);
+            return;
+          }
           byService
               .computeIfAbsent(service, name -> new ArrayList<>())
               .add(ranking.candidate(step, steps, queue.get(), nowMs, epochMs));
--- a/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/StartRound.java
@@ -1,9 +1,9 @@
 package org.laburnumarch.internal.schedule;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.schedule.CandidateRanking.Candidate;
@@ -58,7 +58,7 @@
     Map<String, String> stepTickets = context.adviceTickets().usableFor(step, nowMs);
     if (needsTicket && stepTickets.isEmpty()) {
       step.lastRefusal = WaitReason.NO_TICKET;
-      requestTickets(candidate, pool, worker -> true);
+      requestTickets(candidate, pool, false);
       return;
     }
     if (step.spec.isGang()) {
@@ -66,26 +66,41 @@
     } else {
       startTasks(candidate, stepTickets, needsTicket);
     }
-    if (needsTicket && isAnyStartable(step) && placement.hasRoomFor(step, Map.of(), false)) {
-      requestTickets(candidate, pool, worker -> worker.freeCapacity().holds(step.spec.reserved()));
+    if (needsTicket && lacksRoom(step)) {
+      requestTickets(candidate, pool, true);
     }
   }
 
-  private boolean isAnyStartable(Step step) {
-    return step.tasks.stream().anyMatch(task -> task.isStartable(nowMs));
+  private boolean lacksRoom(Step step) {
+    return (step.lastRefusal == WaitReason.NO_CAPACITY
+            || step.lastRefusal == WaitReason.GANG_DOES_NOT_FIT)
+        && step.tasks.stream().anyMatch(task -> task.isStartable(nowMs));
   }
 
-  private void requestTickets(
-      Candidate candidate, List<Worker> pool, Predicate<Worker> isSuitable) {
-    List<String> ids =
-        pool.stream()
-            .filter(worker -> placement.mayRun(worker, candidate.step()))
-            .filter(isSuitable)
-            .map(worker -> worker.id)
-            .toList();
+  /**
+   * Requests tickets for workers that a step has none for, first for those with room.
+   *
+   * @param needsRoom whether tickets for full workers are of no use
+   */
+  private void requestTickets(Candidate candidate, List<Worker> pool, boolean needsRoom) {
+    Step step = candidate.step();
+    if (!context.adviceTickets().isQueryDue(step, nowMs)) {
+      return;
+    }
+    List<String> withRoom = new ArrayList<>();
+    List<String> full = new ArrayList<>();
+    for (Worker worker : pool) {
+      if (placement.mayRun(worker, step)) {
+        boolean hasRoom = worker.freeCapacity().holds(step.spec.reserved());
+        (hasRoom ? withRoom : full).add(worker.id);
+      }
+    }
+    if (!needsRoom) {
+      withRoom.addAll(full);
+    }
     context
         .adviceTickets()
-        .query(candidate.step(), candidate.queue().advice().orElseThrow(), ids, nowMs)
+        .query(step, candidate.queue().advice().orElseThrow(), withRoom, nowMs)
         .ifPresent(context.queries()::add);
   }
 
--- a/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Tickets.java
@@ -21,85 +21,106 @@
   private static final long RETRY_MS = 200;
   private static final long RESPONSE_MARGIN_MS = 1_500;
 
-  /**
-   * What is known of a step.
-   *
-   * @param byWorker the tickets, by worker id
-   * @param decided ids of the workers that the service has allowed or not
-   */
-  private record StepTickets(
-      Map<String, String> byWorker, Set<String> decided, long usableUntilMs) {
+  private record Ticket(String value, long usableUntilMs) {}
 
-    private static final StepTickets NONE = new StepTickets(Map.of(), Set.of(), Long.MAX_VALUE);
+  /** What the service has said about a step. Tickets expire; which workers it allows is final. */
+  private static final class StepAdvice {
+    private final Map<String, Ticket> byWorker = new HashMap<>();
+    private final Set<String> disallowed = new HashSet<>();
+    private long nextQueryAtMs = Long.MIN_VALUE;
 
-    StepTickets plus(StepTickets other) {
-      Map<String, String> allTickets = new HashMap<>(byWorker);
-      allTickets.putAll(other.byWorker);
-      Set<String> allDecided = new HashSet<>(decided);
-      allDecided.addAll(other.decided);
-      return new StepTickets(allTickets, allDecided, Math.min(usableUntilMs, other.usableUntilMs));
+    boolean isUsable(String workerId, long nowMs) {
+      Ticket ticket = byWorker.get(workerId);
+      return ticket != null && nowMs <= ticket.usableUntilMs();
     }
   }
 
-  private final Map<String, StepTickets> ticketsByStep = new HashMap<>();
-
-  /** The workers that pending requests name, by step. */
-  private final Map<String, List<String>> queriedByStep = new HashMap<>();
-
-  private final Map<String, Long> nextQueryAtMs = new HashMap<>();
+  private final Map<String, StepAdvice> adviceByStep = new HashMap<>();
 
   /** Returns the tickets of a step that can be used now, by worker id. */
   Map<String, String> usableFor(Step step, long nowMs) {
-    return current(step.wireName(), nowMs).byWorker();
+    StepAdvice advice = adviceByStep.get(step.wireName());
+    if (advice == null) {
+      return Map.of();
+    }
+    Map<String, String> usable = new HashMap<>();
+    advice.byWorker.forEach(
+        (workerId, ticket) -> {
+          if (advice.isUsable(workerId, nowMs)) {
+            usable.put(workerId, ticket.value());
+          }
+        });
+    return usable;
   }
 
-  private StepTickets current(String stepName, long nowMs) {
-    StepTickets tickets = ticketsByStep.get(stepName);
-    return tickets == null || tickets.usableUntilMs() < nowMs ? StepTickets.NONE : tickets;
+  /** Returns whether a request for a step may be sent, because none is pending or too recent. */
+  boolean isQueryDue(Step step, long nowMs) {
+    StepAdvice advice = adviceByStep.get(step.wireName());
+    return advice == null || advice.nextQueryAtMs <= nowMs;
   }
 
   /**
-   * Returns the request to send for a step; empty while one is pending or none may be sent yet, or
-   * if the service has decided on all the workers and allowed some.
+   * Returns the request to send for a step; empty if none is due or if the answer is known for each
+   * of the workers.
+   *
+   * @param workerIds the workers that it might run on, the preferred ones first
    */
   Optional<AdviceQuery> query(Step step, AdviceTimes times, List<String> workerIds, long nowMs) {
-    String name = step.wireName();
-    if (nextQueryAtMs.getOrDefault(name, Long.MIN_VALUE) > nowMs || workerIds.isEmpty()) {
+    if (!isQueryDue(step, nowMs)) {
       return Optional.empty();
     }
-    StepTickets known = current(name, nowMs);
-    List<String> undecided =
-        workerIds.stream().filter(id -> !known.decided().contains(id)).toList();
-    if (undecided.isEmpty() && !known.byWorker().isEmpty()) {
+    String name = step.wireName();
+    StepAdvice advice = adviceByStep.computeIfAbsent(name, key -> new StepAdvice());
+    List<String> queried =
+        workerIds.stream()
+            .filter(id -> !advice.disallowed.contains(id) && !advice.isUsable(id, nowMs))
+            .limit(MAX_WORKERS_PER_QUERY)
+            .toList();
+    if (queried.isEmpty()) {
       return Optional.empty();
     }
-    List<String> candidates = undecided.isEmpty() ? workerIds : undecided;
-    List<String> queried =
-        candidates.subList(0, Math.min(MAX_WORKERS_PER_QUERY, candidates.size()));
-    queriedByStep.put(name, queried);
     long timeoutMs = times.decisionMs() + times.intervalMs() * queried.size() + RESPONSE_MARGIN_MS;
-    nextQueryAtMs.put(name, nowMs + timeoutMs);
+    advice.nextQueryAtMs = nowMs + timeoutMs;
     return Optional.of(new AdviceQuery(name, queried, timeoutMs));
   }
 
-  void store(String stepName, Map<String, String> byWorker, long validityMs, long nowMs) {
-    Set<String> decided = new HashSet<>(byWorker.keySet());
-    decided.addAll(queriedByStep.getOrDefault(stepName, List.of()));
-    queriedByStep.remove(stepName);
-    StepTickets added =
-        new StepTickets(byWorker, decided, nowMs + (long) (validityMs * USABLE_VALIDITY_FRACTION));
-    ticketsByStep.put(stepName, current(stepName, nowMs).plus(added));
-    nextQueryAtMs.put(stepName, nowMs + RETRY_MS);
+  /** Stores the response to a request; workers without a ticket in it may not run the step. */
+  void store(AdviceQuery query, Map<String, String> byWorker, long validityMs, long nowMs) {
+    StepAdvice advice = adviceByStep.get(query.stepName());
+    if (advice == null) {
+      return;
+    }
+    long usableUntilMs = nowMs + (long) (validityMs * USABLE_VALIDITY_FRACTION);
+    for (String workerId : query.workerIds()) {
+      String value = byWorker.get(workerId);
+      if (value == null) {
+        advice.disallowed.add(workerId);
+      } else {
+        advice.byWorker.put(workerId, new Ticket(value, usableUntilMs));
+      }
+    }
+    advice.nextQueryAtMs = nowMs + RETRY_MS;
   }
 
   void scheduleRetry(String stepName, long nowMs) {
-    nextQueryAtMs.put(stepName, nowMs + RETRY_MS);
+    StepAdvice advice = adviceByStep.get(stepName);
+    if (advice != null) {
+      advice.nextQueryAtMs = nowMs + RETRY_MS;
+    }
+  }
+
+  /**
+   * Removes a ticket that a worker has refused, for example one issued to an earlier incarnation.
+   */
+  void discard(Step step, String workerId) {
+    StepAdvice advice = adviceByStep.get(step.wireName());
+    if (advice != null) {
+      advice.byWorker.remove(workerId);
+    }
   }
 
-  /** Removes the tickets of a step whose tasks are all done. */
+  /** Removes what is known of a step that needs no more tickets. */
   void forget(Step step) {
-    ticketsByStep.remove(step.wireName());
-    queriedByStep.remove(step.wireName());
-    nextQueryAtMs.remove(step.wireName());
+    adviceByStep.remove(step.wireName());
   }
 }
--- a/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/WaitSurvey.java
@@ -130,7 +130,7 @@
                     placement == null
                         ? List.of()
                         : placement.heldWorkers().values().stream()
-                            .map(task -> task.key.wireName())
+                            .map(tasks -> tasks.get(0).key.wireName())
                             .toList()));
           }
         });
@@ -356,8 +356,7 @@
                   held ->
                       state
                           .takeoverGuard()
-                          .unresolvedWorkers(
-                              held, key.service(), state.workers(), state.provenAtMs()));
+                          .unresolvedWorkers(held, state.workers(), state.provenAtMs()));
       case NO_WORKER, WORKER_LIMIT -> pool.stream().filter(worker -> !isAvailable(worker));
       case NO_CAPACITY, GANG_DOES_NOT_FIT ->
           pool.stream()
--- a/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
+++ b/src/test/java/org/laburnumarch/internal/pool/FleetPlannerTest.java
@@ -3,9 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -179,6 +184,62 @@
       assertThat(maintenanceOrders(plan(1, 1))).containsExactly(order);
     }
 
+    /** Guards against a wave that waits for an instance whose long-running task finds no room. */
+    @Test
+    void shouldGoOnWithOtherInstancesWhileOneCannotBeDrained() {
+      add("m0", "desk", 0, 1, true);
+      add("m1", "desk", 1, 0, true);
+      add("m2", "desk", 1, 0, true);
+      planner.addWave(wave(1, "m0", "m1"), nowMs, Set.of());
+      Set<MachineOrder> orders = new HashSet<>();
+      for (long endMs = nowMs + 15_000; nowMs < endMs; nowMs += 100) {
+        FleetPlan plan = plan(2, 1);
+        orders.addAll(maintenanceOrders(plan));
+        add("m1", "desk", plan.cordoned().contains("wm1") ? 0 : 1, 0, true);
+      }
+      assertThat(orders).containsExactly(new MachineOrder.Maintain("m1", 1));
+    }
+
+    /**
+     * Guards against a wave that never ends while long-running tasks leave their instance one after
+     * the other: it gives its place up and gets tasks of the next one.
+     */
+    @Test
+    void shouldMaintainInstancesWhoseLongRunningTasksLeaveOneByOne() {
+      Map<String, Integer> longRuns = new LinkedHashMap<>(Map.of("m0", 4, "m1", 4, "m2", 0));
+      add("m3", "office", 0, 0, true);
+      add("m4", "office", 0, 0, true);
+      planner.addWave(wave(1, "m0", "m1"), nowMs, Set.of());
+      Set<MachineOrder> orders = new HashSet<>();
+      long movedAtMs = nowMs;
+      for (long endMs = nowMs + 60_000; nowMs < endMs; nowMs += 100) {
+        longRuns.forEach((name, runs) -> add(name, "desk", 0, runs, true));
+        FleetPlan plan = plan(2, 1);
+        for (MachineOrder order : maintenanceOrders(plan)) {
+          orders.add(order);
+          planner.onOutcome(order, MachineOrderOutcome.DONE, nowMs);
+        }
+        Optional<String> from =
+            longRuns.keySet().stream()
+                .filter(name -> plan.cordoned().contains("w" + name) && longRuns.get(name) > 0)
+                .findFirst();
+        if (from.isPresent() && nowMs - movedAtMs >= 1_000) {
+          // Tasks go to a well-filled worker.
+          String to =
+              longRuns.keySet().stream()
+                  .filter(name -> !plan.cordoned().contains("w" + name))
+                  .max(Comparator.comparing(longRuns::get))
+                  .orElseThrow();
+          longRuns.merge(from.get(), -1, Integer::sum);
+          longRuns.merge(to, 1, Integer::sum);
+          movedAtMs = nowMs;
+        }
+      }
+      assertThat(orders)
+          .containsExactlyInAnyOrder(
+              new MachineOrder.Maintain("m0", 1), new MachineOrder.Maintain("m1", 1));
+    }
+
     private List<MachineOrder> maintenanceOrders(FleetPlan plan) {
       return plan.orders().stream().filter(MachineOrder.Maintain.class::isInstance).toList();
     }
@@ -200,6 +261,69 @@
           .contains("desk");
     }
 
+    private List<MachineOrder> planForAGang(int gangWorkers) {
+      add("m0", "desk", 0, 0, true);
+      add("m9", "office", 0, 0, true);
+      for (int i = 1; i < 8; i++) {
+        add("m" + i, "reserve", 0, 0, true);
+      }
+      planner.onList(machines.values(), nowMs);
+      Map<String, PoolDemand> demands = Map.of("desk", new PoolDemand(0.5, 0.5, 0, 0, gangWorkers));
+      return planner
+          .plan(CONFIG, demands, new ArrayList<>(loads.values()), Set.of(), true, nowMs)
+          .orders();
+    }
+
+    /** Guards against a gang that waits for good for a pool too small for all of its tasks. */
+    @Test
+    void shouldMoveAsManyInstancesAsAGangNeedsAtOnce() {
+      assertThat(planForAGang(4)).hasSize(3);
+    }
+
+    /** Guards against two gangs of which each waits for good for instances that the other has. */
+    @Test
+    void shouldGiveOnePoolEnoughInstancesIfTwoGangsTogetherNeedMoreThanThereAre() {
+      add("m0", "desk", 0, 0, true);
+      add("m1", "office", 0, 0, true);
+      for (int i = 2; i < 6; i++) {
+        add("m" + i, "reserve", 0, 0, true);
+      }
+      planner.onList(machines.values(), nowMs);
+      PoolDemand gang = new PoolDemand(0.5, 0.5, 0, 0, 4);
+      planner.plan(
+          CONFIG,
+          Map.of("desk", gang, "office", gang),
+          new ArrayList<>(loads.values()),
+          Set.of(),
+          true,
+          nowMs);
+      assertThat(
+              Math.max(
+                  planner.projectedSize("desk").getAsInt(),
+                  planner.projectedSize("office").getAsInt()))
+          .isGreaterThanOrEqualTo(4);
+    }
+
+    /** Guards against a gang that waits for as long as gangs of another pool come. */
+    @Test
+    void shouldGiveEachOfTwoPoolsATurnForItsGangs() {
+      Map<String, GangTurns.Claim> claims =
+          Map.of("desk", new GangTurns.Claim(1, 4, 4), "office", new GangTurns.Claim(1, 4, 1));
+      GangTurns turns = new GangTurns();
+      Set<String> chosen = new HashSet<>();
+      for (long endMs = nowMs + 30_000; nowMs < endMs; nowMs += 100) {
+        List<String> atOnce = turns.choose(claims, 6, nowMs);
+        assertThat(atOnce).hasSize(1);
+        chosen.addAll(atOnce);
+      }
+      assertThat(chosen).containsExactlyInAnyOrder("desk", "office");
+    }
+
+    @Test
+    void shouldMoveNoInstancesForAGangThatIsTooWideForTheWholeFleet() {
+      assertThat(planForAGang(10)).isEmpty();
+    }
+
     @Test
     void shouldReturnSurplusOnlyAfterADelay() {
       for (int i = 0; i < 6; i++) {
@@ -359,6 +483,45 @@
       assertThat(plan(1, 5).cordoned()).isEmpty();
     }
 
+    /**
+     * Guards against work of a pool without instances that stands for good: a busy instance whose
+     * move was given up was filled again before the next attempt.
+     */
+    @Test
+    void shouldMoveAnInstanceWhoseRunsEndAtDifferentTimes() {
+      long runMs = 7_000;
+      addAll(0, 4, "office", 2, true);
+      Map<String, Queue<Long>> runEndsMs = new LinkedHashMap<>();
+      machines
+          .keySet()
+          .forEach(
+              name ->
+                  runEndsMs.put(name, new PriorityQueue<>(List.of(nowMs + 1_000, nowMs + 5_000))));
+      Set<String> cordoned = Set.of();
+      List<MachineOrder> orders = List.of();
+      for (long untilMs = nowMs + 60_000; nowMs < untilMs && orders.isEmpty(); nowMs += 100) {
+        for (Map.Entry<String, Queue<Long>> runs : runEndsMs.entrySet()) {
+          runs.getValue().removeIf(endMs -> endMs <= nowMs);
+          while (!cordoned.contains("w" + runs.getKey()) && runs.getValue().size() < 2) {
+            runs.getValue().add(nowMs + runMs);
+          }
+          add(runs.getKey(), "office", runs.getValue().size(), 0, true);
+        }
+        planner.onList(machines.values(), nowMs);
+        FleetPlan plan =
+            planner.plan(
+                CONFIG,
+                Map.of("desk", new PoolDemand(1, 0, 0), "office", new PoolDemand(8, 0, 0)),
+                new ArrayList<>(loads.values()),
+                Set.of(),
+                true,
+                nowMs);
+        cordoned = plan.cordoned();
+        orders = plan.orders();
+      }
+      assertThat(orders).hasSize(1);
+    }
+
     @Test
     void shouldNotCancelAMoveThatWasOrdered() {
       addAll(0, 6, "office", 0, true);
--- a/src/test/java/org/laburnumarch/internal/schedule/AdviceTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/AdviceTest.java
@@ -22,6 +22,7 @@
   private final List<SimulatedWorker> workers = new ArrayList<>();
   private final List<String> startedOn = new ArrayList<>();
   private long nowMs = START_MS;
+  private AdviceQuery lastQuery;
 
   private void begin(int workerCount) {
     for (int i = 0; i < workerCount; i++) {
@@ -54,6 +55,7 @@
         startedOn.add(start.workerId());
       }
     }
+    decisions.queries().forEach(query -> lastQuery = query);
     return decisions.queries().stream().flatMap(query -> query.workerIds().stream()).toList();
   }
 
@@ -62,7 +64,7 @@
     for (String id : allowed) {
       tickets.put(id, "ticket");
     }
-    scheduler.onAdvice("a.0.0", tickets, VALIDITY_MS, nowMs);
+    scheduler.onAdvice(lastQuery, tickets, VALIDITY_MS, nowMs);
   }
 
   /** Guards against tasks that stand while a worker has room that took no tasks at first. */
--- a/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/PoolDemandTest.java
@@ -12,6 +12,7 @@
 import org.laburnumarch.internal.forecast.MoveTimes;
 import org.laburnumarch.internal.job.FleetConfig;
 import org.laburnumarch.internal.job.FleetConfig.CallerLimits;
+import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.ServiceConfig;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.SimulatedWorker;
@@ -121,5 +122,56 @@
       }
       assertThat(demand(10_000).batchWorkers()).isLessThanOrEqualTo(2.0);
     }
+
+    /** Guards against a gang that stands for good since its pool holds only some of its tasks. */
+    @Test
+    void shouldWantTheWorkersThatAGangNeedsAtOnce() {
+      scheduler.configure(TestJobs.config(0, 9));
+      listWorkers(1, 10_000);
+      // One task of 5 cores fits on a worker of 8, and the job has long been late.
+      StepSpec gang = TestJobs.gangStep(4, 5_000);
+      scheduler.restore(TestJobs.job("j", 0, gang), Optional.empty(), 90_000, 90_000);
+      scheduler.decide(90_000, 90_000);
+      assertThat(demand(90_000).gangWorkers()).isEqualTo(4);
+    }
+
+    /** Guards against a pool that holds twice the workers of a long-running gang for good. */
+    @Test
+    void shouldWantTheWorkersOfALongRunningGangOnce() {
+      scheduler.configure(TestJobs.config(0, 9));
+      listWorkers(4, 10_000);
+      StepSpec gang =
+          new StepSpec(
+              4,
+              new Resources(5_000, 1_000, 0),
+              0,
+              List.of(),
+              false,
+              true,
+              false,
+              "",
+              "",
+              0,
+              false,
+              true,
+              "",
+              0,
+              false,
+              0);
+      scheduler.restore(TestJobs.job("j", 0, gang), Optional.empty(), 10_000, 10_000);
+      scheduler.decide(10_000, 10_000);
+      PoolDemand demand = demand(10_000);
+      assertThat(demand.gangWorkers() + demand.longRunningWorkers()).isEqualTo(4);
+    }
+
+    /** Guards against a long-running task that stands since its pool is too small for good. */
+    @Test
+    void shouldWantAWorkerForEachLongRunningTaskOfMoreThanHalfAWorker() {
+      scheduler.configure(TestJobs.config(0, 9));
+      listWorkers(1, 10_000);
+      StepSpec large = StepSpec.ofLongRunningTasks(4, new Resources(5_000, 1_000, 0), "", 0, 0);
+      scheduler.restore(TestJobs.job("j", 0, large), Optional.empty(), 10_000, 10_000);
+      assertThat(demand(10_000).longRunningWorkers()).isGreaterThanOrEqualTo(4);
+    }
   }
 }
--- a/src/test/java/org/laburnumarch/internal/schedule/SchedulerHistory.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/SchedulerHistory.java
@@ -590,7 +590,7 @@
               query.workerIds().stream()
                   .filter(id -> nodes.containsKey(id) && nodes.get(id).isAllowed)
                   .collect(Collectors.toMap(id -> id, id -> "ticket"));
-          owner.onAdvice(query.stepName(), tickets, 10_000, nowMs);
+          owner.onAdvice(query, tickets, 10_000, nowMs);
         });
   }
 
