--- a/src/main/java/org/laburnumarch/internal/schedule/Placement.java
+++ b/src/main/java/org/laburnumarch/internal/schedule/Placement.java
@@ -130,11 +130,15 @@
   boolean hasRoomFor(Step step, Map<String, String> tickets, boolean needsTicket) {
     return (step.spec.isLongRunning() ? withLastingRoom : withRoom)
         .findAny(
-            step.size,
-            worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id)))
+            step.size, worker -> mayAdd(worker, step) && hasTicket(worker, tickets, needsTicket))
         .isPresent();
   }
 
+  private static boolean hasTicket(
+      Worker worker, Map<String, String> tickets, boolean needsTicket) {
+    return !needsTicket || tickets.containsKey(worker.id);
+  }
+
   private boolean hasRoom(Worker worker, TaskSize size) {
     return worker.ordersInFlight < worker.maxOrdersInFlight
         && !isIsolated(worker)
@@ -176,7 +180,7 @@
           || (worker.health.isBlocked(nowMs) && !(mayProbe && isProbeDue(worker)))
           || !worker.freeCapacity().holds(task.step.spec.reserved())
           || !isEligible(worker, task.step)
-          || (needsTicket && !tickets.containsKey(worker.id))) {
+          || !hasTicket(worker, tickets, needsTicket)) {
         continue;
       }
       double cost = cost(worker, task);
@@ -238,7 +242,7 @@
 
   /** Holds a worker back until it has no new runs, so that a suspect can start there. */
   void holdWorkerForSuspect(Task task, Map<String, String> tickets, boolean needsTicket) {
-    findLargestWorkerFor(task, worker -> !needsTicket || tickets.containsKey(worker.id))
+    findLargestWorkerFor(task, worker -> hasTicket(worker, tickets, needsTicket))
         .ifPresent(heldForSuspects::add);
   }
 
@@ -337,7 +341,7 @@
   void holdWorkerFor(Task task, Map<String, String> tickets, boolean needsTicket) {
     Step step = task.step;
     Predicate<Worker> isAllowed =
-        worker -> mayAdd(worker, step) && (!needsTicket || tickets.containsKey(worker.id));
+        worker -> mayAdd(worker, step) && hasTicket(worker, tickets, needsTicket);
     if (holdable.findAny(step.size, isAllowed).isEmpty()) {
       return;
     }
@@ -429,7 +433,7 @@
             || !remaining.holds(task.step.spec.reserved())
             || !mayRun(worker, task.step)
             || (limit > 0 && worker.countRuns(task.step) + count >= limit)
-            || (needsTicket && !tickets.containsKey(worker.id))) {
+            || !hasTicket(worker, tickets, needsTicket)) {
           continue;
         }
         double cost = cost(worker, task) + rackSpanCost(worker, chosen, task.step.spec);
