Draw jobs, turns and arrivals of the soak in one place

LIMITED_TASKS listed the same thirteen values of a platform as three other loads.

Change: RandomJobs is the base of all five sources, and SoakLoad has one method for platforms whose workers have threads of their own. The order of random draws stays, since it is part of each seed.

--- a/src/main/java/org/laburnumarch/internal/soak/BulkJobs.java
+++ b/src/main/java/org/laburnumarch/internal/soak/BulkJobs.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.laburnumarch.internal.job.JobSpec;
@@ -12,7 +11,7 @@
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
 /** Submits jobs of many small tasks, and one long-running job. */
-final class BulkJobs implements JobSource {
+final class BulkJobs extends RandomJobs {
 
   private static final long SUBMIT_INTERVAL_MS = 250;
   private static final int TASKS_PER_JOB = 80;
@@ -27,23 +26,13 @@
 
   private static final int MAX_CANCEL_DELAY_MS = 8_000;
 
-  private final Random random;
-  private final SuspendAwareClock clock;
-  private int nextJobNumber;
-
   BulkJobs(Random random, SuspendAwareClock clock) {
-    this.random = random;
-    this.clock = clock;
-  }
-
-  @Override
-  public long intervalMs() {
-    return SUBMIT_INTERVAL_MS;
+    super(random, clock, SUBMIT_INTERVAL_MS);
   }
 
   @Override
   public List<JobSpec> next(long elapsedMs) {
-    boolean isLongRunning = nextJobNumber == 0;
+    boolean isLongRunning = drawnIds() == 0;
     List<StepSpec> steps = new ArrayList<>();
     if (isLongRunning) {
       steps.add(StepSpec.ofLongRunningTasks(4, new Resources(500, 1_000, 0), "", 0, 1));
@@ -53,10 +42,10 @@
         steps.add(StepSpec.ofTasks(TASKS_PER_JOB / 4, NEED, RUN_MS, List.of(0)));
       }
     }
-    String id = String.format(Locale.ROOT, "%08x%08x", random.nextInt(), nextJobNumber++);
-    String team = PlatformStandIn.TEAMS.get(random.nextInt(PlatformStandIn.TEAMS.size()));
+    String id = nextId();
+    String team = nextTeam();
     String queue = isLongRunning ? PlatformStandIn.LONG_RUNNING_QUEUE : PlatformStandIn.BATCH_QUEUE;
-    return List.of(new JobSpec(id, queue, team, "soak", steps, 0, 0, 0, clock.epochMs()));
+    return List.of(job(id, queue, team, "soak", steps));
   }
 
   @Override
@@ -66,9 +55,4 @@
         ? OptionalLong.of(random.nextInt(MAX_CANCEL_DELAY_MS))
         : OptionalLong.empty();
   }
-
-  @Override
-  public OptionalLong repeatDelayMs(JobSpec job) {
-    return OptionalLong.empty();
-  }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/LimitedJobs.java
+++ b/src/main/java/org/laburnumarch/internal/soak/LimitedJobs.java
@@ -3,14 +3,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.PlatformLayout.Route;
-import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.platform.standin.TaskProgram;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
@@ -21,13 +19,9 @@
  * short only while two of its workers are missing. Some jobs need more than any worker has and are
  * cancelled, too.
  */
-final class LimitedJobs implements JobSource {
+final class LimitedJobs extends RandomJobs {
 
   private static final long SUBMIT_INTERVAL_MS = 20;
-  private static final double SECONDS_PER_INTERVAL = SUBMIT_INTERVAL_MS / 1_000.0;
-
-  /** How long a queue is busy. */
-  private static final long TURN_MS = 4_500;
 
   private static final double BUSY_FACTOR = 2;
   private static final double IDLE_FACTOR = 0.5;
@@ -113,29 +107,20 @@
     }
   }
 
-  private final Random random;
-  private final SuspendAwareClock clock;
   private int longRunningRounds;
-  private int nextJobNumber;
 
   LimitedJobs(Random random, SuspendAwareClock clock) {
-    this.random = random;
-    this.clock = clock;
-  }
-
-  @Override
-  public long intervalMs() {
-    return SUBMIT_INTERVAL_MS;
+    super(random, clock, SUBMIT_INTERVAL_MS);
   }
 
   @Override
   public List<JobSpec> next(long elapsedMs) {
     List<JobSpec> due = new ArrayList<>();
     Queue[] queues = Queue.values();
-    Queue busy = queues[(int) (elapsedMs / TURN_MS % queues.length)];
+    Queue busy = busyQueue(queues, elapsedMs);
     for (Queue queue : queues) {
       double factor = queue == busy ? BUSY_FACTOR : IDLE_FACTOR;
-      if (random.nextDouble() < queue.jobsPerSecond * factor * SECONDS_PER_INTERVAL) {
+      if (arrives(queue.jobsPerSecond * factor)) {
         due.add(job(queue.label, step()));
       }
     }
@@ -162,10 +147,9 @@
   }
 
   private JobSpec job(String queue, StepSpec step) {
-    String id = String.format(Locale.ROOT, "%08x%08x", random.nextInt(), nextJobNumber++);
-    String team = PlatformStandIn.TEAMS.get(random.nextInt(PlatformStandIn.TEAMS.size()));
-    return new JobSpec(
-        id, queue, team, TaskProgram.USUAL.label(), List.of(step), 0, 0, 0, clock.epochMs());
+    String id = nextId();
+    String team = nextTeam();
+    return job(id, queue, team, TaskProgram.USUAL.label(), List.of(step));
   }
 
   @Override
@@ -183,9 +167,4 @@
         ? OptionalLong.of(random.nextInt(MAX_CANCEL_MS))
         : OptionalLong.empty();
   }
-
-  @Override
-  public OptionalLong repeatDelayMs(JobSpec job) {
-    return OptionalLong.empty();
-  }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/PeakJobs.java
+++ b/src/main/java/org/laburnumarch/internal/soak/PeakJobs.java
@@ -17,13 +17,9 @@
  * Submits jobs to queues whose demand peaks in turn, above what their pools can run, and a
  * long-running job to each pool. Some jobs are cancelled, fail often, fail always or crash workers.
  */
-final class PeakJobs implements JobSource {
+final class PeakJobs extends RandomJobs {
 
   private static final long SUBMIT_INTERVAL_MS = 20;
-  private static final double SECONDS_PER_INTERVAL = SUBMIT_INTERVAL_MS / 1_000.0;
-
-  /** How long the demand of a queue peaks. */
-  private static final long TURN_MS = 4_500;
 
   private static final double PEAK_FACTOR = 5;
   private static final double IDLE_FACTOR = 0.05;
@@ -180,29 +176,20 @@
 
   private static final double JOBS_PER_SECOND = 11;
 
-  private final Random random;
-  private final SuspendAwareClock clock;
   private boolean areLongRunningSubmitted;
-  private int nextJobNumber;
 
   PeakJobs(Random random, SuspendAwareClock clock) {
-    this.random = random;
-    this.clock = clock;
-  }
-
-  @Override
-  public long intervalMs() {
-    return SUBMIT_INTERVAL_MS;
+    super(random, clock, SUBMIT_INTERVAL_MS);
   }
 
   @Override
   public List<JobSpec> next(long elapsedMs) {
     List<JobSpec> due = new ArrayList<>();
     Queue[] queues = Queue.values();
-    Queue busy = queues[(int) (elapsedMs / TURN_MS % queues.length)];
+    Queue busy = busyQueue(queues, elapsedMs);
     for (Queue queue : queues) {
       double factor = queue == busy ? PEAK_FACTOR : IDLE_FACTOR;
-      if (random.nextDouble() < queue.jobsPerSecond * factor * SECONDS_PER_INTERVAL) {
+      if (arrives(queue.jobsPerSecond * factor)) {
         due.add(queue.withLimits(job(queue.label, program(), queue.steps(random))));
       }
     }
@@ -229,9 +216,8 @@
   }
 
   private JobSpec job(String queue, TaskProgram program, List<StepSpec> steps) {
-    String id = String.format(Locale.ROOT, "%08x%08x", random.nextInt(), nextJobNumber++);
-    return new JobSpec(
-        id, queue, Team.choose(random).label(), program.label(), steps, 0, 0, 0, clock.epochMs());
+    String id = nextId();
+    return job(id, queue, Team.choose(random).label(), program.label(), steps);
   }
 
   @Override
--- a/src/main/java/org/laburnumarch/internal/soak/ShortJobs.java
+++ b/src/main/java/org/laburnumarch/internal/soak/ShortJobs.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.laburnumarch.internal.job.JobSpec;
@@ -12,7 +11,7 @@
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
 /** Submits batch jobs of short tasks at a constant rate, and a few long-running jobs. */
-final class ShortJobs implements JobSource {
+final class ShortJobs extends RandomJobs {
 
   private static final long SUBMIT_INTERVAL_MS = 60;
 
@@ -24,26 +23,17 @@
   /** Memory that every task needs. */
   private static final long TASK_MEMORY_MB = 1_000;
 
-  private final Random random;
-  private final SuspendAwareClock clock;
   private int submittedLongRunningJobs;
-  private int nextJobNumber;
 
   ShortJobs(Random random, SuspendAwareClock clock) {
-    this.random = random;
-    this.clock = clock;
-  }
-
-  @Override
-  public long intervalMs() {
-    return SUBMIT_INTERVAL_MS;
+    super(random, clock, SUBMIT_INTERVAL_MS);
   }
 
   @Override
   public List<JobSpec> next(long elapsedMs) {
-    String id = String.format(Locale.ROOT, "%08x%08x", random.nextInt(), nextJobNumber++);
-    String team = PlatformStandIn.TEAMS.get(random.nextInt(PlatformStandIn.TEAMS.size()));
-    boolean isLongRunning = submittedLongRunningJobs < LONG_RUNNING_JOBS && nextJobNumber > 5;
+    String id = nextId();
+    String team = nextTeam();
+    boolean isLongRunning = submittedLongRunningJobs < LONG_RUNNING_JOBS && drawnIds() > 5;
     List<StepSpec> steps = new ArrayList<>();
     if (isLongRunning) {
       submittedLongRunningJobs++;
@@ -55,7 +45,7 @@
       }
     }
     String queue = isLongRunning ? PlatformStandIn.LONG_RUNNING_QUEUE : PlatformStandIn.BATCH_QUEUE;
-    return List.of(new JobSpec(id, queue, team, "soak", steps, 0, 0, 0, clock.epochMs()));
+    return List.of(job(id, queue, team, "soak", steps));
   }
 
   private static StepSpec batchStep(int count, long cpuMillis, long runMs, Integer... after) {
@@ -70,9 +60,4 @@
         ? OptionalLong.of(random.nextInt(1_500))
         : OptionalLong.empty();
   }
-
-  @Override
-  public OptionalLong repeatDelayMs(JobSpec job) {
-    return OptionalLong.empty();
-  }
 }
--- a/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
+++ b/src/main/java/org/laburnumarch/internal/soak/SoakLoad.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.laburnumarch.internal.job.Resources;
+import org.laburnumarch.internal.platform.standin.OperatorConfig;
 import org.laburnumarch.internal.platform.standin.PlatformLayout;
 import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.time.SuspendAwareClock;
@@ -42,20 +43,14 @@
       Arrays.stream(WaveJobs.Queue.values())
           .forEach(queue -> poolSizes.put(queue.pool(), WORKERS_PER_POOL));
       poolSizes.put(PlatformStandIn.SPARE_POOL, SPARE_INSTANCES);
-      return new PlatformLayout(
+      return concurrentWorkers(
           poolSizes,
           Arrays.stream(WaveJobs.Queue.values()).flatMap(queue -> queue.routes().stream()).toList(),
-          PlatformStandIn.SPARE_POOL,
           List.of("north", "central", "south"),
-          4,
-          new Resources(32_000, 65_536, 0),
-          20,
+          LARGE_WORKER,
           900,
           1_000,
-          0.98,
-          true,
-          PlatformLayout.equalTeams(400_000),
-          40);
+          PlatformLayout.equalTeams(400_000));
     }
 
     @Override
@@ -75,7 +70,7 @@
   MANY_ENDS(90_000) {
     @Override
     PlatformLayout layout() {
-      return new PlatformLayout(
+      return concurrentWorkers(
           Map.of(
               PlatformStandIn.BATCH_POOL,
               2,
@@ -84,17 +79,11 @@
               PlatformStandIn.SPARE_POOL,
               2),
           PlatformLayout.small(Map.of()).routes(),
-          PlatformStandIn.SPARE_POOL,
           List.of("north"),
-          4,
           new Resources(8_000, 32_000, 0),
-          20,
           400,
           500,
-          0.98,
-          true,
-          PlatformLayout.equalTeams(400_000),
-          40);
+          PlatformLayout.equalTeams(400_000));
     }
 
     @Override
@@ -115,20 +104,14 @@
       Arrays.stream(PeakJobs.Queue.values())
           .forEach(queue -> poolSizes.put(queue.pool(), queue.workers()));
       poolSizes.put(PlatformStandIn.SPARE_POOL, 6);
-      return new PlatformLayout(
+      return concurrentWorkers(
           poolSizes,
           Arrays.stream(PeakJobs.Queue.values()).flatMap(queue -> queue.routes().stream()).toList(),
-          PlatformStandIn.SPARE_POOL,
           List.of("north", "central", "south"),
-          4,
-          new Resources(32_000, 65_536, 0),
-          20,
+          LARGE_WORKER,
           900,
           900,
-          0.98,
-          true,
-          Arrays.stream(PeakJobs.Team.values()).map(PeakJobs.Team::config).toList(),
-          40);
+          Arrays.stream(PeakJobs.Team.values()).map(PeakJobs.Team::config).toList());
     }
 
     @Override
@@ -147,22 +130,16 @@
       Arrays.stream(LimitedJobs.Queue.values())
           .forEach(queue -> poolSizes.put(queue.pool(), queue.workers()));
       poolSizes.put(PlatformStandIn.SPARE_POOL, 0);
-      return new PlatformLayout(
+      return concurrentWorkers(
           poolSizes,
           Arrays.stream(LimitedJobs.Queue.values())
               .flatMap(queue -> queue.routes().stream())
               .toList(),
-          PlatformStandIn.SPARE_POOL,
           List.of("north"),
-          4,
-          new Resources(32_000, 65_536, 0),
-          20,
+          LARGE_WORKER,
           400,
           500,
-          0.98,
-          true,
-          PlatformLayout.equalTeams(400_000),
-          40);
+          PlatformLayout.equalTeams(400_000));
     }
 
     @Override
@@ -174,12 +151,39 @@
   private static final int WORKERS_PER_POOL = 10;
   private static final int SPARE_INSTANCES = 8;
 
+  private static final Resources LARGE_WORKER = new Resources(32_000, 65_536, 0);
+
   private final long maxSettleMs;
 
   SoakLoad(long maxSettleMs) {
     this.maxSettleMs = maxSettleMs;
   }
 
+  /** Returns a platform whose workers each have a thread of their own, four to a rack. */
+  private static PlatformLayout concurrentWorkers(
+      Map<String, Integer> poolSizes,
+      List<PlatformLayout.Route> routes,
+      List<String> dataCentres,
+      Resources capacity,
+      long maxStopMs,
+      long stopTimeoutMs,
+      List<OperatorConfig.Team> teams) {
+    return new PlatformLayout(
+        poolSizes,
+        routes,
+        PlatformStandIn.SPARE_POOL,
+        dataCentres,
+        4,
+        capacity,
+        20,
+        maxStopMs,
+        stopTimeoutMs,
+        0.98,
+        true,
+        teams,
+        40);
+  }
+
   abstract PlatformLayout layout();
 
   abstract JobSource jobs(Random random, SuspendAwareClock clock);
--- a/src/main/java/org/laburnumarch/internal/soak/WaveJobs.java
+++ b/src/main/java/org/laburnumarch/internal/soak/WaveJobs.java
@@ -2,27 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.laburnumarch.internal.job.JobSpec;
 import org.laburnumarch.internal.job.Resources;
 import org.laburnumarch.internal.job.StepSpec;
 import org.laburnumarch.internal.platform.standin.PlatformLayout.Route;
-import org.laburnumarch.internal.platform.standin.PlatformStandIn;
 import org.laburnumarch.internal.time.SuspendAwareClock;
 
 /**
  * Submits jobs of dependent steps to several queues, which are busy in turn, and a long-running job
  * to each pool. Some jobs are cancelled, and some are submitted again after their acceptance.
  */
-final class WaveJobs implements JobSource {
+final class WaveJobs extends RandomJobs {
 
   private static final long SUBMIT_INTERVAL_MS = 20;
-  private static final double SECONDS_PER_INTERVAL = SUBMIT_INTERVAL_MS / 1_000.0;
-
-  /** How long a queue is busy. */
-  private static final long TURN_MS = 4_500;
 
   private static final double BUSY_FACTOR = 4;
   private static final double IDLE_FACTOR = 0.05;
@@ -153,29 +147,20 @@
     }
   }
 
-  private final Random random;
-  private final SuspendAwareClock clock;
   private boolean areLongRunningSubmitted;
-  private int nextJobNumber;
 
   WaveJobs(Random random, SuspendAwareClock clock) {
-    this.random = random;
-    this.clock = clock;
-  }
-
-  @Override
-  public long intervalMs() {
-    return SUBMIT_INTERVAL_MS;
+    super(random, clock, SUBMIT_INTERVAL_MS);
   }
 
   @Override
   public List<JobSpec> next(long elapsedMs) {
     List<JobSpec> due = new ArrayList<>();
     Queue[] queues = Queue.values();
-    Queue busy = queues[(int) (elapsedMs / TURN_MS % queues.length)];
+    Queue busy = busyQueue(queues, elapsedMs);
     for (Queue queue : queues) {
       double factor = queue == busy ? BUSY_FACTOR : IDLE_FACTOR;
-      if (random.nextDouble() < queue.jobsPerSecond * factor * SECONDS_PER_INTERVAL) {
+      if (arrives(queue.jobsPerSecond * factor)) {
         due.add(job(queue.label, steps(queue.kind)));
       }
     }
@@ -203,9 +188,9 @@
   }
 
   private JobSpec job(String queue, List<StepSpec> steps) {
-    String id = String.format(Locale.ROOT, "%08x%08x", random.nextInt(), nextJobNumber++);
-    String team = PlatformStandIn.TEAMS.get(random.nextInt(PlatformStandIn.TEAMS.size()));
-    return new JobSpec(id, queue, team, "soak", steps, 0, 0, 0, clock.epochMs());
+    String id = nextId();
+    String team = nextTeam();
+    return job(id, queue, team, "soak", steps);
   }
 
   @Override
