Build limited steps of two tests with the method for them

Found by reading the change again: KeptWorkerTest and LeftOutStepsTest list the sixteen values of a step to set its limit for each worker.

Change: they use StepSpec.withMaxPerWorker. The steps are equal, and no assertion changes.

--- a/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/KeptWorkerTest.java
@@ -27,23 +27,8 @@
 
   /** A step that takes less than half of each of two workers. */
   private static final StepSpec SPREAD =
-      new StepSpec(
-          2,
-          new Resources(500, 13_000, 0),
-          SHORT_RUN_MS,
-          List.of(),
-          false,
-          false,
-          false,
-          "",
-          "",
-          1,
-          false,
-          false,
-          "",
-          0,
-          false,
-          0);
+      StepSpec.ofTasks(2, new Resources(500, 13_000, 0), SHORT_RUN_MS, List.of())
+          .withMaxPerWorker(1);
 
   private final Scheduler scheduler = new Scheduler(TestJobs.SETTINGS, 1, START_MS, false);
   private final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
--- a/src/test/java/org/laburnumarch/internal/schedule/LeftOutStepsTest.java
+++ b/src/test/java/org/laburnumarch/internal/schedule/LeftOutStepsTest.java
@@ -77,8 +77,7 @@
     Resources need = new Resources(10, 10, 0);
     return isLongRunning
         ? StepSpec.ofLongRunningTasks(3, need, "", 1, 0)
-        : new StepSpec(
-            3, need, 500, List.of(), false, false, false, "", "", 1, false, false, "", 0, false, 0);
+        : StepSpec.ofTasks(3, need, 500, List.of()).withMaxPerWorker(1);
   }
 
   @Test
