--- a/review/harness-2/Minion.java
+++ b/review/harness-2/Minion.java
@@ -64,9 +64,29 @@
   /** All ends of runs on all minions: the task's name and how the run ended. */
   private static final List<String> ENDS = new ArrayList<>();
 
+  /** Where each task runs now, by the task's name. */
+  private static final Map<String, String> RUNNING = new HashMap<>();
+
+  /** The starts of tasks that were running on another minion at that time. */
+  private static final List<String> TWICE = new ArrayList<>();
+
   /** How long tasks of a job take, in milliseconds, by step. */
   static final Map<String, Long> DURATIONS_MS = new HashMap<>();
 
+  /** Returns how many runs of a job's tasks have started. */
+  static long starts(String job) {
+    synchronized (STARTS) {
+      return STARTS.stream().filter(start -> start.task().startsWith(job)).count();
+    }
+  }
+
+  /** Returns the starts of tasks that were running on another minion at that time. */
+  static List<String> twice() {
+    synchronized (STARTS) {
+      return List.copyOf(TWICE);
+    }
+  }
+
   /** Returns how many runs of a job's tasks have ended `failed`. */
   static long failedEnds(String job) {
     return ends(job, "failed");
@@ -127,6 +147,7 @@
     record.add("%s crashes; lost with it: %s", id, running.keySet());
     server.stop(0);
     server = null;
+    running.values().forEach(this::forget);
     running.clear();
     notifyAll();
   }
@@ -146,6 +167,7 @@
       server.stop(0);
       server = null;
     }
+    running.values().forEach(this::forget);
     running.clear();
     notifyAll();
   }
@@ -186,8 +208,15 @@
     }
   }
 
+  private void forget(Run run) {
+    synchronized (STARTS) {
+      RUNNING.remove(run.task, id);
+    }
+  }
+
   private void end(Run run, String how) {
     running.remove(run.task);
+    forget(run);
     closedRuns.merge(run.task, run.run, Math::max);
     finished.add(List.of(nextEnd++, run.task, run.run, how, ""));
     synchronized (ENDS) {
@@ -265,6 +294,10 @@
     record.add("%s: %s run %d started", id, task, run);
     synchronized (STARTS) {
       STARTS.add(new Start(task, run, nowMs, id));
+      String other = RUNNING.put(task, id);
+      if (other != null) {
+        TWICE.add(task + " run " + run + " started on " + id + " while it runs on " + other);
+      }
     }
     return "";
   }
