--- a/review/harness-2/Cloud.java
+++ b/review/harness-2/Cloud.java
@@ -35,7 +35,7 @@
     }
   }
 
-  private final Worlds world;
+  private final Deployment deployment;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Map<Long, Set<String>> waves = new TreeMap<>();
 
@@ -44,8 +44,8 @@
 
   final HttpServer server;
 
-  Cloud(Worlds world) throws IOException {
-    this.world = world;
+  Cloud(Deployment deployment) throws IOException {
+    this.deployment = deployment;
     this.server = Http.listen("127.0.0.1", this::handle);
   }
 
@@ -59,8 +59,8 @@
       waves.put(wave, names);
       begun.put(wave, new TreeSet<>());
     }
-    world.record.add("operator: wave %d, machines %s, %d at once", wave, names, maxCount);
-    world.store.write(
+    deployment.record.add("operator: wave %d, machines %s, %d at once", wave, names, maxCount);
+    deployment.store.write(
         "keyed.op",
         "wave/" + wave,
         Http.JSON.writeValueAsBytes(
@@ -143,33 +143,33 @@
       ended = machine.minion;
       machine.minion = null;
     }
-    world.record.add("cloud: upkeep of %s for wave %d begins", name, wave);
+    deployment.record.add("cloud: upkeep of %s for wave %d begins", name, wave);
     ended.close();
-    world.store.write("keyed.servers", ended.id, null);
+    deployment.store.write("keyed.servers", ended.id, null);
     Machine kept = machine;
     Thread end =
         new Thread(
             () -> {
-              Worlds.pause(UPKEEP_MS);
+              Deployment.pause(UPKEEP_MS);
               try {
                 Minion next =
                     new Minion(
-                        world,
+                        deployment,
                         ended.id + "x",
                         kept.pool,
                         kept.zone,
                         kept.rack);
-                synchronized (world.minions) {
-                  world.minions.add(next);
+                synchronized (deployment.minions) {
+                  deployment.minions.add(next);
                 }
                 synchronized (this) {
                   kept.minion = next;
                   kept.state = "up";
                 }
-                world.writeEntry(next, 0);
-                world.record.add("cloud: %s is up again as %s", name, next.id);
+                deployment.writeEntry(next, 0);
+                deployment.record.add("cloud: %s is up again as %s", name, next.id);
               } catch (IOException e) {
-                world.record.add("cloud: %s has no new minion: %s", name, e.getMessage());
+                deployment.record.add("cloud: %s has no new minion: %s", name, e.getMessage());
               }
             });
     end.setDaemon(true);
--- a/review/harness-2/CrashCase.java
+++ b/review/harness-2/CrashCase.java
@@ -20,87 +20,87 @@
   public static void main(String[] args) throws Exception {
     boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     try (Record record = new Record(Path.of(args[1]));
-        Worlds world = new Worlds(record, Path.of(args[0]))) {
+        Deployment deployment = new Deployment(record, Path.of(args[0]))) {
       int result = 2;
       try {
-        result = run(world, hasTrouble);
+        result = run(deployment, hasTrouble);
       } catch (Exception e) {
         record.add("the case could not run: %s", e);
       }
       record.add("exit %d", result);
-      world.close();
+      deployment.close();
       System.exit(result);
     }
   }
 
-  private static int run(Worlds world, boolean hasTrouble) throws Exception {
+  private static int run(Deployment deployment, boolean hasTrouble) throws Exception {
     Minion.DURATIONS_MS.put("0", RUN_MS);
     for (int i = 0; i < MINIONS; i++) {
-      world.addMinion("desk", List.of("north", "central", "south").get(i % 3), "r" + i / 4);
+      deployment.addMinion("desk", List.of("north", "central", "south").get(i % 3), "r" + i / 4);
     }
-    world.writeConfig("desk", 4, List.of("holds"));
-    world.start(3);
-    Worlds.pause(4_000);
-    Worlds.Daemon daemon = world.daemons.get(0);
+    deployment.writeConfig("desk", 4, List.of("holds"));
+    deployment.start(3);
+    Deployment.pause(4_000);
+    Deployment.Daemon daemon = deployment.daemons.get(0);
     Map<String, Object> job =
         Map.of(
             "spec", "hold",
             "steps",
                 List.of(Map.of("count", 1, "cpu", 1000, "memMb", 256, "estRuntimeMs", RUN_MS)));
-    if (world.request(daemon, "POST", JOB, job, BUDGET_MS).status() != 200) {
+    if (deployment.request(daemon, "POST", JOB, job, BUDGET_MS).status() != 200) {
       return 2;
     }
     if (hasTrouble) {
-      world.await(5_000, () -> Minion.starts(JOB) == 1, "the task started");
-      Worlds.pause(CRASH_AFTER_MS);
+      deployment.await(5_000, () -> Minion.starts(JOB) == 1, "the task started");
+      Deployment.pause(CRASH_AFTER_MS);
       Minion first =
-          world.minions.stream()
+          deployment.minions.stream()
               .filter(minion -> !minion.tasks().isEmpty())
               .findFirst()
               .orElseThrow();
       first.crash();
-      replaceLater(world, first);
-      for (Minion minion : world.minions) {
+      replaceLater(deployment, first);
+      for (Minion minion : deployment.minions) {
         if (minion != first) {
           minion.crashAtNextStart(
               () -> {
-                world.minions.forEach(other -> other.crashAtNextStart(null));
-                replaceLater(world, minion);
+                deployment.minions.forEach(other -> other.crashAtNextStart(null));
+                replaceLater(deployment, minion);
               });
         }
       }
     }
-    while (world.record.nowMs() < END_MS) {
-      String state = Worlds.state(world.request(daemon, "GET", JOB, null, BUDGET_MS));
+    while (deployment.record.nowMs() < END_MS) {
+      String state = Deployment.state(deployment.request(daemon, "GET", JOB, null, BUDGET_MS));
       if (state.equals("completed")) {
         return 0;
       }
       if (state.equals("failed")) {
-        world.record.add(
+        deployment.record.add(
             "LOST: shown as failed; starts of the task: %d, ends as failed: %d, minions that"
                 + " crashed while they ran it: 1, maxAttempts: 4",
             Minion.starts(JOB), Minion.failedEnds(JOB));
         return 1;
       }
-      Worlds.pause(1_000);
+      Deployment.pause(1_000);
     }
     return 2;
   }
 
   /** Starts another minion at the address of one that has crashed, and ends its entry. */
-  private static void replaceLater(Worlds world, Minion crashed) {
+  private static void replaceLater(Deployment deployment, Minion crashed) {
     Thread replacing =
         new Thread(
             () -> {
               try {
-                Worlds.pause(DOWN_MS);
+                Deployment.pause(DOWN_MS);
                 Minion next = crashed.replace();
-                world.minions.add(next);
-                world.cloud.replace(crashed, next);
-                Worlds.pause(LISTED_MS - DOWN_MS);
-                world.store.write("keyed.servers", crashed.id, null);
+                deployment.minions.add(next);
+                deployment.cloud.replace(crashed, next);
+                Deployment.pause(LISTED_MS - DOWN_MS);
+                deployment.store.write("keyed.servers", crashed.id, null);
               } catch (IOException e) {
-                world.record.add("%s was not replaced: %s", crashed.id, e.getMessage());
+                deployment.record.add("%s was not replaced: %s", crashed.id, e.getMessage());
               }
             });
     replacing.setDaemon(true);
--- a/review/harness-2/Worlds.java
+++ b/review/harness-2/Deployment.java
@@ -19,7 +19,7 @@
 import java.util.stream.Stream;
 
 /** A small deployment: daemons as processes, and stand-ins for the platform, on loopback. */
-final class Worlds implements AutoCloseable {
+final class Deployment implements AutoCloseable {
 
   static final String QUEUE_PATH = "/holds/";
   static final String KEY = "k-1";
@@ -61,7 +61,7 @@
   private volatile boolean isClosed;
   private long version;
 
-  Worlds(Record record, Path root) throws Exception {
+  Deployment(Record record, Path root) throws Exception {
     this.record = record;
     this.root = root;
     this.folder = Files.createTempDirectory("review");
--- a/review/harness-2/ForeignCase.java
+++ b/review/harness-2/ForeignCase.java
@@ -16,41 +16,41 @@
   public static void main(String[] args) throws Exception {
     boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     try (Record record = new Record(Path.of(args[1]));
-        Worlds world = new Worlds(record, Path.of(args[0]))) {
+        Deployment deployment = new Deployment(record, Path.of(args[0]))) {
       int result = 2;
       try {
-        result = run(world, hasTrouble);
+        result = run(deployment, hasTrouble);
       } catch (Exception e) {
         record.add("the case could not run: %s", e);
       }
       record.add("exit %d", result);
-      world.close();
+      deployment.close();
       System.exit(result);
     }
   }
 
-  private static int run(Worlds world, boolean hasTrouble) throws Exception {
+  private static int run(Deployment deployment, boolean hasTrouble) throws Exception {
     Minion.DURATIONS_MS.put("0", RUN_MS);
     for (int i = 0; i < 6; i++) {
-      world.addMinion("desk", List.of("north", "central", "south").get(i % 3), "r" + i / 4);
+      deployment.addMinion("desk", List.of("north", "central", "south").get(i % 3), "r" + i / 4);
     }
-    world.writeConfig("desk", 4, List.of("holds"));
-    world.start(3);
-    Worlds.pause(4_000);
-    Worlds.Daemon daemon = world.daemons.get(0);
+    deployment.writeConfig("desk", 4, List.of("holds"));
+    deployment.start(3);
+    Deployment.pause(4_000);
+    Deployment.Daemon daemon = deployment.daemons.get(0);
     Map<String, Object> job =
         Map.of(
             "spec", "hold",
             "steps",
                 List.of(
                     Map.of("count", TASKS, "cpu", 1000, "memMb", 256, "estRuntimeMs", RUN_MS)));
-    if (world.request(daemon, "POST", JOB, job, BUDGET_MS).status() != 200) {
+    if (deployment.request(daemon, "POST", JOB, job, BUDGET_MS).status() != 200) {
       return 2;
     }
-    world.await(5_000, () -> Minion.starts(JOB) == TASKS, "all tasks started");
-    Worlds.pause(2_000);
+    deployment.await(5_000, () -> Minion.starts(JOB) == TASKS, "all tasks started");
+    Deployment.pause(2_000);
     Minion busy =
-        world.minions.stream()
+        deployment.minions.stream()
             .filter(minion -> !minion.tasks().isEmpty())
             .findFirst()
             .orElseThrow();
@@ -58,14 +58,14 @@
       Map<String, Object> entry = busy.entry(0);
       entry.keySet().removeAll(Set.of("version", "slots", "seq"));
       entry.put("born", System.currentTimeMillis());
-      world.record.add("another writer: servers/%s = %s", busy.id, entry);
-      world.store.write("keyed.servers", busy.id, Http.JSON.writeValueAsBytes(entry));
+      deployment.record.add("another writer: servers/%s = %s", busy.id, entry);
+      deployment.store.write("keyed.servers", busy.id, Http.JSON.writeValueAsBytes(entry));
     }
-    world.await(30_000, () -> Minion.doneEnds(JOB) >= TASKS, "all tasks done");
-    Worlds.pause(1_000);
-    world.request(daemon, "GET", JOB, null, BUDGET_MS);
+    deployment.await(30_000, () -> Minion.doneEnds(JOB) >= TASKS, "all tasks done");
+    Deployment.pause(1_000);
+    deployment.request(daemon, "GET", JOB, null, BUDGET_MS);
     List<String> twice = Minion.twice();
-    twice.forEach(line -> world.record.add("TWICE: %s", line));
+    twice.forEach(line -> deployment.record.add("TWICE: %s", line));
     return twice.isEmpty() ? 0 : 1;
   }
 }
--- a/review/harness-2/Minion.java
+++ b/review/harness-2/Minion.java
@@ -39,7 +39,7 @@
   /** A start that a minion has carried out. */
   record Start(String task, long run, long atMs, String minion) {}
 
-  private final Worlds world;
+  private final Deployment deployment;
   private final Record record;
   final String id;
   final String service;
@@ -104,15 +104,15 @@
     }
   }
 
-  Minion(Worlds world, String id, String service, String zone, String rack) throws IOException {
-    this(world, id, service, zone, rack, new InetSocketAddress("127.0.0.1", 0));
+  Minion(Deployment deployment, String id, String service, String zone, String rack) throws IOException {
+    this(deployment, id, service, zone, rack, new InetSocketAddress("127.0.0.1", 0));
   }
 
   private Minion(
-      Worlds world, String id, String service, String zone, String rack, InetSocketAddress at)
+      Deployment deployment, String id, String service, String zone, String rack, InetSocketAddress at)
       throws IOException {
-    this.world = world;
-    this.record = world.record;
+    this.deployment = deployment;
+    this.record = deployment.record;
     this.id = id;
     this.service = service;
     this.zone = zone;
@@ -164,15 +164,15 @@
     begin();
     server = Http.listen(address, this::handle);
     record.add("%s is up again", id);
-    world.writeEntry(this, 0);
+    deployment.writeEntry(this, 0);
   }
 
   /** Starts another process, under another id, at the address of this one, which has crashed. */
   synchronized Minion replace() throws IOException {
     isClosed = true;
-    Minion next = new Minion(world, id + "n", service, zone, rack, address);
+    Minion next = new Minion(deployment, id + "n", service, zone, rack, address);
     record.add("%s is up at the address of %s", next.id, id);
-    world.writeEntry(next, 0);
+    deployment.writeEntry(next, 0);
     return next;
   }
 
@@ -225,7 +225,7 @@
           }
         }
       }
-      Worlds.pause(10);
+      Deployment.pause(10);
     }
   }
 
--- a/review/harness-2/RouteCase.java
+++ b/review/harness-2/RouteCase.java
@@ -16,29 +16,29 @@
   public static void main(String[] args) throws Exception {
     boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     try (Record record = new Record(Path.of(args[1]));
-        Worlds world = new Worlds(record, Path.of(args[0]))) {
+        Deployment deployment = new Deployment(record, Path.of(args[0]))) {
       int result = 2;
       try {
-        result = run(world, hasTrouble);
+        result = run(deployment, hasTrouble);
       } catch (Exception e) {
         record.add("the case could not run: %s", e);
       }
       record.add("exit %d", result);
-      world.close();
+      deployment.close();
       System.exit(result);
     }
   }
 
-  private static int run(Worlds world, boolean hasTrouble) throws Exception {
+  private static int run(Deployment deployment, boolean hasTrouble) throws Exception {
     Minion.DURATIONS_MS.put("0", FIRST_STEP_MS);
     Minion.DURATIONS_MS.put("1", 1_000L);
     for (int i = 0; i < 6; i++) {
-      world.addMinion("desk", List.of("north", "central", "south").get(i % 3), "r" + i / 4);
+      deployment.addMinion("desk", List.of("north", "central", "south").get(i % 3), "r" + i / 4);
     }
-    world.writeConfig("desk", 4, List.of("holds", "rosters"));
-    world.start(3);
-    Worlds.pause(4_000);
-    Worlds.Daemon daemon = world.daemons.get(0);
+    deployment.writeConfig("desk", 4, List.of("holds", "rosters"));
+    deployment.start(3);
+    Deployment.pause(4_000);
+    Deployment.Daemon daemon = deployment.daemons.get(0);
     Map<String, Object> job =
         Map.of(
             "spec", "hold",
@@ -48,27 +48,27 @@
                     Map.of(
                         "count", 2, "cpu", 1000, "memMb", 256, "estRuntimeMs", 1000, "after",
                         List.of(0))));
-    if (world.request(daemon, "POST", JOB, job, BUDGET_MS).status() != 200) {
+    if (deployment.request(daemon, "POST", JOB, job, BUDGET_MS).status() != 200) {
       return 2;
     }
-    world.await(5_000, () -> starts("0") == 3, "first step started");
-    Worlds.pause(1_000);
-    world.writeConfig("desk", 4, hasTrouble ? List.of("rosters") : List.of("holds", "rosters"));
-    world.await(FIRST_STEP_MS + 5_000, () -> Minion.doneEnds(JOB) >= 3, "first step done");
-    long doneAtMs = world.record.nowMs();
-    world.record.add("all tasks of the first step have ended done; the turn of the second has come");
-    while (world.record.nowMs() < doneAtMs + FINISH_MS + IDLE_MS) {
+    deployment.await(5_000, () -> starts("0") == 3, "first step started");
+    Deployment.pause(1_000);
+    deployment.writeConfig("desk", 4, hasTrouble ? List.of("rosters") : List.of("holds", "rosters"));
+    deployment.await(FIRST_STEP_MS + 5_000, () -> Minion.doneEnds(JOB) >= 3, "first step done");
+    long doneAtMs = deployment.record.nowMs();
+    deployment.record.add("all tasks of the first step have ended done; the turn of the second has come");
+    while (deployment.record.nowMs() < doneAtMs + FINISH_MS + IDLE_MS) {
       if (starts("1") > 0) {
-        world.await(5_000, () -> Minion.doneEnds(JOB) == 5, "second step done");
-        world.request(daemon, "GET", JOB, null, BUDGET_MS);
+        deployment.await(5_000, () -> Minion.doneEnds(JOB) == 5, "second step done");
+        deployment.request(daemon, "GET", JOB, null, BUDGET_MS);
         return 0;
       }
-      Worlds.pause(50);
+      Deployment.pause(50);
     }
-    world.request(daemon, "GET", JOB, null, BUDGET_MS);
-    world.record.add(
+    deployment.request(daemon, "GET", JOB, null, BUDGET_MS);
+    deployment.record.add(
         "LOST: for %.1f s the accepted job has nothing running; the minions are idle",
-        (world.record.nowMs() - doneAtMs) / 1000.0);
+        (deployment.record.nowMs() - doneAtMs) / 1000.0);
     return 1;
   }
 
--- a/review/harness-2/Store.java
+++ b/review/harness-2/Store.java
@@ -119,7 +119,7 @@
     if (silent.contains(topic)) {
       return; // The channel returns nothing further.
     }
-    Worlds.pause(CALL_MS);
+    Deployment.pause(CALL_MS);
     switch (exchange.getRequestURI().getPath()) {
       case "/v1/log-append" -> append(exchange, topic, query, body);
       case "/v1/log-read" -> read(exchange, topic, query);
